Lay out the workspace with the vocabulary of the reducers

Cause: the repository was empty; every part needs the same ids, events, effects, store calls, packets and verdicts to be built side by side. Change: workspace of six packages, formatter, linter with hacking, types, pytest, behave, and small fakes of clock, net, store and server. Conclusion: parts can be written against data, without I/O.

--- /dev/null
+++ b/packages/bench/src/medlar_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measured rows with their bounds and baselines."""
--- /dev/null
+++ b/packages/bench/src/medlar_bench/registry.py
@@ -0,0 +1,5 @@
+"""All measurements of the benchmark, in the order they are shown."""
+
+from .rows import Measurement
+
+MEASUREMENTS: tuple[Measurement, ...] = ()
--- /dev/null
+++ b/packages/core/src/medlar_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of balancer and agent, free of I/O."""
--- /dev/null
+++ b/packages/core/src/medlar_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: its schema, changes and how it spreads."""
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of flows: buckets, owners, directories and filters."""
--- /dev/null
+++ b/packages/core/src/medlar_core/ids.py
@@ -0,0 +1,34 @@
+"""Identifiers that processes exchange."""
+
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+"""Address ``ip:port`` of a process; UDP and TCP share the port."""
+
+ServiceName = NewType("ServiceName", str)
+KindName = NewType("KindName", str)
+PlaceName = NewType("PlaceName", str)
+RegionName = NewType("RegionName", str)
+
+Incarnation = NewType("Incarnation", int)
+"""Start counter of a process; a larger one replaces a smaller one."""
+
+FlowKey = NewType("FlowKey", int)
+"""64-bit hash of caller address, service address and protocol."""
+
+Bucket = NewType("Bucket", int)
+"""Index into the routing table of one service."""
+
+Version = NewType("Version", int)
+"""Counter that only grows; what it counts is said where it is used."""
+
+ChangeId = NewType("ChangeId", str)
+"""Unique id that an operator's change carries."""
+
+IdempotencyKey = NewType("IdempotencyKey", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+StoreCallId = NewType("StoreCallId", int)
+
+Seconds = NewType("Seconds", float)
+"""Monotonic time or a duration, in seconds."""
--- /dev/null
+++ b/packages/core/src/medlar_core/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Authentication of control messages."""
--- /dev/null
+++ b/packages/core/src/medlar_core/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: who serves, judged by those who talk to it."""
--- /dev/null
+++ b/packages/core/src/medlar_core/packets.py
@@ -0,0 +1,63 @@
+"""Packets of flows as balancers and agents exchange them."""
+
+import enum
+
+import msgspec
+import xxhash
+
+from .ids import FlowKey
+from .ids import NodeId
+from .ids import ServiceName
+from .ids import Version
+
+
+class Flag(enum.IntFlag):
+    """Marks of a packet, named as in TCP."""
+
+    NONE = 0
+    SYN = 1
+    ACK = 2
+    FIN = 4
+    RST = 8
+
+
+class Packet(msgspec.Struct, array_like=True, omit_defaults=True):
+    """One packet of a flow.
+
+    ``caller`` and ``address`` are ``ip:port``. The fabric leaves the
+    routing fields empty. ``version`` is the version of the bucket that
+    the balancer routed by; ``hops`` counts agents passed so far and
+    ``asked`` names them.
+    """
+
+    caller: str
+    address: str
+    flags: int
+    payload: bytes = b""
+    service: ServiceName = ServiceName("")
+    version: Version = Version(0)
+    hops: int = 0
+    asked: tuple[NodeId, ...] = ()
+    via: NodeId = NodeId("")
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Packet)
+
+
+def encode(packet: Packet) -> bytes:
+    """Return the datagram of a packet."""
+    return _encoder.encode(packet)
+
+
+def decode(data: bytes) -> Packet:
+    """Return the packet in a datagram.
+
+    :raises msgspec.DecodeError: if the datagram is no packet.
+    """
+    return _decoder.decode(data)
+
+
+def flow_key(caller: str, address: str) -> FlowKey:
+    """Return the 64-bit key of the flow between caller and address."""
+    return FlowKey(xxhash.xxh3_64_intdigest(f"{caller}>{address}".encode()))
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: choice of server, admission, verdicts and floods."""
--- /dev/null
+++ b/packages/core/src/medlar_core/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of one process and how time lines merge."""
--- /dev/null
+++ b/packages/fakes/src/medlar_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of net, store, clock and server."""
--- /dev/null
+++ b/packages/fakes/src/medlar_fakes/net.py
@@ -0,0 +1,161 @@
+"""A net that delays, drops, reorders, doubles, cuts and pauses."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+from typing import Any
+
+import msgspec
+
+from medlar_core.effects import CallStore
+from medlar_core.effects import Forward
+from medlar_core.effects import Send
+from medlar_core.events import PacketArrived
+from medlar_core.events import Received
+from medlar_core.events import Reducer
+from medlar_core.events import StoreAnswered
+from medlar_core.events import Tick
+from medlar_core.ids import NodeId
+
+from .clock import Clock
+from .store import Store
+
+TICK_S = 0.1
+DATAGRAM_LIMIT_BYTES = 1200
+DATAGRAM_ENVELOPE_BYTES = 90
+"""IP and UDP headers, key id, stamp and seal of one datagram."""
+HTTP_ENVELOPE_BYTES = 400
+"""Headers of request and response and the TCP segments' headers."""
+
+
+class Faults(msgspec.Struct):
+    """How the net misbehaves now; shares are 0 to 1, times seconds."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay_s: float = 0.0015
+    jitter_s: float = 0.001
+
+
+def wire_bytes(msg: Any) -> int:
+    """Return the bytes that a control message costs on the wire."""
+    size = len(msgspec.json.encode(msg))
+    if size <= DATAGRAM_LIMIT_BYTES:
+        return size + DATAGRAM_ENVELOPE_BYTES
+    return size + HTTP_ENVELOPE_BYTES
+
+
+class Net:
+    """Carries effects of attached reducers to one another.
+
+    ``other`` is called with (node, effect) for effects that the net does
+    not carry itself. ``bytes_sent`` counts control bytes per node and
+    ``messages`` counts them by type name.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        seed: int,
+        store: Store | None = None,
+        other: Callable[[NodeId, Any], None] | None = None,
+        metered: bool = False,
+    ) -> None:
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.store = store
+        self.faults = Faults()
+        self.hosts: dict[NodeId, Reducer] = {}
+        self.cut: Callable[[NodeId, NodeId], bool] = lambda a, b: False
+        self.other = other or (lambda node, effect: None)
+        self.metered = metered
+        self.bytes_sent: collections.Counter[NodeId] = collections.Counter()
+        self.bytes_got: collections.Counter[NodeId] = collections.Counter()
+        self.messages: collections.Counter[str] = collections.Counter()
+        self._paused: dict[NodeId, list[Any]] = {}
+
+    def attach(
+        self, node: NodeId, host: Reducer, tick_s: float = TICK_S
+    ) -> None:
+        """Start a process: it gets ticks and whatever is sent to it."""
+        self.hosts[node] = host
+
+        def tick() -> bool:
+            if self.hosts.get(node) is not host:
+                return False
+            if node not in self._paused:
+                self.give(node, Tick())
+            return True
+
+        first = self.rng.random() * tick_s
+        self.clock.after(first, lambda: self.clock.every(tick_s, tick))
+
+    def kill(self, node: NodeId) -> None:
+        """End a process at once; what is on its way to it is lost."""
+        self.hosts.pop(node, None)
+        self._paused.pop(node, None)
+
+    def pause(self, node: NodeId) -> None:
+        """Stop a process; what comes meanwhile waits for it."""
+        self._paused.setdefault(node, [])
+
+    def resume(self, node: NodeId) -> None:
+        """Go on with a paused process."""
+        for event in self._paused.pop(node, []):
+            self.give(node, event)
+
+    def give(self, node: NodeId, event: Any) -> None:
+        """Hand an event to a process now and carry its effects."""
+        if node in self._paused:
+            self._paused[node].append(event)
+            return
+        host = self.hosts.get(node)
+        if host is not None:
+            self.carry(node, host.reduce(self.clock.now, event))
+
+    def carry(self, src: NodeId, effects: Iterable[Any]) -> None:
+        """Carry out effects of a process."""
+        for effect in effects:
+            match effect:
+                case Send(dst=dst, msg=msg):
+                    self._meter(src, dst, msg)
+                    self._send(src, dst, Received(src, msg))
+                case Forward(dst=dst, packet=packet):
+                    self._send(src, dst, PacketArrived(packet))
+                case CallStore(call=call, op=op):
+                    self._call(src, call, op)
+                case _:
+                    self.other(src, effect)
+
+    def _meter(self, src: NodeId, dst: NodeId, msg: Any) -> None:
+        if not self.metered:
+            return
+        size = wire_bytes(msg)
+        self.bytes_sent[src] += size
+        self.bytes_got[dst] += size
+        self.messages[type(msg).__name__] += 1
+
+    def _send(self, src: NodeId, dst: NodeId, event: Any) -> None:
+        if self.cut(src, dst) or self.rng.random() < self.faults.loss:
+            return
+        self._later(dst, event)
+        if self.rng.random() < self.faults.double:
+            self._later(dst, event)
+
+    def _later(self, node: NodeId, event: Any) -> None:
+        jitter = self.rng.random() * self.faults.jitter_s
+        host = self.hosts.get(node)
+
+        def arrive() -> None:
+            if self.hosts.get(node) is host:
+                self.give(node, event)
+
+        self.clock.after(self.faults.delay_s + jitter, arrive)
+
+    def _call(self, src: NodeId, call: Any, op: Any) -> None:
+        if self.store is None:
+            raise RuntimeError("expected a store, got none: pass one to Net")
+        self.store.call(
+            op, lambda answer: self._later(src, StoreAnswered(call, answer))
+        )
--- /dev/null
+++ b/packages/node/src/medlar_node/__init__.py
@@ -0,0 +1,1 @@
+"""The medlarstaged daemon: sockets around the decisions."""
--- /dev/null
+++ b/packages/ops/src/medlar_ops/__init__.py
@@ -0,0 +1,1 @@
+"""The operators library and the medlarctl command."""
--- /dev/null
+++ b/packages/standins/src/medlar_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of store, fabric, server and callers."""
