--- /dev/null
+++ b/packages/bench/src/medlar_bench/run.py
@@ -0,0 +1,68 @@
+"""Runs measurements, in processes of their own or one by one."""
+
+from collections.abc import Iterable
+from concurrent import futures
+import multiprocessing
+import traceback
+
+import msgspec
+
+from . import registry
+from .rows import Measurement
+from .rows import Row
+from .rows import Size
+
+SEED = 1
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What one measurement gave: its rows, or the error that ended it."""
+
+    names: tuple[str, ...]
+    rows: tuple[Row, ...] = ()
+    error: str = ""
+
+
+def measure_all(prefix: str, size: Size, jobs: int) -> list[Outcome]:
+    """Run the measurements under a prefix and return their outcomes.
+
+    Rows that time real code run last and alone, so that nothing else of
+    the benchmark takes their processor; they stay out of Size.FAST.
+    """
+    found = registry.gather(prefix)
+    counted = [m for m in found if not m.wall]
+    timed = [m for m in found if m.wall and size is Size.FULL]
+    outcomes = _pooled(counted, size, jobs) if jobs > 1 else []
+    if jobs <= 1:
+        outcomes = [measure(m, size) for m in counted]
+    outcomes += [measure(m, size) for m in timed]
+    return outcomes
+
+
+def measure(measurement: Measurement, size: Size) -> Outcome:
+    """Run one measurement; an exception becomes part of the outcome."""
+    try:
+        rows = tuple(measurement.run(size, SEED))
+    except Exception:
+        return Outcome(measurement.names, error=traceback.format_exc())
+    given = {row.name for row in rows}
+    if given != set(measurement.names):
+        want = ", ".join(sorted(measurement.names))
+        text = f"expected rows {want}, got {', '.join(sorted(given))}"
+        return Outcome(measurement.names, rows, text)
+    return Outcome(measurement.names, rows)
+
+
+def _pooled(
+    counted: Iterable[Measurement], size: Size, jobs: int
+) -> list[Outcome]:
+    """Run measurements in a pool; they are found again by their names."""
+    context = multiprocessing.get_context("spawn")
+    with futures.ProcessPoolExecutor(jobs, mp_context=context) as pool:
+        tasks = [pool.submit(_named, m.names, size) for m in counted]
+        return [task.result() for task in tasks]
+
+
+def _named(names: tuple[str, ...], size: Size) -> Outcome:
+    found = [m for m in registry.gather() if m.names == names]
+    return measure(found[0], size)
