--- a/packages/bench/src/medlar_bench/plots.py
+++ b/packages/bench/src/medlar_bench/plots.py
@@ -6,9 +6,9 @@
 import pathlib
 
 import matplotlib
+from matplotlib import axes
+from matplotlib import figure
 from matplotlib import pyplot
-from matplotlib.axes import Axes
-from matplotlib.figure import Figure
 
 from .report import Line
 from .report import Report
@@ -54,28 +54,28 @@
 
 def _bars(rows: list[Row], path: pathlib.Path) -> None:
     """Draw value and baseline of each row as shares of its bound."""
-    with _figure(len(rows)) as (figure, axes):
+    with _figure(len(rows)) as (drawing, area):
         for at, row in enumerate(rows):
-            axes.barh(at - 0.2, _scaled(row, row.value), 0.4, color="C0")
+            area.barh(at - 0.2, _scaled(row, row.value), 0.4, color="C0")
             if row.baseline is not None:
                 share = _scaled(row, row.baseline)
-                axes.barh(at + 0.2, share, 0.4, color="C7")
-        axes.axvline(1.0, color="C3")
-        axes.set_xscale("log")
-        axes.set_yticks(range(len(rows)), [_label(row) for row in rows])
-        axes.invert_yaxis()
-        axes.set_xlabel("value (blue), baseline (grey) over bound (red)")
-        figure.savefig(path, format="svg", metadata={"Date": None})
+                area.barh(at + 0.2, share, 0.4, color="C7")
+        area.axvline(1.0, color="C3")
+        area.set_xscale("log")
+        area.set_yticks(range(len(rows)), [_label(row) for row in rows])
+        area.invert_yaxis()
+        area.set_xlabel("value (blue), baseline (grey) over bound (red)")
+        drawing.savefig(path, format="svg", metadata={"Date": None})
 
 
 @contextlib.contextmanager
-def _figure(rows: int) -> Iterator[tuple[Figure, Axes]]:
+def _figure(rows: int) -> Iterator[tuple[figure.Figure, axes.Axes]]:
     size = (WIDTH_IN, 1.0 + ROW_HEIGHT_IN * rows)
-    figure, axes = pyplot.subplots(figsize=size, layout="constrained")
+    drawing, area = pyplot.subplots(figsize=size, layout="constrained")
     try:
-        yield figure, axes
+        yield drawing, area
     finally:
-        pyplot.close(figure)
+        pyplot.close(drawing)
 
 
 def _scaled(row: Row, value: float) -> float:
