--- /dev/null
+++ b/testing/core/timeline/test_explain.py
@@ -0,0 +1,64 @@
+from medlar_core.ids import NodeId
+from medlar_core.packets import flow_key
+from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.events import Topic
+from medlar_core.timeline.explain import explain
+from medlar_core.timeline.explain import Sure
+from medlar_core.timeline.explain import WhichVersion
+from medlar_core.timeline.explain import WhyFlow
+from medlar_core.timeline.explain import WhyRequest
+from medlar_core.timeline.explain import WhyServer
+from medlar_core.timeline.hlc import Stamp
+from medlar_core.timeline.hlc import Stamped
+from medlar_core.timeline.query import Gathered
+from medlar_core.timeline.query import Silent
+
+A = NodeId("10.0.0.1:7000")
+B = NodeId("10.0.0.2:7000")
+CALLER = "10.9.0.1:4000"
+ADDRESS = "10.1.0.1:80"
+
+
+def gathered(*events: TimelineEvent, node: NodeId = A) -> Gathered:
+    stamped = [Stamped(node, Stamp(n), e) for n, e in enumerate(events)]
+    return Gathered(tuple(stamped))
+
+
+def test_flow_is_told_with_the_placement_before_it() -> None:
+    key = str(flow_key(CALLER, ADDRESS))
+    placed = TimelineEvent(Topic.PLACEMENT, "bucket moved", service="s")
+    other = TimelineEvent(Topic.PLACEMENT, "bucket moved", service="t")
+    went = TimelineEvent(Topic.HANDOVER, "went on", service="s", flow=key)
+    answer = explain(WhyFlow(CALLER, ADDRESS), gathered(placed, other, went))
+    assert [item.event for item in answer.events] == [placed, went]
+    assert answer.sure is Sure.FOUND
+
+
+def test_refused_request_is_told_with_its_reason() -> None:
+    refused = TimelineEvent(
+        Topic.VERDICT, "not run", request="r1", reason="over-share"
+    )
+    other = TimelineEvent(Topic.VERDICT, "not run", request="r2")
+    answer = explain(WhyRequest("r1"), gathered(refused, other))
+    assert answer.sentence == f"not run (told by {A}), reason over-share"
+
+
+def test_dead_server_is_told_by_those_who_saw_it() -> None:
+    seen = TimelineEvent(Topic.MEMBERSHIP, "lease lapsed", server=B)
+    answer = explain(WhyServer(B), gathered(seen))
+    assert answer.sentence == f"lease lapsed (told by {A})"
+
+
+def test_processes_behind_the_newest_version_are_named() -> None:
+    old = TimelineEvent(Topic.CONFIGURATION, "in force", version=3)
+    new = TimelineEvent(Topic.CONFIGURATION, "in force", version=4)
+    both = (*gathered(old, new).events, Stamped(B, Stamp(9), old))
+    answer = explain(WhichVersion(), Gathered(both, (Silent(A, "late"),)))
+    assert answer.sentence == (
+        f"version 4 is in force on 1 of 2 processes; {B} still has 3"
+    )
+    assert answer.sure is Sure.PARTIAL
+
+
+def test_question_without_events_is_answered_so() -> None:
+    assert explain(WhyRequest("r1"), Gathered(())).sure is Sure.NOTHING
