Gather the time line of the fleet as table, JSON lines or one page

The time lines of processes could not be read. The timeline and explain commands gather them over HTTP, find the processes that events name, and name those that do not answer. The page has a lane per process; the lane of a dead process shows who told of it.

--- /dev/null
+++ b/testing/ops/test_timeline.py
@@ -0,0 +1,83 @@
+import asyncio
+
+from aiohttp import web
+import pytest
+
+from medlar_core.ids import NodeId
+from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.events import Topic
+from medlar_core.timeline.hlc import Stamp
+from medlar_core.timeline.query import Gathered
+from medlar_core.timeline.recorder import Recorder
+from medlar_core.timeline.wire import encode_list
+from medlar_ops.timeline import gatherer
+from medlar_ops.timeline import PATH
+from medlar_ops.timeline_cli import About
+from medlar_ops.timeline_cli import question
+from medlar_ops.timeline_html import page
+from medlar_ops.timeline_text import lines
+
+DEAD = NodeId("127.0.0.1:1")
+
+
+def served(recorder: Recorder) -> web.Application:
+    async def answer(req: web.Request) -> web.Response:
+        after = None
+        if "after" in req.query:
+            ms, counter = req.query["after"].split(".")
+            after = Stamp(int(ms), int(counter))
+        return web.Response(body=encode_list(recorder.since(after)))
+
+    app = web.Application()
+    app.router.add_get(PATH, answer)
+    return app
+
+
+async def gathered_twice() -> tuple[Gathered, Gathered]:
+    """Ask a process that tells of a dead one, then ask it for news."""
+    recorder = Recorder(NodeId("x"))
+    runner = web.AppRunner(served(recorder))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    recorder.node = NodeId(f"{host}:{port}")
+    dead = TimelineEvent(Topic.MEMBERSHIP, "<lease> lapsed", server=DEAD)
+    recorder.record(1_000, dead)
+    try:
+        async with gatherer(2.0) as asking:
+            first = await asking.gather([recorder.node])
+            recorder.record(2_000, TimelineEvent(Topic.STORE, "store back"))
+            return first, await asking.gather([])
+    finally:
+        await runner.cleanup()
+
+
+def test_gathering_finds_named_processes_and_tells_who_is_silent() -> None:
+    first, second = asyncio.run(gathered_twice())
+    assert [item.event.text for item in first.events] == ["<lease> lapsed"]
+    assert [entry.node for entry in first.silent] == [DEAD]
+    assert [item.event.text for item in second.events] == ["store back"]
+
+
+def test_page_has_a_lane_for_the_dead_and_escapes_texts() -> None:
+    first, _ = asyncio.run(gathered_twice())
+    text = page(first)
+    assert f'<th class="silent">{DEAD}' in text
+    assert f"told by {first.events[0].node}" in text
+    assert "&lt;lease&gt; lapsed" in text
+    assert "http://" not in text
+
+
+def test_table_shows_time_process_and_fields() -> None:
+    recorder = Recorder(NodeId("10.0.0.1:7000"))
+    event = TimelineEvent(Topic.VERDICT, "not run", reason="shed", version=3)
+    recorder.record(3_723_004, event)
+    line = lines(recorder)
+    assert line.startswith("01:02:03.004  10.0.0.1:7000")
+    assert line.endswith("not run  reason=shed version=3")
+
+
+def test_words_that_ask_nothing_are_refused() -> None:
+    with pytest.raises(ValueError, match="expected flow CALLER ADDRESS"):
+        question(About.FLOW, ["10.0.0.1:1"])
