--- a/packages/core/src/medlar_core/timeline/recorder.py
+++ b/packages/core/src/medlar_core/timeline/recorder.py
@@ -28,7 +28,7 @@
 MAX_LIMITS = 256
 """Pairs of topic and reason with a limit of their own."""
 MAX_FIELD_CHARS = 200
-ANSWER_LIMIT = 5_000
+ANSWER_LIMIT = 4_000
 """Events in one answer; who asks goes on from the last stamp."""
 
 
