Add the configuration's parts, writer and spread

Cause: accepted changes have to reach every process whole, in order and also while the store is down. Change: documents are dealt into immutable shards under one root; the writer accepts a change by one conditional write of the head; few watchers read it and peers spread it by version, change and parts. Not measured yet.

--- /dev/null
+++ b/packages/core/src/medlar_core/config/check.py
@@ -0,0 +1,176 @@
+"""Rules that a configuration must keep beyond its schema."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import ipaddress
+import math
+import re
+
+from ..ids import PlaceName
+from .model import Address
+from .model import Configuration
+from .model import Kind
+from .model import SCHEMA_VERSION
+from .model import Service
+from .problem import Problem
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+MAX_PLACES = 64
+MAX_SERVICES = 4096
+MAX_ADDRESSES = 64
+MAX_KINDS = 32
+MAX_PORT = 65535
+MAX_BUCKETS = 65536
+MAX_SLOTS = 100_000
+MAX_CONNECTIONS = 10_000_000
+MAX_DURATION_S = 7 * 24 * 3600.0
+MAX_BODY_BYTES = 1024**3
+MAX_RANK = 255
+FLOOR_TOLERANCE = 1e-9
+
+
+def check(cfg: Configuration) -> tuple[Problem, ...]:
+    """Return every fault of a configuration; none means that it is good."""
+    return tuple(_problems(cfg))
+
+
+def _problems(cfg: Configuration) -> Iterator[Problem]:
+    if cfg.schema != SCHEMA_VERSION:
+        yield Problem(
+            "schema",
+            str(cfg.schema),
+            str(SCHEMA_VERSION),
+            "use a library and fleet of the same schema",
+        )
+    yield from _count("places", len(cfg.places), 1, MAX_PLACES)
+    yield from _count("services", len(cfg.services), 0, MAX_SERVICES)
+    yield from _names("places", (place.name for place in cfg.places))
+    for i, place in enumerate(cfg.places):
+        yield from _name(f"places[{i}].region", place.region)
+    yield from _names("services", (svc.name for svc in cfg.services))
+    yield from _addresses(cfg)
+    places = {place.name for place in cfg.places}
+    for service in cfg.services:
+        yield from _service(service, places)
+
+
+def _service(service: Service, places: set[PlaceName]) -> Iterator[Problem]:
+    path = f"services.{service.name}"
+    yield from _count(
+        f"{path}.addresses", len(service.addresses), 1, MAX_ADDRESSES
+    )
+    yield from _count(f"{path}.places", len(service.places), 1, MAX_PLACES)
+    yield from _count(f"{path}.kinds", len(service.kinds), 0, MAX_KINDS)
+    yield from _twice(f"{path}.places", service.places)
+    known = ", ".join(sorted(places))
+    for i, place in enumerate(service.places):
+        if place not in places:
+            yield Problem(f"{path}.places[{i}]", repr(place), known)
+    yield from _between(f"{path}.slots", service.slots, 1, MAX_SLOTS)
+    yield from _between(
+        f"{path}.connections", service.connections, 1, MAX_CONNECTIONS
+    )
+    yield from _between(f"{path}.buckets", service.buckets, 1, MAX_BUCKETS)
+    if service.buckets & (service.buckets - 1):
+        yield Problem(
+            f"{path}.buckets", str(service.buckets), "a power of two"
+        )
+    yield from _between(f"{path}.warm_s", service.warm_s, 0, MAX_DURATION_S)
+    yield from _between(
+        f"{path}.drain_limit_s", service.drain_limit_s, 0, MAX_DURATION_S
+    )
+    yield from _kinds(path, service.kinds)
+
+
+def _kinds(path: str, kinds: tuple[Kind, ...]) -> Iterator[Problem]:
+    yield from _names(f"{path}.kinds", (kind.name for kind in kinds))
+    yield from _twice(f"{path}.kinds[].rank", (str(k.rank) for k in kinds))
+    for kind in kinds:
+        yield from _kind(f"{path}.kinds.{kind.name}", kind)
+    total = sum(kind.floor for kind in kinds)
+    if total > 1 + FLOOR_TOLERANCE:
+        yield Problem(
+            f"{path}.kinds[].floor",
+            f"{total:g} in all",
+            "at most 1 in all",
+            "lower a guaranteed share",
+        )
+
+
+def _kind(path: str, kind: Kind) -> Iterator[Problem]:
+    yield from _between(f"{path}.rank", kind.rank, 0, MAX_RANK)
+    yield from _between(f"{path}.floor", kind.floor, 0, 1)
+    yield from _positive(f"{path}.mean_s", kind.mean_s)
+    yield from _positive(f"{path}.deadline_s", kind.deadline_s)
+    if kind.deadline_s < kind.mean_s:
+        yield Problem(
+            f"{path}.deadline_s",
+            f"{kind.deadline_s:g}",
+            f"at least mean_s, {kind.mean_s:g}",
+            "such work would be late on the usual day",
+        )
+    yield from _between(
+        f"{path}.max_body_bytes", kind.max_body_bytes, 0, MAX_BODY_BYTES
+    )
+
+
+def _addresses(cfg: Configuration) -> Iterator[Problem]:
+    seen: dict[tuple[str, int], str] = {}
+    for service in cfg.services:
+        for i, address in enumerate(service.addresses):
+            path = f"services.{service.name}.addresses[{i}]"
+            yield from _address(path, address)
+            key = (address.ip, address.port)
+            if key in seen:
+                yield Problem(
+                    path, address.text, f"an address not used by {seen[key]}"
+                )
+            seen.setdefault(key, path)
+
+
+def _address(path: str, address: Address) -> Iterator[Problem]:
+    try:
+        plain = str(ipaddress.ip_address(address.ip))
+    except ValueError:
+        plain = ""
+    if plain != address.ip:
+        yield Problem(f"{path}.ip", repr(address.ip), plain or "an IP number")
+    yield from _between(f"{path}.port", address.port, 1, MAX_PORT)
+
+
+def _names(path: str, names: Iterable[str]) -> Iterator[Problem]:
+    held = tuple(names)
+    for i, name in enumerate(held):
+        yield from _name(f"{path}[{i}].name", name)
+    yield from _twice(path, held)
+
+
+def _name(path: str, name: str) -> Iterator[Problem]:
+    if not NAME.fullmatch(name):
+        yield Problem(
+            path, repr(name), "1 to 63 of a-z, 0-9 and inner hyphens"
+        )
+
+
+def _twice(path: str, values: Iterable[str]) -> Iterator[Problem]:
+    for value, times in collections.Counter(values).items():
+        if times > 1:
+            yield Problem(path, f"{value!r} {times} times", "each once")
+
+
+def _count(path: str, got: int, least: int, most: int) -> Iterator[Problem]:
+    if not least <= got <= most:
+        yield Problem(path, f"{got} entries", f"{least} to {most}")
+
+
+def _between(
+    path: str, got: float, least: float, most: float
+) -> Iterator[Problem]:
+    if not least <= got <= most:
+        yield Problem(path, f"{got:g}", f"{least:g} to {most:g}")
+
+
+def _positive(path: str, got: float) -> Iterator[Problem]:
+    if not 0 < got <= MAX_DURATION_S or math.isnan(got):
+        yield Problem(path, f"{got:g}", f"over 0, to {MAX_DURATION_S:g}")
--- /dev/null
+++ b/packages/core/src/medlar_core/config/gossip.py
@@ -0,0 +1,68 @@
+"""Whom a process tells its version, and when."""
+
+import random
+
+import msgspec
+
+from ..effects import Send
+from ..ids import NodeId
+from ..ids import Seconds
+from ..members.view import View
+from .messages import Have
+
+PERIOD_S = 2.0
+HOT_PERIOD_S = 0.3
+HOT_ROUNDS = 3
+HOT_FANOUT = 3
+JITTER = 0.25
+
+
+class Peers(msgspec.Struct, frozen=True):
+    """Every process that may be told; seeds stand in for a view."""
+
+    ids: tuple[NodeId, ...]
+
+    def some(self, rng: random.Random, count: int) -> list[NodeId]:
+        """Return up to so many different peers."""
+        return rng.sample(self.ids, min(count, len(self.ids)))
+
+
+def peers_of(view: View | None, seeds: Peers, node: NodeId) -> Peers:
+    """Return the peers of a process, itself left out."""
+    found: set[NodeId] = set()
+    if view is not None:
+        found |= {held.id for held in view.balancers}
+        found |= {held.id for held in view.servers}
+    found.discard(node)
+    if not found:
+        return seeds
+    return Peers(tuple(sorted(found)))
+
+
+class Gossip:
+    """Anti-entropy: one peer a period, several soon after a change."""
+
+    def __init__(self, rng: random.Random, seeds: Peers) -> None:
+        self._rng = rng
+        self.peers = seeds
+        self._hot = 0
+        self._due: Seconds | None = None
+
+    def heat(self, now: Seconds) -> None:
+        """Tell several peers at once: there is news."""
+        self._hot = HOT_ROUNDS
+        self._due = now
+
+    def tick(self, now: Seconds, have: Have) -> list[Send]:
+        """Return what is due to be told."""
+        if self._due is None:
+            self._due = Seconds(now + self._rng.random() * PERIOD_S)
+        if now < self._due:
+            return []
+        hot = self._hot > 0
+        self._hot = max(0, self._hot - 1)
+        period = HOT_PERIOD_S if hot else PERIOD_S
+        spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
+        self._due = Seconds(now + period * spread)
+        chosen = self.peers.some(self._rng, HOT_FANOUT if hot else 1)
+        return [Send(peer, have) for peer in chosen]
--- a/packages/core/src/medlar_core/config/model.py
+++ b/packages/core/src/medlar_core/config/model.py
@@ -20,9 +20,17 @@
 
 
 class _Document(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    omit_defaults=True,
 ):
-    """Base of the parts of the document: unknown fields are refused."""
+    """Base of the parts of the document: unknown fields are refused.
+
+    Defaults are left out, so that a field added later leaves the digests
+    of documents without it as they were.
+    """
 
 
 class Place(_Document, frozen=True):
@@ -80,7 +88,7 @@
     drain_limit_s: float = 12 * 3600.0
 
 
-class Configuration(_Document, frozen=True):
+class Configuration(_Document, frozen=True, omit_defaults=False):
     """The whole document: what the fleet serves and where."""
 
     places: tuple[Place, ...]
--- /dev/null
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -0,0 +1,381 @@
+"""Spreading of the configuration over all processes.
+
+Few balancers watch the store. The others learn from peers: a process
+with news tells its version, one that lacks it asks, and gets the change
+or, where it is far behind, the parts that differ.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+from typing import Any
+
+import msgspec
+
+from ..effects import CallStore
+from ..effects import Publish
+from ..effects import Record
+from ..effects import Send
+from ..events import ConfigurationChanged
+from ..events import Received
+from ..events import StoreAnswered
+from ..events import Tick
+from ..events import ViewChanged
+from ..ids import NodeId
+from ..ids import Seconds
+from ..ids import Version
+from ..members.view import View
+from ..timeline.events import TimelineEvent
+from ..timeline.events import Topic
+from .assembly import Assembly
+from .assembly import read_parts
+from .codec import decode_as
+from .gossip import Gossip
+from .gossip import Peers
+from .gossip import peers_of
+from .held import Candidate
+from .held import Held
+from .join import Join
+from .limits import TokenBucket
+from .messages import Delta
+from .messages import Have
+from .messages import Parts
+from .messages import ShardBody
+from .messages import Want
+from .messages import WantShards
+from .model import Configuration
+from .parts import expand
+from .parts import Patch
+from .parts import patched
+from .parts import SHARDS
+from .parts import squeeze
+from .problem import Problem
+from .watch import Duty
+from .watch import Refusal
+from .watch import StoreDown
+from .watch import StoreWatch
+from .watchers import is_watcher
+
+ASK_AGAIN_S = 0.5
+SERVE_BYTES_PER_S = 2000.0
+SERVE_BURST_BYTES = 30_000.0
+MAX_DELTA_BYTES = 16_000
+MAX_BATCH = 8
+ALERTS_PER_S = 0.1
+ALERT_BURST = 5
+
+Effect = Send | CallStore | Publish | Record
+WatcherRule = Callable[[View, NodeId], bool]
+
+
+class Counts(msgspec.Struct):
+    """What the daemon exports as metrics."""
+
+    refused: int = 0
+    store_down: int = 0
+    changes: int = 0
+    throttled: int = 0
+
+
+class ConfigSpread:
+    """Keeps the newest accepted configuration in force here.
+
+    Balancers and agents run it alike. ``seeds`` are asked until a view
+    of the members is known; ``watcher_rule`` says who watches the store.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        seeds: Iterable[NodeId],
+        rng: random.Random,
+        watcher_rule: WatcherRule = is_watcher,
+    ) -> None:
+        self.counts = Counts()
+        self._node = node
+        self._rng = rng
+        self._rule = watcher_rule
+        others = tuple(sorted(set(seeds) - {node}))
+        self._seeds = Peers(others)
+        self._held = Held()
+        self._gossip = Gossip(rng, self._seeds)
+        self._store = StoreWatch(rng, self._held)
+        self._join = Join(rng)
+        self._assembly: Assembly | None = None
+        self._parked: Delta | None = None
+        self._watches = False
+        self._ask_at = 0.0
+        self._serve = TokenBucket(SERVE_BYTES_PER_S, SERVE_BURST_BYTES)
+        self._alerts = TokenBucket(ALERTS_PER_S, ALERT_BURST)
+
+    @property
+    def version(self) -> Version:
+        """Return the version in force; 0 is none."""
+        return self._held.version
+
+    @property
+    def cfg(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._held.tree.cfg if self._held.version else None
+
+    def reduce(self, now: Seconds, event: Any) -> list[Effect]:
+        """Take one event and return the effects to carry out."""
+        match event:
+            case Tick():
+                return self._tick(now)
+            case Received(src=src, msg=msg):
+                return self._received(now, src, msg)
+            case StoreAnswered(call=call, answer=answer):
+                calls = self._store.answered(now, call, answer)
+                return [*calls, *self._from_store(now)]
+            case ViewChanged(view=view):
+                self._watches = self._rule(view, self._node)
+                self._gossip.peers = peers_of(view, self._seeds, self._node)
+        return []
+
+    def _tick(self, now: Seconds) -> list[Effect]:
+        effects: list[Effect] = []
+        effects += self._store.tick(now, self._duty(now))
+        effects += self._from_store(now)
+        if self.version:
+            effects += self._gossip.tick(now, self._have())
+        else:
+            effects += self._seek(now)
+        if self._assembly is not None:
+            effects += self._gather(now, self._assembly)
+        return effects
+
+    def _duty(self, now: Seconds) -> Duty:
+        if self._watches:
+            return Duty.WATCH
+        if not self.version and self._join.alone(now):
+            return Duty.READ
+        return Duty.NONE
+
+    def _received(self, now: Seconds, src: NodeId, msg: Any) -> list[Effect]:
+        match msg:
+            case Have():
+                return self._told(now, src, msg)
+            case Want():
+                return self._serve_change(now, src, msg)
+            case Delta():
+                return self._take_delta(now, src, msg)
+            case Parts():
+                return self._take_parts(now, src, msg)
+            case WantShards():
+                return self._serve_shards(now, src, msg)
+            case ShardBody():
+                return self._take_shard(now, msg)
+        return []
+
+    # What peers tell and ask
+
+    def _have(self) -> Have:
+        return Have(self._held.version, self._held.root)
+
+    def _told(self, now: Seconds, src: NodeId, have: Have) -> list[Effect]:
+        if not self.version:
+            self._join.heard(src, have)
+            return self._choose(now)
+        if have.version > self.version:
+            return self._ask(now, src, Want(self.version))
+        if have.version < self.version:
+            return [Send(src, self._have())]
+        if have.root != self._held.root:
+            why = Problem(
+                f"version {have.version} at {src}",
+                f"root {have.root.hex()}",
+                self._held.root.hex(),
+            )
+            return self._refuse(now, why)
+        return []
+
+    def _ask(self, now: Seconds, src: NodeId, want: Want) -> list[Effect]:
+        if now < self._ask_at:
+            return []
+        self._ask_at = now + ASK_AGAIN_S
+        return [Send(src, want)]
+
+    def _serve_change(
+        self, now: Seconds, src: NodeId, want: Want
+    ) -> list[Effect]:
+        if want.version >= self.version:
+            return []
+        held = self._held
+        patch = None if want.whole else held.patch_from(want.version)
+        body = squeeze(patch) if patch is not None else b""
+        if patch is None or len(body) > MAX_DELTA_BYTES:
+            digests = b"".join(held.tree.digests)
+            parts = Parts(held.version, held.root, held.change, digests)
+            return self._answer(now, src, parts, len(digests))
+        delta = Delta(want.version, held.version, held.root, held.change, body)
+        return self._answer(now, src, delta, len(body))
+
+    def _serve_shards(
+        self, now: Seconds, src: NodeId, want: WantShards
+    ) -> list[Effect]:
+        if want.root != self._held.root:
+            return [Send(src, self._have())] if self.version else []
+        effects: list[Effect] = []
+        for i in want.indices[:MAX_BATCH]:
+            if 0 <= i < SHARDS:
+                shard = self._held.tree.shards[i]
+                body = squeeze(shard)
+                msg = ShardBody(want.root, i, body)
+                effects += self._answer(now, src, msg, len(body))
+        return effects
+
+    def _answer(
+        self, now: Seconds, dst: NodeId, msg: Any, size: int
+    ) -> list[Effect]:
+        if not self._serve.take(now, size):
+            self.counts.throttled += 1
+            return []
+        return [Send(dst, msg)]
+
+    # What peers send
+
+    def _take_delta(
+        self, now: Seconds, src: NodeId, msg: Delta
+    ) -> list[Effect]:
+        if msg.version <= self.version:
+            return []
+        if msg.base != self.version:
+            self._park(msg)
+            return self._ask(now, src, Want(self.version))
+        raw = expand(msg.body)
+        patch = raw if isinstance(raw, Problem) else decode_as(raw, Patch)
+        if isinstance(patch, Problem):
+            return self._refuse(now, patch)
+        tree = patched(self._held.tree, patch)
+        if tree.root != msg.root:
+            # The base differs in what lies between: take the parts.
+            self._ask_at = now + ASK_AGAIN_S
+            return [Send(src, Want(self.version, whole=True))]
+        return self._offer(
+            now, Candidate(tree, msg.version, msg.change), f"peer {src}"
+        )
+
+    def _park(self, msg: Delta) -> None:
+        """Keep the newest change whose base has yet to come."""
+        parked = self._parked
+        if parked is None or parked.version < msg.version:
+            self._parked = msg
+
+    def _unpark(self, now: Seconds) -> list[Effect]:
+        msg = self._parked
+        if msg is None or msg.base > self.version:
+            return []
+        self._parked = None
+        if msg.base < self.version:
+            return []
+        return self._take_delta(now, self._node, msg)
+
+    def _take_parts(
+        self, now: Seconds, src: NodeId, msg: Parts
+    ) -> list[Effect]:
+        if msg.version <= self.version:
+            return []
+        target = read_parts(msg)
+        if isinstance(target, Problem):
+            return self._refuse(now, target)
+        current = self._assembly
+        if current is None or current.target.version < msg.version:
+            current = Assembly(now, target, self._held.tree)
+            self._assembly = current
+        if current.target.root == target.root:
+            current.add_peer(src)
+        return self._gather(now, current)
+
+    def _take_shard(self, now: Seconds, msg: ShardBody) -> list[Effect]:
+        if self._assembly is None:
+            return []
+        problem = self._assembly.take(now, msg)
+        if problem is not None:
+            return self._refuse(now, problem)
+        return self._gather(now, self._assembly)
+
+    def _gather(self, now: Seconds, assembly: Assembly) -> list[Effect]:
+        done = assembly.whole()
+        if done is not None:
+            self._assembly = None
+            said = f"{len(assembly.peers)} peers"
+            return self._offer(now, done, said)
+        if assembly.stale(now):
+            self._assembly = None
+            return []
+        return [*assembly.ask(now, self._rng)]
+
+    # Without a configuration
+
+    def _seek(self, now: Seconds) -> list[Effect]:
+        if not self._join.due(now):
+            return []
+        peers = self._gossip.peers.some(self._rng, self._join.fanout)
+        have = self._have()
+        return [*(Send(peer, have) for peer in peers), *self._choose(now)]
+
+    def _choose(self, now: Seconds) -> list[Effect]:
+        choice = self._join.choice(now)
+        if choice is None or self._assembly is not None:
+            return []
+        return self._ask(now, choice.peer, Want(Version(0)))
+
+    # Taking in force
+
+    def _from_store(self, now: Seconds) -> list[Effect]:
+        effects: list[Effect] = []
+        for found in self._store.learned():
+            match found:
+                case Candidate():
+                    effects += self._offer(now, found, "the store")
+                case Refusal(why=why):
+                    effects += self._refuse(now, why)
+                case StoreDown(why=why):
+                    self.counts.store_down += 1
+                    effects += self._alert(now, "store does not answer", why)
+        return effects
+
+    def _offer(
+        self, now: Seconds, new: Candidate, source: str
+    ) -> list[Effect]:
+        first = not self.version
+        problem = self._held.offer(new)
+        if problem is not None:
+            return self._refuse(now, problem)
+        if self._held.tree is not new.tree:
+            return []
+        self.counts.changes += 1
+        self._gossip.heat(now)
+        text = f"version {new.version} in force, from {source}"
+        if first:
+            text += f"; {self._join.answers} peers told their version"
+        event = TimelineEvent(
+            Topic.CONFIGURATION,
+            text,
+            version=new.version,
+            request=new.change,
+        )
+        changed = ConfigurationChanged(new.tree.cfg, new.version)
+        self._forget_older()
+        return [Publish(changed), Record(event), *self._unpark(now)]
+
+    def _forget_older(self) -> None:
+        gathered = self._assembly
+        if gathered and gathered.target.version <= self.version:
+            self._assembly = None
+
+    def _refuse(self, now: Seconds, why: Problem) -> list[Effect]:
+        self.counts.refused += 1
+        return self._alert(now, "document refused; the last good stays", why)
+
+    def _alert(
+        self, now: Seconds, text: str, why: Problem | str
+    ) -> list[Effect]:
+        if not self._alerts.take(now):
+            return []
+        reason = why.text if isinstance(why, Problem) else why
+        event = TimelineEvent(
+            Topic.CONFIGURATION, text, reason=reason, version=self.version
+        )
+        return [Record(event)]
