--- /dev/null
+++ b/packages/bench/src/medlar_bench/config/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of the configuration."""
--- /dev/null
+++ b/packages/bench/src/medlar_bench/config/fleet.py
@@ -0,0 +1,161 @@
+"""A fleet of configuration reducers on the small fakes."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from medlar_core.config.model import Configuration
+from medlar_core.config.outcome import Change
+from medlar_core.config.outcome import Outcome
+from medlar_core.config.spread import ConfigSpread
+from medlar_core.config.writer import ConfigWriter
+from medlar_core.config.writer import Finished
+from medlar_core.effects import Publish
+from medlar_core.effects import Record
+from medlar_core.events import ConfigurationChanged
+from medlar_core.events import ViewChanged
+from medlar_core.ids import ChangeId
+from medlar_core.ids import Incarnation
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+from medlar_core.members.view import Balancer
+from medlar_core.members.view import Server
+from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
+from medlar_core.timeline.events import TimelineEvent
+from medlar_fakes.clock import Clock
+from medlar_fakes.net import Net
+from medlar_fakes.store import Store
+
+from .documents import PLACES
+
+
+class Fleet:
+    """Balancers and agents that run ConfigSpread, and operators.
+
+    ``force`` holds (node, version) -> when it came into force and
+    ``went_back`` the processes that took an older version after it.
+    """
+
+    def __init__(self, balancers: int, agents: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.store = Store(self.clock, seed)
+        self.net = Net(self.clock, seed, self.store, self._other, metered=True)
+        self.force: dict[NodeId, dict[Version, float]] = {}
+        self.outcomes: dict[ChangeId, Outcome] = {}
+        self.outcome_at: dict[ChangeId, float] = {}
+        self.records: list[tuple[NodeId, TimelineEvent]] = []
+        self.went_back: set[NodeId] = set()
+        self.alive: dict[NodeId, bool] = {}
+        self._number = 0
+        for _ in range(balancers):
+            self.start(is_balancer=True, tell=False)
+        for _ in range(agents):
+            self.start(is_balancer=False, tell=False)
+        self.tell_view()
+
+    @property
+    def view(self) -> View:
+        """The members as every process is told them."""
+        balancers = tuple(
+            Balancer(node, Incarnation(1), self._place(node))
+            for node, is_balancer in self.alive.items()
+            if is_balancer
+        )
+        servers = tuple(
+            Server(
+                node,
+                Incarnation(1),
+                ServiceName("service-00000"),
+                self._place(node),
+                ServerState.READY,
+            )
+            for node, is_balancer in self.alive.items()
+            if not is_balancer
+        )
+        return View(self._number, servers, balancers)
+
+    def start(self, is_balancer: bool, tell: bool = True) -> NodeId:
+        """Start a process that knows five others by its settings."""
+        high, low = divmod(self._number, 250)
+        node = NodeId(f"10.1.{high}.{low}:7000")
+        self._number += 1
+        known = list(self.alive)
+        seeds = self.rng.sample(known, min(5, len(known)))
+        rng = random.Random(self.rng.random())
+        self.alive[node] = is_balancer
+        self.force[node] = {}
+        self.net.attach(node, ConfigSpread(node, seeds, rng))
+        if tell:
+            self.tell_view()
+        return node
+
+    def kill(self, node: NodeId) -> None:
+        """End a process."""
+        self.net.kill(node)
+        del self.alive[node]
+
+    def tell_view(self) -> None:
+        """Tell every process the members."""
+        event = ViewChanged(self.view)
+        for node in self.alive:
+            self.net.give(node, event)
+
+    def apply(
+        self,
+        change: str,
+        cfg: Configuration,
+        base: int,
+        limit_s: float = 30.0,
+        handover: bool = True,
+    ) -> ChangeId:
+        """Let an operator apply a document; the outcome comes later."""
+        operator = NodeId(f"operator-{change}")
+        wanted = Change(ChangeId(change), operator, Version(base))
+        nodes = tuple(self.alive) if handover else ()
+        rng = random.Random(self.rng.random())
+        writer = ConfigWriter(wanted, cfg, rng, nodes, limit_s)
+        self.net.attach(operator, writer)
+        return wanted.id
+
+    def settle(
+        self, done: Callable[[], bool], limit_s: float, step_s: float = 0.5
+    ) -> bool:
+        """Run until something holds; False where the limit came first."""
+        ends = self.clock.now + limit_s
+        while not done() and self.clock.now < ends:
+            self.clock.run_until(self.clock.now + step_s)
+        return done()
+
+    def everywhere(self, version: int) -> bool:
+        """Return whether all live processes have a version or a newer."""
+        return all(self.newest(node) >= version for node in self.alive)
+
+    def newest(self, node: NodeId) -> int:
+        """Return the version in force at a process; 0 is none."""
+        return max(self.force[node], default=0)
+
+    def reached(self, node: NodeId, version: int) -> float:
+        """Return when a process had a version or a newer one in force."""
+        times = [t for v, t in self.force[node].items() if v >= version]
+        return min(times, default=float("inf"))
+
+    def _place(self, node: NodeId) -> PlaceName:
+        number = int(node.split(":")[0].split(".")[-1])
+        return PlaceName(f"place-{number % PLACES}")
+
+    def _other(self, node: NodeId, effect: Any) -> None:
+        match effect:
+            case Publish(event=ConfigurationChanged(version=version)):
+                if self.newest(node) >= version:
+                    self.went_back.add(node)
+                self.force[node][version] = self.clock.now
+            case Finished(outcome=outcome):
+                self.outcomes[outcome.change] = outcome
+                self.outcome_at[outcome.change] = self.clock.now
+                self.net.kill(node)
+            case Record(event=event):
+                self.records.append((node, event))
--- a/packages/core/src/medlar_core/config/parts.py
+++ b/packages/core/src/medlar_core/config/parts.py
@@ -95,10 +95,6 @@
     return Tree(cfg, shards, known, root_of(known))
 
 
-EMPTY = build(Configuration(places=(), services=()))
-"""What stands before the first configuration."""
-
-
 def encode_shard(shard: Shard) -> bytes:
     """Return the bytes of a shard that its digest names."""
     return msgspec.json.encode(shard)
@@ -207,3 +203,7 @@
 
 def _sorted_places(places: Iterable[Place]) -> tuple[Place, ...]:
     return tuple(sorted(places, key=lambda place: place.name))
+
+
+EMPTY = build(Configuration(places=(), services=()))
+"""What stands before the first configuration."""
--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -24,6 +24,7 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import Version
+from ..limits import TokenBucket
 from ..members.view import View
 from ..timeline.events import TimelineEvent
 from ..timeline.events import Topic
@@ -36,7 +37,6 @@
 from .held import Candidate
 from .held import Held
 from .join import Join
-from .limits import TokenBucket
 from .messages import Delta
 from .messages import Have
 from .messages import Parts
@@ -57,6 +57,7 @@
 from .watchers import is_watcher
 
 ASK_AGAIN_S = 0.5
+ASK_TIMES = 3
 SERVE_BYTES_PER_S = 2000.0
 SERVE_BURST_BYTES = 30_000.0
 MAX_DELTA_BYTES = 16_000
@@ -77,6 +78,14 @@
     throttled: int = 0
 
 
+class _News(msgspec.Struct, frozen=True):
+    """A newer version that a peer told of, and how often to ask on."""
+
+    src: NodeId
+    version: Version
+    times_left: int
+
+
 class ConfigSpread:
     """Keeps the newest accepted configuration in force here.
 
@@ -103,6 +112,7 @@
         self._join = Join(rng)
         self._assembly: Assembly | None = None
         self._parked: Delta | None = None
+        self._news: _News | None = None
         self._watches = False
         self._ask_at = 0.0
         self._serve = TokenBucket(SERVE_BYTES_PER_S, SERVE_BURST_BYTES)
@@ -143,8 +153,21 @@
             effects += self._seek(now)
         if self._assembly is not None:
             effects += self._gather(now, self._assembly)
+        elif self._news is not None:
+            effects += self._ask_again(now, self._news)
         return effects
 
+    def _ask_again(self, now: Seconds, news: "_News") -> list[Effect]:
+        """Ask once more for news whose answer may have been lost."""
+        if news.version <= self.version or not news.times_left:
+            self._news = None
+            return []
+        sends = self._ask(now, news.src, Want(self.version))
+        if sends:
+            left = news.times_left - 1
+            self._news = msgspec.structs.replace(news, times_left=left)
+        return sends
+
     def _duty(self, now: Seconds) -> Duty:
         if self._watches:
             return Duty.WATCH
@@ -178,6 +201,7 @@
             self._join.heard(src, have)
             return self._choose(now)
         if have.version > self.version:
+            self._news = _News(src, have.version, ASK_TIMES)
             return self._ask(now, src, Want(self.version))
         if have.version < self.version:
             return [Send(src, self._have())]
--- /dev/null
+++ b/packages/core/src/medlar_core/keys/key.py
@@ -0,0 +1,78 @@
+"""Shared keys as settings hold them."""
+
+import hashlib
+
+import msgspec
+
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 64
+MAX_KEYS = 2
+KEY_ID_BYTES = 4
+
+KeyId = bytes
+"""Names a key on the wire; derived from its secret."""
+
+
+class Key(msgspec.Struct, frozen=True):
+    """A secret that all processes of the fleet share."""
+
+    secret: bytes
+
+    @property
+    def id(self) -> KeyId:
+        """Return the id that is sent beside each seal."""
+        named = hashlib.blake2b(
+            self.secret, digest_size=KEY_ID_BYTES, person=b"medlar-key-id"
+        )
+        return named.digest()
+
+    def __repr__(self) -> str:
+        """Show the id in place of the secret."""
+        return f"Key({self.id.hex()})"
+
+
+class KeyFault(msgspec.Struct, frozen=True):
+    """Why a setting holds no usable keys; it never quotes a secret."""
+
+    line: int
+    got: str
+    expected: str
+
+    @property
+    def text(self) -> str:
+        """The fault as one line for people."""
+        at = f"key line {self.line}: " if self.line else "keys: "
+        return f"{at}got {self.got}; expected {self.expected}"
+
+
+def parse_keys(text: str) -> tuple[Key, ...] | KeyFault:
+    """Return the keys in a setting, the current one first.
+
+    A key is hexadecimal, one a line or separated by commas; empty lines
+    and lines that start with ``#`` are left out.
+    """
+    lines = [line.strip() for line in text.replace(",", "\n").split("\n")]
+    keys: list[Key] = []
+    for number, line in enumerate(lines, 1):
+        if not line or line.startswith("#"):
+            continue
+        key = _parse(number, line)
+        if isinstance(key, KeyFault):
+            return key
+        keys.append(key)
+    if not 1 <= len(keys) <= MAX_KEYS:
+        return KeyFault(0, f"{len(keys)} keys", f"1 to {MAX_KEYS}")
+    if len({key.secret for key in keys}) < len(keys):
+        return KeyFault(0, "the same key twice", "different keys")
+    return tuple(keys)
+
+
+def _parse(number: int, line: str) -> Key | KeyFault:
+    expected = f"{MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} bytes as hexadecimal"
+    try:
+        secret = bytes.fromhex(line)
+    except ValueError:
+        return KeyFault(number, "text that is not hexadecimal", expected)
+    if not MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
+        return KeyFault(number, f"{len(secret)} bytes", expected)
+    return Key(secret)
--- /dev/null
+++ b/testing/core/keys/test_seal.py
@@ -0,0 +1,167 @@
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from medlar_core.ids import NodeId
+from medlar_core.keys.key import Key
+from medlar_core.keys.key import KeyFault
+from medlar_core.keys.key import parse_keys
+from medlar_core.keys.replay import MAX_SENDERS
+from medlar_core.keys.replay import ReplayWindow
+from medlar_core.keys.replay import Seen
+from medlar_core.keys.replay import WINDOW_S
+from medlar_core.keys.seal import MAX_SEALED_BYTES
+from medlar_core.keys.seal import Opened
+from medlar_core.keys.seal import Sealer
+from medlar_core.keys.seal import SealReason
+from medlar_core.keys.seal import SealRefusal
+from medlar_core.limits import LogLimiter
+
+OLD = Key(b"o" * 32)
+NEW = Key(b"n" * 32)
+A = NodeId("10.0.0.1:7000")
+B = NodeId("10.0.0.2:7000")
+NOW = 1_800_000_000.0
+
+
+def pair() -> tuple[Sealer, Sealer]:
+    return Sealer((OLD,), A, 1), Sealer((OLD,), B, 2)
+
+
+def test_an_opened_message_names_its_sender() -> None:
+    a, b = pair()
+    assert b.open(NOW, a.seal(NOW, b"hello", B)) == Opened(A, b"hello")
+
+
+def test_a_message_for_another_process_is_refused() -> None:
+    a, b = pair()
+    other = a.seal(NOW, b"drain", NodeId("10.0.0.3:7000"))
+    assert b.open(NOW, other) == SealRefusal(SealReason.BAD_MAC)
+
+
+def test_a_replay_is_refused_and_counted() -> None:
+    a, b = pair()
+    data = a.seal(NOW, b"x", B)
+    b.open(NOW, data)
+    assert b.open(NOW + 1, data) == SealRefusal(SealReason.REPLAYED)
+    assert b.refused[SealReason.REPLAYED] == 1
+
+
+@pytest.mark.parametrize("skew", [-WINDOW_S - 1, WINDOW_S + 1])
+def test_a_stamp_far_from_the_clock_is_refused(skew: float) -> None:
+    a, b = pair()
+    data = a.seal(NOW + skew, b"x", B)
+    assert b.open(NOW, data) == SealRefusal(SealReason.STALE)
+
+
+def test_messages_out_of_order_each_open_once() -> None:
+    a, b = pair()
+    sent = [a.seal(NOW, b"%d" % i, B) for i in range(50)]
+    sent.reverse()
+    assert all(isinstance(b.open(NOW, data), Opened) for data in sent)
+    assert all(isinstance(b.open(NOW, data), SealRefusal) for data in sent)
+
+
+def test_a_replay_of_a_former_run_is_refused_after_a_restart() -> None:
+    a, b = pair()
+    old = a.seal(NOW, b"old", B)
+    b.open(NOW, old)
+    again = Sealer((OLD,), A, 99)
+    assert isinstance(b.open(NOW, again.seal(NOW, b"new", B)), Opened)
+    assert b.open(NOW, old) == SealRefusal(SealReason.REPLAYED)
+
+
+def test_rotation_opens_both_keys_at_every_step() -> None:
+    a, b = pair()
+    for keys_a, keys_b in [
+        ((OLD,), (OLD, NEW)),
+        ((NEW, OLD), (OLD, NEW)),
+        ((NEW, OLD), (NEW,)),
+        ((NEW,), (NEW, OLD)),
+    ]:
+        a.use(keys_a)
+        b.use(keys_b)
+        assert isinstance(b.open(NOW, a.seal(NOW, b"x", B)), Opened)
+        if keys_a[0] in keys_b and keys_b[0] in keys_a:
+            assert isinstance(a.open(NOW, b.seal(NOW, b"y", A)), Opened)
+
+
+def test_a_key_that_was_taken_away_is_refused() -> None:
+    a, b = pair()
+    b.use((NEW,))
+    data = a.seal(NOW, b"x", B)
+    assert b.open(NOW, data) == SealRefusal(SealReason.UNKNOWN_KEY)
+
+
+def test_a_message_over_the_limit_is_refused() -> None:
+    _, b = pair()
+    data = bytes(MAX_SEALED_BYTES + 1)
+    assert b.open(NOW, data) == SealRefusal(SealReason.TOO_LARGE)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.binary(max_size=200))
+def test_garbage_is_refused(data: bytes) -> None:
+    _, b = pair()
+    assert isinstance(b.open(NOW, data), SealRefusal)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.data())
+def test_a_changed_bit_is_refused(data: st.DataObject) -> None:
+    a, b = pair()
+    sealed = bytearray(a.seal(NOW, b"body", B))
+    bit = data.draw(st.integers(0, len(sealed) * 8 - 1))
+    sealed[bit // 8] ^= 1 << bit % 8
+    assert isinstance(b.open(NOW, bytes(sealed)), SealRefusal)
+
+
+def test_senders_are_bounded_and_old_ones_forgotten() -> None:
+    window = ReplayWindow()
+    for i in range(MAX_SENDERS):
+        assert window.take(NOW, A, i, 0, NOW) is Seen.NEW
+    assert window.take(NOW, A, MAX_SENDERS, 0, NOW) is Seen.FULL
+    later = NOW + 3 * WINDOW_S
+    assert window.take(later, A, MAX_SENDERS, 0, later) is Seen.NEW
+    assert len(window) == 1
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.lists(st.integers(0, 3000), max_size=60))
+def test_no_counter_is_ever_new_twice(counters: list[int]) -> None:
+    window = ReplayWindow()
+    new = [n for n in counters if window.take(NOW, A, 1, n, NOW) is Seen.NEW]
+    assert len(new) == len(set(new))
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("", "got 0 keys"),
+        ("zz" * 16, "line 1: got text that is not hexadecimal"),
+        ("# old\naabb", "line 2: got 2 bytes"),
+        (",".join(["ab" * 16] * 2), "the same key twice"),
+        ("\n".join(f"{i:032x}" for i in range(3)), "got 3 keys"),
+    ],
+)
+def test_a_wrong_key_setting_is_told_without_its_secret(
+    text: str, said: str
+) -> None:
+    fault = parse_keys(text)
+    assert isinstance(fault, KeyFault)
+    assert said in fault.text
+    assert "zz" not in fault.text
+
+
+def test_keys_are_read_current_first() -> None:
+    text = f"# new\n{NEW.secret.hex()}\n\n{OLD.secret.hex()}\n"
+    assert parse_keys(text) == (NEW, OLD)
+    assert NEW.secret.hex() not in repr(NEW)
+
+
+def test_log_limiter_counts_what_it_left_out() -> None:
+    limiter = LogLimiter(per_s=1.0, burst=2)
+    said = [limiter.allow(0.0) for _ in range(5)]
+    assert said == [0, 0, None, None, None]
+    assert limiter.allow(1.0) == 3
