--- /dev/null
+++ b/packages/core/src/medlar_core/storeaccess/__init__.py
@@ -0,0 +1,1 @@
+"""Budgeted and jittered access to the platform's store."""
