Route flows by tables computed from the view

Cause: any packet may reach any balancer, which is replaced at any time. Change: buckets are matched to servers by bounded rendezvous hashing; agents hold the flows, pass packets of others on and tell owners and balancers of displaced flows.

--- /dev/null
+++ b/packages/core/src/medlar_core/flows/balancer.py
@@ -0,0 +1,225 @@
+"""Decisions of a balancer: to which agent a packet goes.
+
+A balancer keeps no flow state: any balancer routes any packet of a flow
+by the tables that it computes from its view.
+"""
+
+import random
+from typing import Any
+
+import msgspec
+
+from ..effects import Effect
+from ..effects import Forward
+from ..effects import Record
+from ..effects import Return
+from ..effects import Send
+from ..events import ConfigurationChanged
+from ..events import PacketArrived
+from ..events import Received
+from ..events import Tick
+from ..events import ViewChanged
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..ids import Version
+from ..members.view import View
+from ..packets import Flag
+from ..packets import flow_key
+from ..packets import Packet
+from ..timeline.events import TimelineEvent
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .explain import BalancerAnswer
+from .hints import HintBook
+from .limits import RECORDS_PER_S
+from .limits import VIEW_GAP_S
+from .messages import Hint
+from .messages import HintAck
+from .messages import HintsAsked
+from .messages import HintSlice
+from .meter import Meter
+from .services import Services
+
+_NONE = NodeId("")
+
+
+class _Route(msgspec.Struct):
+    """Where packets to an address go; ``owners`` may be empty."""
+
+    service: ServiceName
+    owners: list[NodeId]
+    accepting: bool
+
+
+class BalancerFlows:
+    """Reducer of a balancer's flow part."""
+
+    def __init__(
+        self, node: NodeId, place: PlaceName, rng: random.Random
+    ) -> None:
+        self._node = node
+        self._place = place
+        self._services = Services()
+        self._routes: dict[str, _Route] = {}
+        self._hints = HintBook(node, rng)
+        self._records = Meter(RECORDS_PER_S, RECORDS_PER_S)
+        self._view: View | None = None
+        self._view_at = float("-inf")
+        self._version = Version(0)
+
+    def reduce(self, now: Seconds, event: Any) -> list[Effect]:
+        """Take one event and return the effects to carry out."""
+        match event:
+            case PacketArrived(packet=packet):
+                return self._arrived(now, packet)
+            case Received(src=src, msg=msg):
+                return self._received(now, src, msg)
+            case Tick():
+                self._take_view(now)
+                return self._hints.due(now)
+            case ViewChanged(view=view):
+                self._view = view
+                if now - self._view_at >= VIEW_GAP_S:
+                    self._take_view(now)
+            case ConfigurationChanged(cfg=cfg, version=version):
+                if self._services.take_cfg(cfg, version):
+                    self._update_routes(set(self._services.addresses.values()))
+        return []
+
+    def _arrived(self, now: Seconds, packet: Packet) -> list[Effect]:
+        caller = packet.caller
+        address = packet.address
+        flags = packet.flags
+        key = flow_key(caller, address)
+        route = self._routes.get(address)
+        if route is None:
+            return self._refuse_address(now, packet)
+        owners = route.owners
+        dst = None
+        if flags & Flag.SYN:
+            if not route.accepting:
+                return self._refuse(now, packet, Reason.NO_SERVER)
+        else:
+            dst = self._hints.get(key)
+        if dst is None:
+            if not owners:
+                return self._drop(now, packet, Reason.NO_SERVER)
+            dst = owners[key % len(owners)]
+        routed = Packet(
+            caller,
+            address,
+            flags,
+            packet.payload,
+            route.service,
+            self._version,
+            0,
+            (),
+            self._node,
+        )
+        return [Forward(dst, routed)]
+
+    def _refuse_address(self, now: Seconds, packet: Packet) -> list[Effect]:
+        """Refuse a packet to an address that no service has.
+
+        An open flow may belong to an address that this balancer has not
+        heard of yet; its packets are dropped, not reset.
+        """
+        known_gone = packet.address in self._services.withdrawn
+        if packet.flags & Flag.SYN or known_gone:
+            return self._refuse(now, packet, Reason.UNKNOWN_ADDRESS)
+        return self._drop(now, packet, Reason.UNKNOWN_ADDRESS)
+
+    def _refuse(
+        self, now: Seconds, packet: Packet, why: Reason
+    ) -> list[Effect]:
+        reset = Packet(packet.caller, packet.address, int(Flag.RST))
+        return [Return(reset), *self._drop(now, packet, why)]
+
+    def _drop(self, now: Seconds, packet: Packet, why: Reason) -> list[Effect]:
+        if not self._records.passes(now):
+            return []
+        return [
+            Record(
+                TimelineEvent(
+                    Topic.PACKET,
+                    "packet refused",
+                    flow=f"{packet.caller}>{packet.address}",
+                    reason=why.value,
+                    version=self._version,
+                )
+            )
+        ]
+
+    def _received(self, now: Seconds, src: NodeId, msg: Any) -> list[Effect]:
+        match msg:
+            case Hint():
+                return self._hints.received(now, src, msg)
+            case HintAck():
+                self._hints.acked(src, msg)
+            case HintsAsked():
+                return [Send(src, self._hints.answer(msg))]
+            case HintSlice():
+                self._hints.answered(msg)
+        return []
+
+    def _take_view(self, now: Seconds) -> None:
+        view = self._view
+        if view is None:
+            return
+        self._view = None
+        self._view_at = now
+        self._version = Version(view.version)
+        changed = self._services.take_view(view)
+        self._update_routes(changed)
+        balancers = tuple(sorted(b.id for b in view.balancers))
+        self._hints.take_view(balancers, set(self._services.servers))
+
+    def _update_routes(self, changed: set[ServiceName]) -> None:
+        services = self._services
+        routes: dict[str, _Route] = {}
+        for address, service in services.addresses.items():
+            known = self._routes.get(address)
+            if known and known.service == service and service not in changed:
+                routes[address] = known
+                continue
+            table = services.table(service)
+            if table is None:
+                routes[address] = _Route(service, [], False)
+            else:
+                routes[address] = _Route(
+                    service, table.owners, table.accepting
+                )
+        self._routes = routes
+
+    def explain(
+        self, now: Seconds, caller: str, address: str
+    ) -> BalancerAnswer:
+        """Tell where this balancer sends packets of a flow, and why."""
+        key = flow_key(caller, address)
+        route = self._routes.get(address)
+        service = route.service if route else ServiceName("")
+        table = self._services.table(service) if route else None
+        hinted = self._hints.get(key) or _NONE
+        bucket = key % len(table.owners) if table else -1
+        candidates = table.candidates(bucket) if table else []
+        if route is None:
+            why = Reason.UNKNOWN_ADDRESS.value
+        elif hinted:
+            why = "a hint says that the flow stayed with an earlier owner"
+        elif table is None:
+            why = Reason.NO_SERVER.value
+        else:
+            why = "owner of the bucket by the members in view"
+        owner = candidates[0] if candidates else _NONE
+        return BalancerAnswer(
+            service=service,
+            bucket=bucket,
+            server=(hinted or owner) if route else _NONE,
+            version=self._version,
+            configuration=self._services.version,
+            candidates=tuple(candidates),
+            hinted=hinted,
+            why=why,
+        )
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/directory.py
@@ -0,0 +1,114 @@
+"""Where flows are held whose buckets an agent owns."""
+
+import msgspec
+import numpy as np
+import numpy.typing as npt
+
+from ..ids import FlowKey
+from ..ids import NodeId
+from ..ids import Seconds
+from .limits import DIRECTORY_S
+from .limits import MERGE_ENTRIES
+
+_NONE = 0
+_STAMP_S = 60.0
+
+
+class _Compact(msgspec.Struct):
+    """Locations in three equally long columns, sorted by key."""
+
+    keys: npt.NDArray[np.uint64]
+    holders: npt.NDArray[np.uint32]
+    stamps: npt.NDArray[np.uint32]
+
+
+def _compact(rows: list[tuple[FlowKey, int, int]]) -> _Compact:
+    columns = list(zip(*rows, strict=True)) if rows else [(), (), ()]
+    return _Compact(
+        np.array(columns[0], np.uint64),
+        np.array(columns[1], np.uint32),
+        np.array(columns[2], np.uint32),
+    )
+
+
+class Directory:
+    """Soft state: a wrong or missing location costs a hop, not a flow.
+
+    Locations live in sorted arrays of 16 bytes each; new ones wait in a
+    small dict until there are enough of them to merge.
+    """
+
+    def __init__(self) -> None:
+        self._names: list[NodeId] = [NodeId("")]
+        self._numbers: dict[NodeId, int] = {}
+        self._fresh: dict[FlowKey, tuple[int, int]] = {}
+        self._old = _compact([])
+
+    def __len__(self) -> int:
+        kept = int(np.count_nonzero(self._old.holders))
+        return kept + sum(1 for key in self._fresh if self._find(key) < 0)
+
+    def put(self, now: Seconds, key: FlowKey, holder: NodeId) -> None:
+        """Note where a flow is held; the latest word wins."""
+        self._fresh[key] = (self._number(holder), int(now / _STAMP_S))
+        if len(self._fresh) >= max(MERGE_ENTRIES, len(self._old.keys) // 8):
+            self.merge(now)
+
+    def get(self, key: FlowKey) -> NodeId | None:
+        """Return the holder of a flow if it is known."""
+        entry = self._fresh.get(key)
+        if entry is not None:
+            return self._names[entry[0]]
+        found = self._find(key)
+        if found < 0:
+            return None
+        return self._names[int(self._old.holders[found])]
+
+    def drop(self, key: FlowKey, holder: NodeId) -> None:
+        """Forget a flow, unless another holder was noted since."""
+        if self.get(key) != holder:
+            return
+        self._fresh.pop(key, None)
+        found = self._find(key)
+        if found >= 0:
+            self._old.holders[found] = _NONE
+
+    def drop_holder(self, holder: NodeId) -> None:
+        """Forget all flows of a holder."""
+        number = self._numbers.get(holder, _NONE)
+        self._fresh = {
+            k: entry for k, entry in self._fresh.items() if entry[0] != number
+        }
+        self._old.holders[self._old.holders == number] = _NONE
+
+    def merge(self, now: Seconds) -> None:
+        """Merge new locations in and forget those not told for long."""
+        rows = [(k, n, s) for k, (n, s) in self._fresh.items()]
+        new = _compact(sorted(rows))
+        old = self._old
+        oldest = max(0, int((now - DIRECTORY_S) / _STAMP_S))
+        kept = (old.holders != _NONE) & (old.stamps >= oldest)
+        kept &= ~np.isin(old.keys, new.keys)
+        keys = np.concatenate([old.keys[kept], new.keys])
+        order = np.argsort(keys, kind="stable")
+        self._old = _Compact(
+            keys[order],
+            np.concatenate([old.holders[kept], new.holders])[order],
+            np.concatenate([old.stamps[kept], new.stamps])[order],
+        )
+        self._fresh = {}
+
+    def _find(self, key: FlowKey) -> int:
+        keys = self._old.keys
+        at = int(np.searchsorted(keys, np.uint64(key)))
+        if at == len(keys) or int(keys[at]) != key:
+            return -1
+        return at if self._old.holders[at] != _NONE else -1
+
+    def _number(self, holder: NodeId) -> int:
+        number = self._numbers.get(holder)
+        if number is None:
+            number = len(self._names)
+            self._names.append(holder)
+            self._numbers[holder] = number
+        return number
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/explain.py
@@ -0,0 +1,41 @@
+"""Answers to operators who ask why a flow goes where it goes."""
+
+import msgspec
+
+from ..ids import NodeId
+from ..ids import ServiceName
+from ..ids import Version
+
+
+class BalancerAnswer(msgspec.Struct, frozen=True, tag="flows.balancer"):
+    """How a balancer routes a flow, and why.
+
+    ``server`` is empty where packets are refused; ``version`` is that
+    of the view in force, ``configuration`` that of the configuration.
+    """
+
+    service: ServiceName
+    bucket: int
+    server: NodeId
+    version: Version
+    configuration: Version
+    candidates: tuple[NodeId, ...]
+    hinted: NodeId
+    why: str
+
+
+class AgentAnswer(msgspec.Struct, frozen=True, tag="flows.agent"):
+    """What an agent does with packets of a flow, and why.
+
+    ``state`` is held, half-open, elsewhere or unknown; ``next_hops``
+    are the agents that a packet is passed to, in this order.
+    """
+
+    service: ServiceName
+    bucket: int
+    state: str
+    owner: NodeId
+    told: NodeId
+    next_hops: tuple[NodeId, ...]
+    version: Version
+    why: str
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -0,0 +1,121 @@
+"""Limits of the flow part, with their units."""
+
+MAX_HOPS = 5
+"""Agents that a packet may pass."""
+
+MAX_SYN_HOPS = 3
+"""Agents that the first packet of a flow may pass."""
+
+RANKS = 6
+"""Candidates kept per bucket, the best first."""
+
+PAST_OWNERS = 4
+"""Earlier owners kept per bucket."""
+
+VIEW_GAP_S = 0.25
+"""Shortest time between two views taken in, in seconds."""
+
+HALF_OPEN_LIMIT = 4096
+"""Flows of one agent that no caller's packet has proved yet."""
+
+HALF_OPEN_S = 10.0
+"""Longest life of an unproved flow, in seconds."""
+
+IDLE_S = 7440.0
+"""Longest silence of an established flow, in seconds."""
+
+CLOSING_S = 10.0
+"""How long an ended flow passes late packets, in seconds."""
+
+SPILL_SHARE = 1.05
+"""Load over the mean above which new flows are passed on."""
+
+SPILL_SLACK = 4
+"""Flows over the mean that never count as overload."""
+
+BYTES_PER_S = 2000
+"""Control bytes that the flow part of an agent may send, per second."""
+
+BURST_BYTES = 6000
+"""Control bytes that it may send at once after a pause."""
+
+KEYS_PER_BATCH = 90
+"""Flow keys in one message, so that it fits one datagram."""
+
+RETRY_S = 1.0
+"""Wait for an acknowledgement before a batch is sent again."""
+
+DIRECTORY_S = 7200.0
+"""Life of a location that its holder does not tell again, in seconds."""
+
+REFRESH_S = 3000.0
+"""Time after which a holder tells its displaced flows again."""
+
+SETTLE_S = 5.0
+"""How long a view must stand, or a member be gone, before a reset."""
+
+LOCATES = 64
+"""Searches for a flow that an agent has open at a time."""
+
+LOCATE_S = 2.0
+"""Life of one search, in seconds."""
+
+LOCATE_FANOUT = 32
+"""Members asked in one search."""
+
+LOCATES_PER_S = 4.0
+"""Searches that an agent may start, per second."""
+
+HINT_FANOUT = 2
+"""Balancers that a balancer passes a hint batch on to."""
+
+HINT_TRIES = 5
+"""Times that a hint batch is sent to one balancer."""
+
+WARMTH_STEPS = 8
+"""Steps by which the share of a warming server rises."""
+
+FORMER_SERVICES = 4
+"""Earlier services remembered per address."""
+
+SPILLED_LIMIT = 4096
+"""Unproved flows whose next server an agent remembers."""
+
+MERGE_ENTRIES = 256
+"""New locations kept apart before they join the compact directory."""
+
+SWEEP_S = 30.0
+"""Time between two looks for idle flows, in seconds."""
+
+DEPARTED_S = 300.0
+"""How long an agent remembers that a member is gone, in seconds."""
+
+DEAD_PROBES = 3
+"""Failed probes in a row after which a server counts as dead."""
+
+LOAD_S = 0.5
+"""Shortest time between two load reports, in seconds."""
+
+RECORDS_PER_S = 5.0
+"""Time-line events about refused packets, per second."""
+
+LATEST_BATCHES = 4096
+"""Hint batches remembered, to tell repeats."""
+
+HINT_PARTS_MIN = 4
+"""Slices in which a new balancer asks for the hints of its peers."""
+
+PEERS_PER_PART = 4
+"""Balancers per slice of hints."""
+
+HINT_ASK_S = 0.5
+"""Time between two questions for slices of hints, in seconds."""
+
+HINTS_LIMIT = 400_000
+"""Hints that a balancer keeps per generation."""
+
+BATCH_BYTES = 170
+"""Bytes of a control message beside its keys."""
+
+SPILL_PICKS = 4
+"""Members among which a flow that is passed on finds the emptiest."""
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/messages.py
@@ -0,0 +1,115 @@
+"""Control messages of the flow part.
+
+Keys travel as packed little-endian integers: 8 bytes for the whole key
+of a flow, 4 bytes for a hint.
+"""
+
+import msgspec
+
+from ..ids import FlowKey
+from ..ids import Incarnation
+from ..ids import NodeId
+
+
+class Located(msgspec.Struct, frozen=True, tag="flows.located"):
+    """The sender holds these flows, whose buckets the receiver owns."""
+
+    batch: int
+    incarnation: Incarnation
+    keys: bytes
+
+
+class LocatedAck(msgspec.Struct, frozen=True, tag="flows.located-ack"):
+    """The receiver of a batch has it."""
+
+    batch: int
+    incarnation: Incarnation
+
+
+class Ended(msgspec.Struct, frozen=True, tag="flows.ended"):
+    """The sender no longer holds these flows."""
+
+    keys: bytes
+
+
+class Missed(msgspec.Struct, frozen=True, tag="flows.missed"):
+    """A packet found no holder; the bucket's owner is to search."""
+
+    caller: str
+    address: str
+
+
+class Locate(msgspec.Struct, frozen=True, tag="flows.locate"):
+    """Does the receiver hold this flow? The answer goes to ``origin``.
+
+    A receiver that sees another owner passes the question on once.
+    """
+
+    key: FlowKey
+    origin: NodeId
+    relayed: bool = False
+
+
+class NotHeld(msgspec.Struct, frozen=True, tag="flows.not-held"):
+    """The sender does not hold the flow.
+
+    ``members`` is the digest of the members that the sender knows.
+    """
+
+    key: FlowKey
+    members: int
+
+
+class Hint(msgspec.Struct, frozen=True, tag="flows.hint"):
+    """Flows that stay at ``holder`` although their buckets moved.
+
+    Balancers pass it on along a tree that starts at ``root``.
+    """
+
+    holder: NodeId
+    incarnation: Incarnation
+    batch: int
+    root: NodeId
+    marks: bytes
+
+
+class HintAck(msgspec.Struct, frozen=True, tag="flows.hint-ack"):
+    """The sender has the batch and passes it on."""
+
+    holder: NodeId
+    incarnation: Incarnation
+    batch: int
+
+
+class HintsAsked(msgspec.Struct, frozen=True, tag="flows.hints-asked"):
+    """A new balancer asks a peer for one slice of its hints."""
+
+    part: int
+    parts: int
+
+
+class HintSlice(msgspec.Struct, frozen=True, tag="flows.hint-slice"):
+    """One slice of hints, as answer to ``HintsAsked``.
+
+    ``numbers`` gives, for each mark, the index of its holder.
+    """
+
+    part: int
+    parts: int
+    holders: tuple[NodeId, ...]
+    marks: bytes
+    numbers: bytes
+
+
+MESSAGES = (
+    Located,
+    LocatedAck,
+    Ended,
+    Missed,
+    Locate,
+    NotHeld,
+    Hint,
+    HintAck,
+    HintsAsked,
+    HintSlice,
+)
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -0,0 +1,183 @@
+"""What an agent knows of the members of its service."""
+
+import msgspec
+import xxhash
+
+from ..ids import FlowKey
+from ..ids import Incarnation
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..members.view import Server
+from ..members.view import ServerState
+from .limits import DEPARTED_S
+from .limits import PAST_OWNERS
+from .limits import SETTLE_S
+from .limits import SPILL_PICKS
+from .limits import SPILL_SHARE
+from .limits import SPILL_SLACK
+from .services import Services
+from .table import accepting
+from .table import share
+from .table import Table
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What a new view changed for an agent's flows.
+
+    ``moved`` tells that buckets changed owner; ``restarted`` are members
+    that run a new incarnation and have forgotten what they were told.
+    """
+
+    moved: bool
+    restarted: frozenset[NodeId]
+
+
+class Neighbours:
+    """Members, earlier owners of buckets and loads of one service."""
+
+    def __init__(
+        self, node: NodeId, service: ServiceName, place: PlaceName
+    ) -> None:
+        self._node = node
+        self._service = service
+        self._place = place
+        self.table: Table | None = None
+        self.ids: set[NodeId] = set()
+        self.digest = 0
+        self.me: Server | None = None
+        self._incarnations: dict[NodeId, Incarnation] = {}
+        self._changed_at = 0.0
+        self._departed: dict[NodeId, float] = {}
+        self._past: dict[int, tuple[NodeId, ...]] = {}
+        self._room: dict[NodeId, float] = {}
+        self._near: list[NodeId] = []
+        self._far: list[NodeId] = []
+        self._limit = float("inf")
+
+    def update(
+        self, now: Seconds, services: Services, own_flows: int
+    ) -> Changes:
+        """Take in what a new view or configuration says."""
+        members = services.members(self._service)
+        restarted = self._update_members(now, members)
+        old = self.table
+        self.table = services.table(self._service)
+        moved = old is not self.table
+        if moved:
+            self._keep_past(old, self.table)
+        self._update_loads(members, own_flows)
+        return Changes(moved, restarted)
+
+    def settled(self, now: Seconds) -> bool:
+        """Return whether the members have stood for a while."""
+        return now - self._changed_at >= SETTLE_S
+
+    def departed(self, now: Seconds, node: NodeId) -> bool:
+        """Return whether a member has been gone for a while."""
+        at = self._departed.get(node)
+        return at is not None and now - at >= SETTLE_S
+
+    def past_owners(self, key: FlowKey) -> tuple[NodeId, ...]:
+        """Return earlier owners of a flow's bucket, the latest first."""
+        if self.table is None:
+            return ()
+        return self._past.get(key % len(self.table.owners), ())
+
+    def ranked(self, key: FlowKey) -> list[NodeId]:
+        """Return the owner of a flow's bucket, then other candidates."""
+        if self.table is None:
+            return []
+        return self.table.candidates(key % len(self.table.owners))
+
+    def overloaded(self, flows: int) -> bool:
+        """Return whether this many flows here are far over the mean."""
+        return flows > self._limit
+
+    def roomy(self, key: FlowKey, asked: tuple[NodeId, ...]) -> NodeId | None:
+        """Return a member under the mean load, near ones first.
+
+        The flow's key picks a few of them, of which the one with the
+        most room is taken; it counts as fuller until the next report.
+        """
+        for group in (self._near, self._far):
+            drawn = _draw(group, key)
+            free = [i for i in drawn if self._room[i] >= 1.0]
+            free = [i for i in free if i not in asked]
+            if free:
+                best = max(free, key=lambda i: self._room[i])
+                self._room[best] -= 1.0
+                return best
+        return None
+
+    def accepting(self, node: NodeId) -> bool:
+        """Return whether a member takes new flows."""
+        return node in self._room
+
+    def _update_members(
+        self, now: Seconds, members: list[Server]
+    ) -> frozenset[NodeId]:
+        incarnations = {s.id: s.incarnation for s in members}
+        self.me = next((s for s in members if s.id == self._node), None)
+        if incarnations == self._incarnations:
+            return frozenset()
+        before = self._incarnations
+        for node in before.keys() - incarnations.keys():
+            self._departed[node] = now
+        for node in incarnations:
+            self._departed.pop(node, None)
+        for node, at in list(self._departed.items()):
+            if now - at > DEPARTED_S:
+                del self._departed[node]
+        self._incarnations = incarnations
+        self._changed_at = now
+        self.ids = set(incarnations)
+        text = ",".join(f"{i}/{n}" for i, n in sorted(incarnations.items()))
+        self.digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
+        return frozenset(
+            node
+            for node, incarnation in incarnations.items()
+            if before.get(node, incarnation) != incarnation
+        )
+
+    def _keep_past(self, old: Table | None, new: Table | None) -> None:
+        if old is None or new is None:
+            return
+        if len(old.owners) != len(new.owners):
+            self._past = {}
+            return
+        pairs = zip(old.owners, new.owners, strict=True)
+        for bucket, (before, after) in enumerate(pairs):
+            if before == after:
+                continue
+            earlier = self._past.get(bucket, ())
+            kept = tuple(i for i in earlier if i not in (before, after))
+            self._past[bucket] = (before, *kept)[:PAST_OWNERS]
+
+    def _update_loads(self, members: list[Server], own_flows: int) -> None:
+        takers = [s for s in members if accepting(s)]
+        total = sum(s.flows for s in takers)
+        shares = sum(share(s) for s in takers)
+        if self.me is not None and accepting(self.me):
+            total += own_flows - self.me.flows
+        mean = total / shares if shares else 0.0
+        others = [s for s in takers if s.id != self._node]
+        self._room = {s.id: mean * share(s) - s.flows for s in others}
+        free = [s for s in others if self._room[s.id] >= 1.0]
+        self._near = [s.id for s in free if s.place == self._place]
+        self._far = [s.id for s in free if s.place != self._place]
+        mine = share(self.me) if self.me is not None else 1.0
+        self._limit = mean * mine * SPILL_SHARE + SPILL_SLACK
+
+    @property
+    def draining(self) -> bool:
+        """Whether membership says that this server leaves."""
+        return self.me is not None and self.me.state is ServerState.DRAINING
+
+
+def _draw(group: list[NodeId], key: int) -> list[NodeId]:
+    """Return a few members that the key picks."""
+    if len(group) <= SPILL_PICKS:
+        return group
+    return [group[(key >> 8 * i) % len(group)] for i in range(SPILL_PICKS)]
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/services.py
@@ -0,0 +1,127 @@
+"""Services, addresses and tables as one process knows them."""
+
+from ..config.model import Configuration
+from ..config.model import Protocol
+from ..ids import NodeId
+from ..ids import ServiceName
+from ..ids import Version
+from ..members.view import Server
+from ..members.view import View
+from .limits import FORMER_SERVICES
+from .table import build
+from .table import choose
+from .table import share
+from .table import Table
+
+
+class Services:
+    """Keeps the newest view and configuration and builds tables of them.
+
+    ``former`` names, for an address that moved, the services that had
+    it before, the latest first; ``withdrawn`` are addresses that the
+    configuration had once and has no more.
+    """
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self.addresses: dict[str, ServiceName] = {}
+        self.former: dict[str, tuple[ServiceName, ...]] = {}
+        self.withdrawn: set[str] = set()
+        self.servers: dict[NodeId, Server] = {}
+        self._members: dict[ServiceName, list[Server]] = {}
+        self._buckets: dict[ServiceName, int] = {}
+        self._connections: dict[ServiceName, int] = {}
+        self._tables: dict[ServiceName, Table | None] = {}
+
+    def take_cfg(self, cfg: Configuration, version: Version) -> bool:
+        """Take a configuration in; an older one changes nothing."""
+        if version <= self.version:
+            return False
+        self.version = version
+        addresses = {
+            address.text: service.name
+            for service in cfg.services
+            for address in service.addresses
+            if address.protocol is Protocol.FLOW
+        }
+        self._keep_former(addresses)
+        self.addresses = addresses
+        self._buckets = {s.name: s.buckets for s in cfg.services}
+        self._connections = {s.name: s.connections for s in cfg.services}
+        self._tables.clear()
+        return True
+
+    def _keep_former(self, addresses: dict[str, ServiceName]) -> None:
+        for address, service in self.addresses.items():
+            current = addresses.get(address)
+            if current == service:
+                continue
+            if current is None:
+                self.withdrawn.add(address)
+            earlier = self.former.get(address, ())
+            kept = tuple(s for s in earlier if s not in (service, current))
+            self.former[address] = (service, *kept)[:FORMER_SERVICES]
+        self.withdrawn.difference_update(addresses)
+
+    def take_view(self, view: View) -> set[ServiceName]:
+        """Take a view in; return the services whose table changes."""
+        known = self.servers
+        servers: dict[NodeId, Server] = {}
+        members: dict[ServiceName, list[Server]] = {}
+        changed: set[ServiceName] = set()
+        for server in view.servers:
+            servers[server.id] = server
+            members.setdefault(server.service, []).append(server)
+            old = known.get(server.id)
+            if old is not server and (old is None or _differs(old, server)):
+                changed.add(server.service)
+        for node in known.keys() - servers.keys():
+            changed.add(known[node].service)
+        self.servers = servers
+        self._members = members
+        for service in changed:
+            self._tables.pop(service, None)
+        return changed
+
+    def members(self, service: ServiceName) -> list[Server]:
+        """Return the live servers of a service."""
+        return self._members.get(service, [])
+
+    def connections(self, service: ServiceName) -> int:
+        """Return how many flows one server of a service may hold."""
+        return self._connections.get(service, 0)
+
+    def table(self, service: ServiceName) -> Table | None:
+        """Return the table of a service, or None if it has no server."""
+        if service not in self._tables:
+            candidates = choose(self.members(service))
+            buckets = self._buckets.get(service)
+            found = (
+                build(candidates, buckets) if candidates and buckets else None
+            )
+            self._tables[service] = found
+        return self._tables[service]
+
+    def owner(self, address: str, key: int) -> NodeId | None:
+        """Return the owner of a new flow to an address, if there is one."""
+        service = self.addresses.get(address)
+        return None if service is None else self.owner_in(service, key)
+
+    def owner_in(self, service: ServiceName, key: int) -> NodeId | None:
+        """Return the owner of a flow key in the table of a service."""
+        table = self.table(service)
+        if table is None:
+            return None
+        return table.owners[key % len(table.owners)]
+
+
+def _differs(old: Server, new: Server) -> bool:
+    """Return whether a change of a server can change the table."""
+    return (
+        old.state is not new.state
+        or old.service != new.service
+        or (
+            (old.weight, old.warmth) != (new.weight, new.warmth)
+            and share(old) != share(new)
+        )
+    )
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/table.py
@@ -0,0 +1,176 @@
+"""Routing table of one service: which server owns a bucket.
+
+Every node computes the table from the members alone, so equal views
+give equal tables. Buckets rank servers by weighted rendezvous hashing;
+a server takes no more buckets than its share, the rest go to their
+next candidate. The result is the one stable matching of buckets and
+servers, hence independent of history, and a change of one member moves
+few other buckets.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+import msgspec
+import numpy as np
+import numpy.typing as npt
+import xxhash
+
+from ..ids import NodeId
+from ..members.view import Server
+from ..members.view import ServerState
+from .limits import RANKS
+from .limits import WARMTH_STEPS
+
+ACCEPTING = (ServerState.READY, ServerState.WARMING)
+_GOLDEN = np.uint64(0x9E3779B97F4A7C15)
+_MIX = (np.uint64(0xBF58476D1CE4E5B9), np.uint64(0x94D049BB133111EB))
+_CHUNK_PAIRS = 1 << 21
+
+_Indices = npt.NDArray[np.int32]
+_Scores = npt.NDArray[np.float64]
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A server that may own buckets and its share beside others."""
+
+    id: NodeId
+    share: float
+
+
+class Table(msgspec.Struct, frozen=True):
+    """Owners and candidates of each bucket of one service.
+
+    ``owners`` has one entry per bucket; ``ranks`` has shape (buckets,
+    candidates kept) and indexes ``ids``. ``accepting`` tells whether the
+    owners take new flows.
+    """
+
+    ids: tuple[NodeId, ...]
+    owners: list[NodeId]
+    ranks: _Indices
+    accepting: bool
+
+    def candidates(self, bucket: int) -> list[NodeId]:
+        """Return the owner of a bucket, then its candidates by rank."""
+        owner = self.owners[bucket]
+        ranked = [self.ids[i] for i in self.ranks[bucket].tolist()]
+        return [owner, *(i for i in ranked if i != owner)]
+
+
+def accepting(server: Server) -> bool:
+    """Return whether a server may be given new flows."""
+    return server.state in ACCEPTING and share(server) > 0.0
+
+
+def share(server: Server) -> float:
+    """Return a server's share of new flows beside others.
+
+    The warmth is rounded up to steps, so that a rising share changes the
+    table only a few times.
+    """
+    warmth = 1.0
+    if server.state is ServerState.WARMING:
+        warmth = -(-server.warmth * WARMTH_STEPS // 1) / WARMTH_STEPS
+    return server.weight * min(warmth, 1.0)
+
+
+def choose(servers: Iterable[Server]) -> tuple[Candidate, ...]:
+    """Return the candidates among the members of a service, by id.
+
+    Where no member takes new flows, all are candidates, so that packets
+    of open flows still find their way.
+    """
+    members = sorted(servers, key=lambda server: server.id)
+    found = [s for s in members if accepting(s)]
+    if found:
+        return tuple(Candidate(s.id, share(s)) for s in found)
+    return tuple(Candidate(s.id, 0.0) for s in members)
+
+
+def build(candidates: Sequence[Candidate], buckets: int) -> Table:
+    """Return the table of a service.
+
+    :raises ValueError: if there is no candidate.
+    """
+    if not candidates:
+        raise ValueError("expected a candidate, got none: leave the service")
+    ids = tuple(c.id for c in candidates)
+    takes_new = candidates[0].share > 0.0
+    shares = np.array([c.share if takes_new else 1.0 for c in candidates])
+    ranks, scores = _rank(ids, shares, buckets)
+    room = np.ceil(shares / shares.sum() * buckets).astype(np.int64)
+    matched = _match(ranks, scores, room)
+    owners = [ids[i] for i in matched.tolist()]
+    return Table(ids, owners, ranks, takes_new)
+
+
+def _rank(
+    ids: Sequence[NodeId], shares: npt.NDArray[np.float64], buckets: int
+) -> tuple[_Indices, _Scores]:
+    """Return the best candidates of each bucket and their scores."""
+    kept = min(RANKS, len(ids))
+    digests = [xxhash.xxh3_64_intdigest(i.encode()) for i in ids]
+    hashes = np.array(digests, np.uint64)
+    ranks = np.empty((buckets, kept), np.int32)
+    scores = np.empty((buckets, kept))
+    step = max(1, _CHUNK_PAIRS // len(ids))
+    for start in range(0, buckets, step):
+        rows = np.arange(start, min(start + step, buckets), dtype=np.uint64)
+        part = _score(hashes, rows, shares)
+        best = np.argpartition(part, kept - 1, axis=1)[:, :kept]
+        found = np.take_along_axis(part, best, axis=1)
+        order = np.argsort(found, axis=1)
+        end = start + len(rows)
+        ranks[start:end] = np.take_along_axis(best, order, axis=1)
+        scores[start:end] = np.take_along_axis(found, order, axis=1)
+    return ranks, scores
+
+
+def _score(
+    hashes: npt.NDArray[np.uint64],
+    rows: npt.NDArray[np.uint64],
+    shares: npt.NDArray[np.float64],
+) -> _Scores:
+    """Return the score of each pair; the lowest wins.
+
+    The scores are exponential variables with the shares as rates, so a
+    server wins in proportion to its share.
+    """
+    mixed = hashes[None, :] ^ ((rows + np.uint64(1)) * _GOLDEN)[:, None]
+    mixed ^= mixed >> np.uint64(30)
+    mixed *= _MIX[0]
+    mixed ^= mixed >> np.uint64(27)
+    mixed *= _MIX[1]
+    mixed ^= mixed >> np.uint64(31)
+    drawn = ((mixed >> np.uint64(11)) + np.uint64(1)) * 2.0**-53
+    return np.asarray(-np.log(drawn) / shares)
+
+
+def _match(
+    ranks: _Indices, scores: _Scores, room: npt.NDArray[np.int64]
+) -> _Indices:
+    """Return the owner of each bucket: the stable matching.
+
+    Buckets that every kept candidate refused go to servers with room.
+    """
+    buckets, kept = ranks.shape
+    rows = np.arange(buckets)
+    asked = np.zeros(buckets, np.int64)
+    while True:
+        placed = rows[asked < kept]
+        server = ranks[placed, asked[placed]]
+        order = np.lexsort((scores[placed, asked[placed]], server))
+        sorted_server = server[order]
+        first = np.searchsorted(sorted_server, sorted_server)
+        refused = np.arange(len(order)) - first >= room[sorted_server]
+        if not refused.any():
+            break
+        asked[placed[order[refused]]] += 1
+    owners = ranks[rows, np.where(asked < kept, asked, 0)]
+    left = rows[asked >= kept]
+    if len(left):
+        taken = np.bincount(owners[asked < kept], minlength=len(room))
+        free = np.repeat(np.arange(len(room)), room - taken)
+        owners[left] = free[: len(left)]
+    return owners
