Add the reducers of requests for balancer and agent

Cause: requests need true verdicts and at most one run per key. Change: events and effects first, then the agent's slots, shares and keys, and the balancer's door, choice of server and retries. Not measured yet.

--- a/packages/core/src/medlar_core/requests/__init__.py
+++ b/packages/core/src/medlar_core/requests/__init__.py
@@ -1,1 +1,1 @@
-"""Requests: choice of server, admission, verdicts and floods."""
+"""Requests: verdicts, at-most-once, admission and choice of servers."""
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -0,0 +1,119 @@
+"""Whether a server takes work, and which work it starts next."""
+
+from collections.abc import Mapping
+import enum
+
+from ..config.model import Kind
+from ..ids import AttemptId
+from ..ids import KindName
+from ..verdict import Reason
+from .events import ServerLoad
+from .policy import Policy
+from .queues import Queues
+from .queues import Work
+from .shares import Shares
+
+
+class Freed(enum.Enum):
+    """How work left its slot."""
+
+    ENDED = "ended"
+    SHED = "shed"
+
+
+class Admission:
+    """The slots of one server: what runs, what waits, what is refused."""
+
+    def __init__(
+        self, slots: int, kinds: Mapping[KindName, Kind], policy: Policy
+    ) -> None:
+        self.shares = Shares(slots, kinds, policy)
+        self.queues = Queues()
+        self.running: dict[AttemptId, Work] = {}
+        self._policy = policy
+        self._limit = slots
+        self._hold_until = 0.0
+        self._grow_at = 0.0
+
+    def load(self) -> ServerLoad:
+        """Return the load to tell with an answer."""
+        slots = self.shares.slots
+        ahead = [w.kind.mean_s for w in self.queues]
+        wait = sum(ahead)
+        if len(self.running) >= slots:
+            wait += sum(w.kind.mean_s for w in self.running.values()) / 2
+        return ServerLoad(
+            busy=len(self.running),
+            queued=len(ahead),
+            slots=slots,
+            wait_s=round(wait / max(slots, 1), 4),
+        )
+
+    def refusal(self, now: float, kind: Kind, left_s: float) -> Reason | None:
+        """Return why new work of a kind is refused, None if it may wait."""
+        if left_s < self._policy.finish_means * kind.mean_s:
+            return Reason.DEADLINE
+        wait = self.wait_s(now, kind)
+        spare = left_s - self._policy.finish_means * kind.mean_s
+        limit = min(spare, self._policy.queue_share * kind.deadline_s)
+        if wait <= limit:
+            return None
+        if self.shares.below_floor(now, kind.name):
+            return Reason.QUEUE_FULL
+        return Reason.OVER_SHARE
+
+    def wait_s(self, now: float, kind: Kind) -> float:
+        """Return how long new work of a kind would wait, in seconds."""
+        ahead = self.queues.length(kind.name)
+        if not ahead and len(self.running) < self._limit:
+            return 0.0
+        open_to = self.shares.share_open_to(now, kind.name)
+        return (ahead + 1) * kind.mean_s / (self._limit * open_to)
+
+    def busy(self) -> bool:
+        """Return whether new work would have to wait."""
+        return len(self.queues) > 0 or len(self.running) >= self._limit
+
+    def start_next(self, now: float) -> Work | None:
+        """Give a free slot to the work whose turn it is, if any."""
+        if len(self.running) >= self._limit or now < self._hold_until:
+            return None
+        kind = self.shares.choose(now, self.queues.kinds())
+        if kind is None:
+            return None
+        work = self.queues.take(kind)
+        work.id = work.waiting[0]
+        self.running[work.id] = work
+        self.shares.started(now, kind)
+        return work
+
+    def free(self, now: float, id: AttemptId, how: Freed) -> Work | None:
+        """Take work out of its slot; None if it does not run."""
+        work = self.running.pop(id, None)
+        if work is None:
+            return None
+        self.shares.ended(now, work.kind.name)
+        if how is Freed.SHED:
+            self._limit = max(1, len(self.running))
+            self._hold_until = now + self._policy.shed_s
+            self._grow_at = now + self._policy.share_tau_s
+        return work
+
+    def work_of(self, attempt: AttemptId) -> Work | None:
+        """Return the work whose answer an attempt waits for."""
+        for work in (*self.running.values(), *self.queues):
+            if attempt in work.waiting:
+                return work
+        return None
+
+    def tick(self, now: float) -> None:
+        """Give back, one by one, the slots that the server shed."""
+        if self._limit < self.shares.slots and now >= self._grow_at:
+            self._limit += 1
+            self._grow_at = now + self._policy.share_tau_s
+
+    def resize(self, slots: int, kinds: Mapping[KindName, Kind]) -> None:
+        """Take a new configuration."""
+        if slots != self.shares.slots:
+            self._limit = slots
+        self.shares.resize(slots, kinds)
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -0,0 +1,367 @@
+"""Requests at a balancer: the door, the choice of server, the verdict."""
+
+import random
+from typing import Any
+
+import msgspec
+
+from ..config.model import Kind
+from ..events import ConfigurationChanged
+from ..events import StopAsked
+from ..events import Tick
+from ..events import ViewChanged
+from ..ids import AttemptId
+from ..ids import KindName
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import RequestId
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..verdict import MayHaveRun
+from ..verdict import NotRun
+from ..verdict import Ran
+from ..verdict import Reason
+from ..verdict import Verdict
+from .budgets import RetryBudget
+from .budgets import ServiceBounds
+from .choice import Choice
+from .door import Door
+from .events import AnswerCaller
+from .events import AttemptEnded
+from .events import CancelAttempt
+from .events import Go
+from .events import RequestCame
+from .events import RequestCancelled
+from .events import StartAttempt
+from .homes import as_go
+from .homes import home_of
+from .journal import Journal
+from .policy import POLICY
+from .policy import Policy
+
+NO_ROOM = (Reason.OVER_SHARE, Reason.QUEUE_FULL, Reason.DEADLINE, Reason.SHED)
+"""Refusals by which a balancer learns what agents take."""
+
+FREE_RETRIES = (Reason.UNREACHABLE, Reason.DRAINING, Reason.FENCED)
+"""Refusals that cost a server nothing and need no retry budget."""
+
+FAILURES = (
+    Reason.UNREACHABLE,
+    Reason.CONNECTION_LOST,
+    Reason.SERVER_DIED,
+    Reason.SHED,
+)
+"""Ends of attempts that count against a server."""
+
+
+class _Request(msgspec.Struct):
+    """An open request and the attempt under way.
+
+    ``settled`` is set once the home of its key refused it; ``moved``
+    once an agent named another that holds the key.
+    """
+
+    came: RequestCame
+    kind: Kind
+    due: float
+    attempt: AttemptId = AttemptId("")
+    dst: NodeId = NodeId("")
+    attempts: int = 0
+    tried: set[NodeId] = msgspec.field(default_factory=set)
+    settled: bool = False
+    moved: bool = False
+
+    @property
+    def keyed(self) -> bool:
+        """Whether its key decides where it may run."""
+        return self.came.key is not None and not self.kind.idempotent
+
+
+class DoorExplained(msgspec.Struct, frozen=True):
+    """Share of a kind's requests that this balancer lets on now."""
+
+    service: ServiceName
+    kind: KindName
+    open_share: float
+
+
+class BalancerExplained(msgspec.Struct, frozen=True):
+    """What a balancer holds and refuses now."""
+
+    open_requests: int
+    doors: tuple[DoorExplained, ...]
+
+
+class BalancerRequests:
+    """Decides which agent a request is tried on and how it ends."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        place: PlaceName,
+        rng: random.Random,
+        policy: Policy = POLICY,
+    ) -> None:
+        self._node = node
+        self._policy = policy
+        self._kinds: dict[ServiceName, dict[KindName, Kind]] = {}
+        self._choice = Choice(node, rng, policy)
+        self._door = Door(rng, policy)
+        self._retries = RetryBudget(policy)
+        self._bounds = ServiceBounds(policy)
+        self._journal = Journal()
+        self._requests: dict[RequestId, _Request] = {}
+        self._attempts: dict[AttemptId, RequestId] = {}
+        self._stem = f"{rng.getrandbits(64):016x}"
+        self._made = 0
+        self._stopping = False
+        self._last: float | None = None
+        self._fenced_until = 0.0
+
+    @property
+    def open_work(self) -> int:
+        """Requests without a verdict; a stopping balancer waits for 0."""
+        return len(self._requests)
+
+    def explain(self) -> BalancerExplained:
+        """Return what is open and how far each kind's door is."""
+        doors = tuple(
+            DoorExplained(service, name, self._door.open_share(service, name))
+            for service, kinds in self._kinds.items()
+            for name in kinds
+        )
+        return BalancerExplained(len(self._requests), doors)
+
+    def reduce(self, now: Seconds, event: Any) -> list[Any]:
+        """Take one event and return the effects to carry out."""
+        self._watch_gap(now)
+        effects = self._on(now, event)
+        effects += self._journal.take()
+        return effects
+
+    def _on(self, now: float, event: Any) -> list[Any]:
+        match event:
+            case RequestCame():
+                return self._came(now, event)
+            case AttemptEnded():
+                return self._ended(now, event)
+            case RequestCancelled(req=req):
+                return self._cancelled(now, req)
+            case ViewChanged(view=view):
+                self._choice.set_view(view)
+            case ConfigurationChanged(cfg=cfg):
+                self._kinds = {
+                    service.name: {kind.name: kind for kind in service.kinds}
+                    for service in cfg.services
+                }
+            case StopAsked():
+                self._stopping = True
+            case Tick():
+                return self._tick(now)
+        return []
+
+    def _watch_gap(self, now: float) -> None:
+        """Fence this process if it stood still: what comes may be old."""
+        last, self._last = self._last, now
+        if last is not None and now - last > self._policy.fence_gap_s:
+            self._fenced_until = now + self._policy.fence_hold_s
+
+    def _came(self, now: float, came: RequestCame) -> list[Any]:
+        if came.req in self._requests:
+            return []
+        kind = self._kinds.get(came.service, {}).get(came.kind)
+        reason = self._barred(now, came, kind)
+        if reason is not None or kind is None:
+            return self._bar(now, came, reason or Reason.UNKNOWN_KIND)
+        if not self._bounds.take(came.service, came.body_bytes):
+            return self._bar(now, came, Reason.OVER_SHARE)
+        req = _Request(came, kind, now + came.deadline_s)
+        self._requests[came.req] = req
+        self._retries.earn(came.service, came.kind)
+        return self._try_next(now, req)
+
+    def _barred(
+        self, now: float, came: RequestCame, kind: Kind | None
+    ) -> Reason | None:
+        """Return why a request is refused at the door."""
+        if came.service not in self._kinds:
+            return Reason.UNKNOWN_SERVICE
+        if kind is None:
+            return Reason.UNKNOWN_KIND
+        if self._stopping:
+            return Reason.DRAINING
+        if now < self._fenced_until:
+            return Reason.FENCED
+        if came.body_bytes > kind.max_body_bytes:
+            return Reason.TOO_LARGE
+        admits = self._door.admits(came.service, came.kind, came.caller)
+        # Only the home of its key can tell that a repeat did not run.
+        if not admits and not (came.repeat and not kind.idempotent):
+            return Reason.OVER_SHARE
+        return None
+
+    def _bar(self, now: float, came: RequestCame, why: Reason) -> list[Any]:
+        self._journal.note(now, came, why)
+        verdict: Verdict = NotRun(why)
+        if came.repeat and came.key is not None:
+            verdict = MayHaveRun(why)
+        return [AnswerCaller(came.req, verdict)]
+
+    def _try_next(self, now: float, req: _Request) -> list[Any]:
+        if req.keyed:
+            return self._try_home(now, req)
+        service = req.came.service
+        server = self._choice.pick(now, service, req.tried)
+        if server is None:
+            return self._finish(now, req, NotRun(Reason.NO_SERVER))
+        return self._start(now, req, as_go(server))
+
+    def _try_home(self, now: float, req: _Request) -> list[Any]:
+        key = req.came.key
+        homes = self._choice.homes(req.came.service)
+        home = home_of(key, homes) if key is not None else None
+        if home is None:
+            return self._finish(now, req, NotRun(Reason.NO_SERVER))
+        return self._start(now, req, home, spare=self._spare(now, req, home))
+
+    def _spare(self, now: float, req: _Request, home: Go) -> Go | None:
+        """Return a process with a free slot that the home may cede to."""
+        tried = {home.node, *req.tried}
+        server = self._choice.pick(now, req.came.service, tried)
+        if server is None or not self._choice.idle(now, server):
+            return None
+        return as_go(server)
+
+    def _start(
+        self,
+        now: float,
+        req: _Request,
+        to: Go,
+        spare: Go | None = None,
+        ceded_by: NodeId | None = None,
+    ) -> list[Any]:
+        came = req.came
+        self._made += 1
+        req.attempt = AttemptId(f"{self._stem}-{self._made}")
+        req.dst = to.node
+        req.attempts += 1
+        req.tried.add(to.node)
+        self._attempts[req.attempt] = came.req
+        self._choice.sent(to.node)
+        self._door.sent(came.service, came.kind)
+        start = StartAttempt(
+            attempt=req.attempt,
+            req=came.req,
+            dst=to.node,
+            incarnation=to.incarnation,
+            service=came.service,
+            kind=came.kind,
+            key=came.key,
+            deadline_s=max(req.due - now, 0.0),
+            body_bytes=came.body_bytes,
+            repeat=came.repeat,
+            ceded_by=ceded_by,
+            spare=spare,
+        )
+        return [start]
+
+    def _ended(self, now: float, end: AttemptEnded) -> list[Any]:
+        found = self._attempts.pop(end.attempt, None)
+        if found is None:
+            return []
+        req = self._requests[found]
+        verdict = end.verdict
+        reason = None if isinstance(verdict, Ran) else verdict.reason
+        failed = reason in FAILURES
+        self._choice.ended(now, req.dst, end.load, failed)
+        match verdict:
+            case Ran():
+                return self._finish(now, req, verdict, end.attempt)
+            case NotRun():
+                return self._not_run(now, req, verdict, end)
+            case MayHaveRun(reason=why):
+                if req.kind.idempotent and self._may_retry(now, req, why):
+                    return self._try_next(now, req)
+                return self._finish(now, req, verdict)
+
+    def _not_run(
+        self, now: float, req: _Request, verdict: NotRun, end: AttemptEnded
+    ) -> list[Any]:
+        came = req.came
+        by_agent = end.load is not None
+        if by_agent and verdict.reason in NO_ROOM:
+            self._door.refused(came.service, came.kind)
+            req.settled = req.keyed
+            if req.keyed:
+                return self._finish(now, req, verdict)
+        if end.go is not None and req.attempts < self._policy.hops:
+            return self._follow(now, req, end.go)
+        if req.keyed or not self._may_retry(now, req, verdict.reason):
+            return self._finish(now, req, verdict)
+        return self._try_next(now, req)
+
+    def _follow(self, now: float, req: _Request, go: Go) -> list[Any]:
+        """Go where the agent asked says that the key is."""
+        if not go.ceded:
+            req.moved = True
+            return self._start(now, req, go)
+        return self._start(now, req, go, ceded_by=req.dst)
+
+    def _may_retry(self, now: float, req: _Request, why: Reason) -> bool:
+        came = req.came
+        if why in (Reason.CANCELLED, Reason.TOO_LARGE, Reason.MALFORMED):
+            return False
+        if req.attempts >= self._policy.hops:
+            return False
+        if req.due - now < self._policy.finish_means * req.kind.mean_s:
+            return False
+        if why in FREE_RETRIES:
+            return True
+        return self._retries.spend(came.service, came.kind)
+
+    def _finish(
+        self,
+        now: float,
+        req: _Request,
+        verdict: Verdict,
+        attempt: AttemptId | None = None,
+    ) -> list[Any]:
+        came = req.came
+        del self._requests[came.req]
+        self._bounds.give(came.service, came.body_bytes)
+        if isinstance(verdict, NotRun) and not self._proved(req):
+            verdict = MayHaveRun(verdict.reason)
+        if not isinstance(verdict, Ran):
+            self._journal.note(now, came, verdict.reason)
+        return [AnswerCaller(came.req, verdict, attempt)]
+
+    def _proved(self, req: _Request) -> bool:
+        """Return whether "not run" holds for the key, not just for us."""
+        if not req.keyed or req.settled or req.came.repeat is False:
+            return True
+        return req.came.repeat is None and not req.moved
+
+    def _cancelled(self, now: float, id: RequestId) -> list[Any]:
+        req = self._requests.get(id)
+        if req is None:
+            return []
+        effects = self._abandon(now, req)
+        del self._requests[id]
+        self._bounds.give(req.came.service, req.came.body_bytes)
+        return effects
+
+    def _abandon(self, now: float, req: _Request) -> list[Any]:
+        if self._attempts.pop(req.attempt, None) is None:
+            return []
+        self._choice.ended(now, req.dst, None, False)
+        return [CancelAttempt(req.attempt, req.dst)]
+
+    def _tick(self, now: float) -> list[Any]:
+        self._door.tick(now)
+        effects: list[Any] = []
+        grace = self._policy.grace_s
+        late = [r for r in self._requests.values() if r.due + grace <= now]
+        for req in late:
+            effects += self._abandon(now, req)
+            effects += self._finish(now, req, MayHaveRun(Reason.DEADLINE))
+        return effects
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/choice.py
@@ -0,0 +1,147 @@
+"""Which server a balancer tries, by what agents told with answers.
+
+Health and load endpoints are not asked: an agent's own word on its
+slots comes with each answer, and in between a balancer counts what it
+sent itself.
+"""
+
+from collections.abc import Collection
+import random
+
+import msgspec
+import xxhash
+
+from ..ids import NodeId
+from ..ids import ServiceName
+from ..members.view import Server
+from ..members.view import ServerState
+from ..members.view import View
+from .events import ServerLoad
+from .homes import as_go
+from .homes import candidates
+from .homes import Homes
+from .policy import Policy
+
+LEAST_WARMTH = 0.05
+"""Warmth that even a server just started counts as."""
+FAILING = 0.3
+"""Score of failures from which a server counts as an outlier."""
+PENALTY = 3.0
+"""Slots' worth of load that a full score of failures adds."""
+
+
+class _Stat(msgspec.Struct):
+    """What this balancer knows of a server."""
+
+    told: int = 0
+    told_at: float = -1e9
+    since: int = 0
+    open: int = 0
+    failures: float = 0.0
+
+
+class Choice:
+    """Servers of each service, as this balancer sees them."""
+
+    def __init__(
+        self, node: NodeId, rng: random.Random, policy: Policy
+    ) -> None:
+        self._node = node
+        self._rng = rng
+        self._policy = policy
+        self._servers: dict[ServiceName, list[Server]] = {}
+        self._homes: dict[ServiceName, Homes] = {}
+        self._stats: dict[NodeId, _Stat] = {}
+        self._by_id: dict[NodeId, Server] = {}
+
+    def set_view(self, view: View) -> None:
+        """Take a new view; what is known of servers that stay is kept."""
+        self._by_id = {server.id: server for server in view.servers}
+        services = {server.service for server in view.servers}
+        self._homes = {s: candidates(view, s) for s in services}
+        self._servers = {s: self._subset(view, s) for s in services}
+        self._stats = {id: self._stats.get(id, _Stat()) for id in self._by_id}
+
+    def homes(self, service: ServiceName) -> Homes:
+        """Return the processes that may be home to keys."""
+        return self._homes.get(service, ())
+
+    def server(self, node: NodeId) -> Server | None:
+        """Return a server by its agent's address."""
+        return self._by_id.get(node)
+
+    def pick(
+        self, now: float, service: ServiceName, tried: Collection[NodeId]
+    ) -> Server | None:
+        """Return the server that looks least loaded among a few."""
+        known = self._servers.get(service, [])
+        open_to = [s for s in known if s.id not in tried]
+        if not open_to:
+            return None
+        count = min(self._policy.choices, len(open_to))
+        some = self._rng.sample(open_to, count)
+        bad = self._outliers(service)
+        return min(some, key=lambda s: self._score(now, s, s.id in bad))
+
+    def idle(self, now: float, server: Server) -> bool:
+        """Return whether a server seems to have a free slot."""
+        return self._score(now, server, False) < 1.0
+
+    def sent(self, node: NodeId) -> None:
+        """Note an attempt at a server."""
+        stat = self._stats.get(node)
+        if stat is not None:
+            stat.open += 1
+            stat.since += 1
+
+    def ended(
+        self, now: float, node: NodeId, load: ServerLoad | None, failed: bool
+    ) -> None:
+        """Note the end of an attempt and the load told with it."""
+        stat = self._stats.get(node)
+        if stat is None:
+            return
+        stat.open = max(stat.open - 1, 0)
+        gain = self._policy.outlier_gain
+        stat.failures += gain * ((1.0 if failed else 0.0) - stat.failures)
+        if load is not None:
+            stat.told = load.busy + load.queued
+            stat.told_at = now
+            stat.since = 0
+
+    def _score(self, now: float, server: Server, outlier: bool) -> float:
+        """Return the load of a server as a share of what it may take."""
+        stat = self._stats[server.id]
+        load = float(stat.open)
+        if now - stat.told_at <= self._policy.load_fresh_s:
+            load = max(load, stat.told + stat.since)
+        if outlier:
+            load += PENALTY * stat.failures * server.slots
+        room = server.slots * max(server.warmth, LEAST_WARMTH)
+        return load / (room * max(server.weight, LEAST_WARMTH))
+
+    def _outliers(self, service: ServiceName) -> set[NodeId]:
+        """Return the servers that fail most, never most of them all."""
+        known = self._servers.get(service, [])
+        bad = [s for s in known if self._stats[s.id].failures > FAILING]
+        bad.sort(key=lambda s: -self._stats[s.id].failures)
+        most = int(self._policy.outlier_most * len(known))
+        return {s.id for s in bad[:most]}
+
+    def _subset(self, view: View, service: ServiceName) -> list[Server]:
+        """Return the few servers that this balancer talks to."""
+        usable = (ServerState.READY, ServerState.WARMING)
+        found = [
+            s
+            for s in view.servers
+            if s.service == service and s.state in usable
+        ]
+        if len(found) <= self._policy.subset:
+            return found
+        mine = self._node.encode()
+        found.sort(key=lambda s: xxhash.xxh3_64_intdigest(mine, _seed(s)))
+        return found[: self._policy.subset]
+
+
+def _seed(server: Server) -> int:
+    return xxhash.xxh3_64_intdigest(as_go(server).node)
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/events.py
@@ -0,0 +1,199 @@
+"""Events and effects of requests, as balancer and agent see them.
+
+A *request* is one call by a caller. The balancer makes *attempts* at it,
+each on one server through that server's agent. The agent starts *work* on
+its server; work bears the id of the attempt that started it, and other
+attempts with the same idempotency key share its answer. Bodies and
+answers are streamed by the adapter and stay out of the decisions.
+"""
+
+import msgspec
+
+from ..ids import AttemptId
+from ..ids import IdempotencyKey
+from ..ids import Incarnation
+from ..ids import KindName
+from ..ids import NodeId
+from ..ids import RequestId
+from ..ids import ServiceName
+from ..verdict import Verdict
+
+
+class ServerLoad(msgspec.Struct, frozen=True):
+    """Load of a server, told with each answer of its agent.
+
+    ``busy`` counts slots in use, ``queued`` attempts that wait, and
+    ``wait_s`` is the wait that a new attempt would see, in seconds.
+    """
+
+    busy: int
+    queued: int
+    slots: int
+    wait_s: float = 0.0
+
+
+class Go(msgspec.Struct, frozen=True):
+    """Which process an attempt for a key should go to instead.
+
+    ``ceded`` says that the agent asked gave up the key to that process
+    for good, so that it may start the key without asking anyone.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    ceded: bool = False
+
+
+class RequestCame(msgspec.Struct, frozen=True):
+    """A caller's request came to this balancer; its body is unread.
+
+    ``deadline_s`` is the time left in seconds and ``caller`` the caller's
+    IP number. ``repeat`` is what the caller says of its key: True if it
+    sent it before, False if not, None if it does not tell.
+    """
+
+    req: RequestId
+    service: ServiceName
+    kind: KindName
+    key: IdempotencyKey | None
+    deadline_s: float
+    body_bytes: int
+    caller: str
+    repeat: bool | None = None
+
+
+class RequestCancelled(msgspec.Struct, frozen=True):
+    """The caller of a request went away."""
+
+    req: RequestId
+
+
+class AttemptEnded(msgspec.Struct, frozen=True):
+    """An attempt ended, by its agent's word or by the adapter's.
+
+    The adapter says ``NotRun(UNREACHABLE)`` only if no byte of the
+    attempt was sent, else ``MayHaveRun(CONNECTION_LOST)``. ``load`` and
+    ``go`` are the agent's word and absent on the adapter's own.
+    """
+
+    attempt: AttemptId
+    verdict: Verdict
+    load: ServerLoad | None = None
+    go: Go | None = None
+
+
+class StartAttempt(msgspec.Struct, frozen=True):
+    """Send an attempt to an agent; give up after ``deadline_s`` seconds.
+
+    The adapter sends the headers, and the body once the agent asks for
+    it. ``incarnation`` is the agent's as this balancer knows it.
+    ``ceded_by`` names the agent that ceded the key to ``dst``, and
+    ``spare`` a process to which ``dst`` may cede it if it is busy.
+    """
+
+    attempt: AttemptId
+    req: RequestId
+    dst: NodeId
+    incarnation: Incarnation
+    service: ServiceName
+    kind: KindName
+    key: IdempotencyKey | None
+    deadline_s: float
+    body_bytes: int = 0
+    repeat: bool | None = None
+    ceded_by: NodeId | None = None
+    spare: Go | None = None
+
+
+class CancelAttempt(msgspec.Struct, frozen=True):
+    """Tell an agent that nobody waits for an attempt any more."""
+
+    attempt: AttemptId
+    dst: NodeId
+
+
+class AnswerCaller(msgspec.Struct, frozen=True):
+    """End a request towards its caller.
+
+    On ``Ran`` the adapter streams the answer of ``attempt`` and checks
+    its size and digest.
+    """
+
+    req: RequestId
+    verdict: Verdict
+    attempt: AttemptId | None = None
+
+
+class AttemptCame(msgspec.Struct, frozen=True):
+    """An attempt came to this agent; its body is unread.
+
+    Fields are those of ``StartAttempt``; ``src`` is the balancer and
+    ``incarnation`` the one that the balancer aimed at.
+    """
+
+    attempt: AttemptId
+    req: RequestId
+    src: NodeId
+    incarnation: Incarnation
+    service: ServiceName
+    kind: KindName
+    key: IdempotencyKey | None
+    deadline_s: float
+    body_bytes: int = 0
+    repeat: bool | None = None
+    ceded_by: NodeId | None = None
+    spare: Go | None = None
+
+
+class AttemptCancelled(msgspec.Struct, frozen=True):
+    """A balancer cancelled an attempt or its connection went."""
+
+    attempt: AttemptId
+
+
+class WorkEnded(msgspec.Struct, frozen=True):
+    """Work on the server ended.
+
+    ``Ran`` means that the whole answer is held by the adapter;
+    ``NotRun`` that the server refused it or never got the whole body;
+    ``MayHaveRun`` that the server died or cut its answer short.
+    """
+
+    work: AttemptId
+    verdict: Verdict
+
+
+class StartWork(msgspec.Struct, frozen=True):
+    """Read the body of an attempt and start its work on the server."""
+
+    work: AttemptId
+    service: ServiceName
+    kind: KindName
+    key: IdempotencyKey | None
+    deadline_s: float
+
+
+class CancelWork(msgspec.Struct, frozen=True):
+    """Cancel work on the server; no ``WorkEnded`` need follow."""
+
+    work: AttemptId
+
+
+class AnswerAttempt(msgspec.Struct, frozen=True):
+    """Answer an attempt to its balancer.
+
+    On ``Ran`` the adapter streams the held answer of ``work``.
+    """
+
+    attempt: AttemptId
+    dst: NodeId
+    verdict: Verdict
+    load: ServerLoad
+    work: AttemptId | None = None
+    go: Go | None = None
+
+
+class DropAnswer(msgspec.Struct, frozen=True):
+    """Forget the held answer of work; no repeat may ask for it now."""
+
+    work: AttemptId
--- a/packages/core/src/medlar_core/verdict.py
+++ b/packages/core/src/medlar_core/verdict.py
@@ -28,6 +28,7 @@
     DUPLICATE = "duplicate"
     WRONG_HOME = "wrong-home"
     FENCED = "fenced"
+    KEY_IN_DOUBT = "key-in-doubt"
     TOO_LARGE = "too-large"
     MALFORMED = "malformed"
     BODY_INCOMPLETE = "body-incomplete"
