--- a/packages/core/src/medlar_core/requests/admission.py
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -101,10 +101,9 @@
 
     def work_of(self, attempt: AttemptId) -> Work | None:
         """Return the work whose answer an attempt waits for."""
-        for work in (*self.running.values(), *self.queues):
-            if attempt in work.waiting:
-                return work
-        return None
+        works: list[Work] = [*self.running.values(), *self.queues]
+        held = (work for work in works if attempt in work.waiting)
+        return next(held, None)
 
     def tick(self, now: float) -> None:
         """Give back, one by one, the slots that the server shed."""
--- a/packages/core/src/medlar_core/requests/agent.py
+++ b/packages/core/src/medlar_core/requests/agent.py
@@ -29,6 +29,7 @@
 from ..verdict import Verdict
 from .admission import Admission
 from .admission import Freed
+from .claims import Claim
 from .claims import KeyState
 from .events import AttemptCame
 from .events import AttemptCancelled
@@ -231,7 +232,7 @@
     def _refuse(self, now: float, work: Work, reason: Reason) -> list[Any]:
         """Refuse work that never ran; its key is free again."""
         ids = list(work.waiting)
-        claim = self._keyed.claims.get(work.key) if work.keyed else None
+        claim = self._claim_of(work)
         if claim is not None:
             claim.state = KeyState.REFUSED
             claim.waiting = []
@@ -243,12 +244,18 @@
         means = self._policy.finish_means
         for work in self._admission.queues.late(now, means):
             effects += self._refuse(now, work, Reason.DEADLINE)
-        while (work := self._admission.start_next(now)) is not None:
-            effects.append(self._start(now, work))
+        while (next_ := self._admission.start_next(now)) is not None:
+            effects.append(self._start(now, next_))
         return effects
 
+    def _claim_of(self, work: Work) -> Claim | None:
+        """Return what is known of the key that decides on work."""
+        if work.key is None or work.kind.idempotent:
+            return None
+        return self._keyed.claims.get(work.key)
+
     def _start(self, now: float, work: Work) -> StartWork:
-        claim = self._keyed.claims.get(work.key) if work.keyed else None
+        claim = self._claim_of(work)
         if work.keyed:
             if claim is None or claim.state is not KeyState.QUEUED:
                 raise RuntimeError(f"expected {work.key} queued, got {claim}")
@@ -268,7 +275,7 @@
         work = self._admission.free(now, id, how)
         if work is None:
             return []
-        claim = self._keyed.claims.get(work.key) if work.keyed else None
+        claim = self._claim_of(work)
         if shed and work.waiting and now < work.due - work.kind.mean_s:
             if claim is not None:
                 claim.state = KeyState.QUEUED
--- a/packages/core/src/medlar_core/requests/choice.py
+++ b/packages/core/src/medlar_core/requests/choice.py
@@ -17,7 +17,6 @@
 from ..members.view import ServerState
 from ..members.view import View
 from .events import ServerLoad
-from .homes import as_go
 from .homes import candidates
 from .homes import Homes
 from .policy import Policy
@@ -144,4 +143,4 @@
 
 
 def _seed(server: Server) -> int:
-    return xxhash.xxh3_64_intdigest(as_go(server).node)
+    return xxhash.xxh3_64_intdigest(server.id.encode())
--- a/packages/core/src/medlar_core/requests/door.py
+++ b/packages/core/src/medlar_core/requests/door.py
@@ -41,7 +41,9 @@
     def admits(self, service: ServiceName, kind: KindName, who: str) -> bool:
         """Count a request and return whether it may go on."""
         demand = self._of(service, kind)
-        group = xxhash.xxh32_intdigest(who) % self._policy.door_callers
+        group = (
+            xxhash.xxh32_intdigest(who.encode()) % self._policy.door_callers
+        )
         demand.came[group] += 1.0
         if demand.came[group] <= demand.level:
             return True
--- a/packages/core/src/medlar_core/requests/homes.py
+++ b/packages/core/src/medlar_core/requests/homes.py
@@ -42,7 +42,7 @@
     for home in homes:
         if home.node == without:
             continue
-        seed = xxhash.xxh3_64_intdigest(home.node)
+        seed = xxhash.xxh3_64_intdigest(home.node.encode())
         score = xxhash.xxh3_64_intdigest(data, seed)
         if score > best_score:
             best = home
