Add membership of balancers and agents

Agents beat to two balancers that watch them; those judge by probing, spread changed records as rumours and mend the rest by digests.

--- /dev/null
+++ b/packages/core/src/medlar_core/members/record.py
@@ -0,0 +1,99 @@
+"""What the fleet knows of one process, and which news is newer."""
+
+import enum
+import functools
+import zlib
+
+import msgspec
+import xxhash
+
+from ..ids import Incarnation
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import ServiceName
+from .view import ServerState
+
+UNPACKED_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+class Role(enum.Enum):
+    """What a process is."""
+
+    SERVER = "s"
+    BALANCER = "b"
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """A process as it announced itself.
+
+    ``id`` is the address of the process; a server goes by its agent's.
+    Only the process itself raises ``seq``, with each change that it
+    tells. Others may only say that an incarnation is GONE.
+    """
+
+    id: NodeId
+    role: Role
+    incarnation: Incarnation
+    seq: int
+    state: ServerState
+    place: PlaceName
+    service: ServiceName = ServiceName("")
+    weight: float = 1.0
+    slots: int = 2
+
+    @property
+    def live(self) -> bool:
+        """Whether this incarnation still runs."""
+        return self.state is not ServerState.GONE
+
+    @property
+    def rank(self) -> tuple[int, bool, int]:
+        """Order of news about one id: the larger one holds."""
+        return (self.incarnation, not self.live, self.seq)
+
+
+class BadPack(ValueError):
+    """Packed records can't be read."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[Record])
+
+
+def pack(records: list[Record]) -> bytes:
+    """Return records in few bytes."""
+    return zlib.compress(_encoder.encode(records), 6) if records else b""
+
+
+def unpack(data: bytes) -> list[Record]:
+    """Return packed records.
+
+    :raises BadPack: if the data is no pack or unpacks too large.
+    """
+    if not data:
+        return []
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, UNPACKED_LIMIT_BYTES)
+        if not inflater.eof:
+            raise BadPack("expected a whole pack within the limit")
+        return _decoder.decode(plain)
+    except (zlib.error, msgspec.MsgspecError) as exc:
+        raise BadPack(f"expected packed records: {exc}") from exc
+
+
+def gone(record: Record) -> Record:
+    """Return the news that this incarnation has ended."""
+    return msgspec.structs.replace(record, state=ServerState.GONE)
+
+
+@functools.lru_cache(maxsize=65536)
+def id_hash(text: str) -> int:
+    """Return the 64-bit hash by which ids are placed and ordered."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def fingerprint(record: Record) -> int:
+    """Return the 64-bit hash of what a live record says."""
+    text = f"{record.id}|{record.incarnation}|{record.seq}"
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/packages/core/src/medlar_core/members/table.py
@@ -0,0 +1,152 @@
+"""All records that a balancer holds, with hashes to compare them by."""
+
+import collections
+import random
+
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from .record import fingerprint
+from .record import id_hash
+from .record import Record
+from .record import Role
+
+BUCKETS = 256
+TOMBSTONE_S = 24 * 3600.0
+"""Longer than any cut or outage after which old news may come back."""
+RECORDS_LIMIT = 50_000
+
+
+class Table:
+    """Newest record of each process; GONE ones stay as tombstones.
+
+    ``version`` grows with each change and starts at random, so that a
+    reader can tell this table from that of an earlier process on the same
+    address. Hashes cover live records only: a tombstone need not be held
+    by all, and whoever still holds the live record is corrected.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.start = self.version = rng.getrandbits(48) << 4
+        self.members_version = 0
+        self.total = 0
+        self.hashes = [0] * BUCKETS
+        self.live: dict[NodeId, Record] = {}
+        self._tombs: dict[NodeId, tuple[Record, Seconds]] = {}
+        self._buckets: collections.defaultdict[int, dict[NodeId, int]]
+        self._buckets = collections.defaultdict(dict)
+        self._services: dict[ServiceName, dict[NodeId, int]] = {}
+        self._changed: dict[ServiceName, int] = {}
+        self._places: dict[PlaceName, dict[NodeId, None]] = {}
+        self._balancers: tuple[Record, ...] | None = None
+
+    def get(self, node: NodeId) -> Record | None:
+        """Return the newest record of a process, live or not."""
+        tomb = self._tombs.get(node)
+        return self.live.get(node) or (tomb[0] if tomb else None)
+
+    def apply(self, now: Seconds, record: Record) -> bool:
+        """Take a record; return whether it was newer than what is held."""
+        held = self.get(record.id)
+        if held is not None and held.rank >= record.rank:
+            return False
+        if held is None and len(self.live) >= RECORDS_LIMIT:
+            return False
+        self._remove(record.id)
+        if record.live:
+            self._insert(record)
+        else:
+            self._tombs[record.id] = (record, Seconds(now + TOMBSTONE_S))
+        self._note(record)
+        if held is None or held.live != record.live:
+            self.members_version += 1
+        return True
+
+    def forget(self, node: NodeId) -> None:
+        """Drop a live record without saying that the process ended."""
+        self._remove(node)
+        self.members_version += 1
+
+    def expire(self, now: Seconds) -> None:
+        """Drop tombstones whose time is over."""
+        over = [n for n, (_, ends) in self._tombs.items() if ends <= now]
+        for node in over:
+            self._remove(node)
+
+    def balancers(self) -> tuple[Record, ...]:
+        """Return the live balancers in the order of their ids' hashes."""
+        if self._balancers is None:
+            found = [r for r in self.live.values() if _balances(r)]
+            found.sort(key=lambda record: id_hash(record.id))
+            self._balancers = tuple(found)
+        return self._balancers
+
+    def in_place(self, place: PlaceName) -> list[NodeId]:
+        """Return the live processes of a place, sorted."""
+        return sorted(self._places.get(place, ()))
+
+    def places(self) -> list[PlaceName]:
+        """Return the places that have live processes, sorted."""
+        return sorted(place for place, held in self._places.items() if held)
+
+    def service_since(
+        self, service: ServiceName, seen: int
+    ) -> tuple[bool, list[Record]] | None:
+        """Return what changed in a service after a version.
+
+        The first field is True if the records are all live ones, since
+        the version is not one of this table. None if nothing changed.
+        """
+        known = self.start < seen <= self.version
+        if known and self._changed.get(service, 0) <= seen:
+            return None
+        held = self._services.get(service, {})
+        if known:
+            nodes = sorted(n for n, at in held.items() if at > seen)
+            return False, [r for r in map(self.get, nodes) if r]
+        nodes = sorted(n for n in held if n in self.live)
+        return True, [self.live[node] for node in nodes]
+
+    def prints(self, bucket: int) -> dict[int, NodeId]:
+        """Return the low 32 bits of the fingerprints in a bucket."""
+        held = self._buckets.get(bucket, {})
+        return {full & 0xFFFFFFFF: node for node, full in held.items()}
+
+    def _insert(self, record: Record) -> None:
+        full = fingerprint(record)
+        bucket = id_hash(record.id) % BUCKETS
+        self.live[record.id] = record
+        self._buckets[bucket][record.id] = full
+        self.hashes[bucket] ^= full
+        self.total ^= full
+        self._places.setdefault(record.place, {})[record.id] = None
+        if _balances(record):
+            self._balancers = None
+
+    def _remove(self, node: NodeId) -> None:
+        tomb = self._tombs.pop(node, None)
+        if tomb is not None:
+            self._services.get(tomb[0].service, {}).pop(node, None)
+        record = self.live.pop(node, None)
+        if record is None:
+            return
+        bucket = id_hash(node) % BUCKETS
+        full = self._buckets[bucket].pop(node)
+        self.hashes[bucket] ^= full
+        self.total ^= full
+        self._places[record.place].pop(node, None)
+        self._services.get(record.service, {}).pop(node, None)
+        if _balances(record):
+            self._balancers = None
+
+    def _note(self, record: Record) -> None:
+        self.version += 1
+        if record.role is Role.SERVER:
+            held = self._services.setdefault(record.service, {})
+            held[record.id] = self.version
+            self._changed[record.service] = self.version
+
+
+def _balances(record: Record) -> bool:
+    return record.role is Role.BALANCER
--- /dev/null
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -0,0 +1,99 @@
+"""Judging whether watched processes live, by talking to them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from ..ids import NodeId
+from ..ids import Seconds
+
+SUSPECT_S = 1.7
+"""Silence after which a process is probed; its beats come each 1.5 s."""
+PROBE_S = 0.1
+JUDGE_S = 0.8
+"""Time in which a suspect may answer any probe."""
+HELP_ROUNDS = (1, 4, 6)
+"""Rounds of probing in which other balancers are asked to probe too."""
+GRACE_S = 0.5
+"""A process is given so long to beat to a balancer new to it."""
+
+
+class Round(msgspec.Struct, frozen=True):
+    """Probe a suspect; ``help`` if others shall probe it as well."""
+
+    node: NodeId
+    help: bool
+
+
+class Silent(msgspec.Struct, frozen=True):
+    """A suspect answered no probe since ``since`` seconds."""
+
+    node: NodeId
+    since: Seconds
+
+
+class _Watched(msgspec.Struct):
+    """What is known of one process."""
+
+    heard: float
+    suspect_since: float = 0.0
+    rounds: int = 0
+
+
+class Watch:
+    """Silence of the processes that this balancer is to watch."""
+
+    def __init__(self) -> None:
+        self._watched: dict[NodeId, _Watched] = {}
+
+    def assign(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
+        """Watch these processes and no others."""
+        fresh = now - SUSPECT_S + GRACE_S
+        self._watched = {
+            node: self._watched.get(node) or _Watched(fresh)
+            for node in sorted(nodes)
+        }
+
+    def nodes(self) -> list[NodeId]:
+        """Return the processes watched, sorted."""
+        return list(self._watched)
+
+    def heard(self, now: Seconds, node: NodeId) -> None:
+        """Note that a process was heard of: it lives."""
+        watched = self._watched.get(node)
+        if watched is not None:
+            watched.heard = now
+            watched.rounds = 0
+
+    def heard_within(self, now: Seconds, node: NodeId, limit: float) -> bool:
+        """Return whether a process was heard of in the last seconds."""
+        watched = self._watched.get(node)
+        return watched is not None and now - watched.heard <= limit
+
+    def excuse(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
+        """Start anew with processes that could not be heard."""
+        for node in nodes:
+            self.heard(now, node)
+
+    def paused(self, now: Seconds) -> None:
+        """Start anew with all: this process itself did not listen."""
+        self.excuse(now, self._watched)
+
+    def tick(self, now: Seconds) -> list[Round | Silent]:
+        """Return the probes to send and the processes found silent."""
+        found: list[Round | Silent] = []
+        for node, watched in self._watched.items():
+            if now - watched.heard >= SUSPECT_S:
+                found.append(self._suspect(now, node, watched))
+        return found
+
+    def _suspect(
+        self, now: Seconds, node: NodeId, watched: _Watched
+    ) -> Round | Silent:
+        if watched.rounds == 0:
+            watched.suspect_since = now
+        since = Seconds(watched.suspect_since)
+        if now - since >= JUDGE_S and watched.rounds >= max(HELP_ROUNDS) + 1:
+            return Silent(node, since)
+        watched.rounds += 1
+        return Round(node, watched.rounds - 1 in HELP_ROUNDS)
