--- /dev/null
+++ b/packages/core/src/medlar_core/compose.py
@@ -0,0 +1,58 @@
+"""One reducer made of parts that publish events to one another."""
+
+import collections
+from collections.abc import Mapping
+from typing import Any
+
+from .effects import Publish
+from .events import Reducer
+from .ids import Seconds
+
+PUBLISH_LIMIT = 1000
+"""Most events that one event may set off inside a process."""
+
+
+class Composed:
+    """Hands each event to every part, and their published events too.
+
+    ``routes`` names the one part for event types that only it takes, so
+    that a packet does not pass through all parts.
+    """
+
+    def __init__(
+        self,
+        parts: tuple[Reducer, ...],
+        routes: Mapping[type, Reducer],
+    ) -> None:
+        self.parts = parts
+        self._routes = {kind: (part,) for kind, part in routes.items()}
+
+    def reduce(self, now: Seconds, event: Any) -> list[Any]:
+        """Take one event and return the effects of all parts.
+
+        :raises RuntimeError: if parts publish to one another for ever.
+        """
+        effects: list[Any] = []
+        queue = collections.deque([event])
+        for _ in range(PUBLISH_LIMIT):
+            if not queue:
+                return effects
+            self._step(now, queue.popleft(), queue, effects)
+        raise RuntimeError(
+            f"expected at most {PUBLISH_LIMIT} published events, got more: "
+            f"look for parts that answer each other, first {event!r}"
+        )
+
+    def _step(
+        self,
+        now: Seconds,
+        event: Any,
+        queue: collections.deque[Any],
+        effects: list[Any],
+    ) -> None:
+        for part in self._routes.get(type(event), self.parts):
+            for effect in part.reduce(now, event):
+                if isinstance(effect, Publish):
+                    queue.append(effect.event)
+                else:
+                    effects.append(effect)
--- /dev/null
+++ b/packages/node/src/medlar_node/agent.py
@@ -0,0 +1,179 @@
+"""Composition root of the agent daemon."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import random
+import time
+
+from aiohttp import web
+
+from medlar_core.agent import Agent
+from medlar_core.agent import AgentSelf
+from medlar_core.agent import make_agent
+from medlar_core.events import DrainAsked
+from medlar_core.events import StopAsked
+from medlar_core.ids import Incarnation
+from medlar_core.ids import Seconds
+from medlar_core.members.agent import Leave
+
+from . import attempt_wire
+from .control_http import Answers
+from .control_http import ControlPort
+from .control_http import MAX_CONTROL_BYTES
+from .daemon import either
+from .daemon import NEWS_S
+from .daemon import running
+from .daemon import serving
+from .daemon import until
+from .daemon import watch_signals
+from .egress import Egress
+from .gauges import keep_gauges
+from .logs import part_logger
+from .metrics import Metrics
+from .process import Process
+from .serverport import ServerPort
+from .settings import AgentSettings
+from .status import Explained
+from .status import Status
+from .status import Unexplained
+
+log = part_logger("agent")
+
+
+async def run_agent(cfg: AgentSettings) -> None:
+    """Run an agent until it is asked to stop.
+
+    :raises OSError: if an address is in use or not of this machine.
+    """
+    rng = random.Random()
+    me = AgentSelf(
+        cfg.listen,
+        cfg.place,
+        Incarnation(time.time_ns() // 1_000_000),
+        cfg.seeds,
+        cfg.service,
+        cfg.weight,
+    )
+    role = _Role(cfg, make_agent(me, rng))
+    await role.run()
+
+
+class _Role:
+    """The agent's parts and the sockets around them."""
+
+    def __init__(self, cfg: AgentSettings, agent: Agent) -> None:
+        self._cfg = cfg
+        self._agent = agent
+        self._metrics = Metrics()
+        self._process: Process | None = None
+
+    async def run(self) -> None:
+        signals = watch_signals()
+        async with contextlib.AsyncExitStack() as stack:
+            process = await stack.enter_async_context(
+                running(self._cfg, self._agent.reducer, self._metrics)
+            )
+            self._process = process
+            egress = await stack.enter_async_context(self._egress(process))
+            app = web.Application(client_max_size=MAX_CONTROL_BYTES)
+            app.add_routes(ControlPort(process, self._answers()).routes())
+            app.router.add_post(
+                attempt_wire.PATH + "{attempt}",
+                egress.handle,
+                expect_handler=egress.expect,
+            )
+            await stack.enter_async_context(serving(app, self._cfg.listen))
+            await stack.enter_async_context(self._server(process))
+            await stack.enter_async_context(
+                keep_gauges(self._metrics, self._status)
+            )
+            log.info("listens on %s", self._cfg.listen)
+            planned = await either(signals)
+            await self._stop(process, planned)
+
+    async def _stop(self, process: Process, planned: bool) -> None:
+        """End as planned, or make room for a successor on SIGUSR2.
+
+        A successor finds the server's flows by the server's connections,
+        so a restart need not wait for them to end.
+        """
+        log.info("stops as planned" if planned else "restarts")
+        agent = self._agent
+        if planned:
+            process.give(DrainAsked(self._cfg.stop_limit_s))
+        process.give(StopAsked())
+
+        def ended() -> bool:
+            flows = agent.flows.open_flows if planned else 0
+            return not flows and not agent.requests.open_work
+
+        if not await until(ended, self._cfg.stop_limit_s):
+            log.warning("stop limit came before all work ended")
+        if planned:
+            process.give(Leave())
+            await until(lambda: agent.members.finished, 2 * NEWS_S)
+
+    @contextlib.asynccontextmanager
+    async def _egress(self, process: Process) -> AsyncIterator[Egress]:
+        egress = Egress(process, self._metrics, self._cfg.server)
+        process.other = egress.carry
+        await egress.start()
+        try:
+            yield egress
+        finally:
+            await egress.stop()
+
+    @contextlib.asynccontextmanager
+    async def _server(self, process: Process) -> AsyncIterator[None]:
+        port = ServerPort(process, self._cfg.server)
+        process.deliver = port.deliver
+        await port.start()
+        try:
+            yield
+        finally:
+            await port.stop()
+
+    def _answers(self) -> Answers:
+        return Answers(self._status, self._ready, self._explain, self._drain)
+
+    def _ready(self) -> bool:
+        return self._agent.config.cfg is not None
+
+    def _drain(self, limit_s: float) -> None:
+        assert self._process is not None
+        self._process.give(DrainAsked(limit_s))
+
+    def _status(self) -> Status:
+        view = self._agent.members.view
+        return Status(
+            node=self._cfg.listen,
+            role="agent",
+            place=self._cfg.place,
+            ready=self._ready(),
+            version=self._agent.config.version,
+            open_flows=self._agent.flows.open_flows,
+            open_work=self._agent.requests.open_work,
+            servers=view.servers,
+            balancers=view.balancers,
+            service=self._cfg.service,
+            state=self._agent.members.record.state.value,
+        )
+
+    def _explain(self, query: dict[str, str]) -> Explained | Unexplained:
+        caller = query.get("caller", "")
+        address = query.get("address", "")
+        if bool(caller) != bool(address):
+            return Unexplained("expected both caller and address as ip:port")
+        flow = None
+        if caller:
+            flow = self._agent.flows.explain(caller, address)
+        return Explained(
+            self._cfg.listen,
+            self._agent.config.version,
+            self._agent.requests.explain(self._process_now()),
+            flow,
+        )
+
+    def _process_now(self) -> Seconds:
+        assert self._process is not None
+        return self._process.now()
--- /dev/null
+++ b/packages/node/src/medlar_node/daemon.py
@@ -0,0 +1,134 @@
+"""What both roles share: their ports, signals and planned stop."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import signal
+import time
+
+from aiohttp import web
+import msgspec
+
+from medlar_core.events import Reducer
+from medlar_core.keys.key import KeyFault
+from medlar_core.keys.seal import Sealer
+from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.events import Topic
+from medlar_core.timeline.recorder import Recorder
+
+from .datagrams import split
+from .logs import part_logger
+from .metrics import Metrics
+from .process import Process
+from .settings import CommonSettings
+from .settings import read_key_file
+from .store_client import StoreClient
+
+POLL_S = 0.1
+NEWS_S = 0.5
+"""Time for the last messages of a process to go out."""
+BACKLOG = 1024
+
+log = part_logger("daemon")
+
+
+class Signals(msgspec.Struct, frozen=True):
+    """What the platform may ask: a planned stop, or a quick restart."""
+
+    stop: asyncio.Event
+    restart: asyncio.Event
+
+
+@contextlib.asynccontextmanager
+async def running(
+    cfg: CommonSettings, reducer: Reducer, metrics: Metrics
+) -> AsyncIterator[Process]:
+    """Yield the running process of a reducer; close it at the end.
+
+    :raises OSError: if the address is in use or not of this machine.
+    """
+    store = StoreClient(cfg.store)
+    recorder = Recorder(cfg.listen)
+    sealer = Sealer(cfg.keys, cfg.listen, time.time_ns() // 1000)
+    process = Process(
+        cfg.listen, reducer, sealer, recorder, metrics, store.call, cfg.fabric
+    )
+    watch_keys(sealer, process, cfg.key_file)
+    await process.start()
+    process.record(TimelineEvent(Topic.PROCESS, "started"))
+    try:
+        yield process
+    finally:
+        await process.stop()
+        await store.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: web.Application, endpoint: str
+) -> AsyncIterator[web.AppRunner]:
+    """Yield while an application listens on ``ip:port``.
+
+    :raises OSError: if the address is in use or not of this machine.
+    """
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=1.0,
+    )
+    await runner.setup()
+    try:
+        host, port = split(endpoint)
+        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
+        yield runner
+    finally:
+        await runner.cleanup()
+
+
+def watch_signals() -> Signals:
+    """Return events that SIGTERM, SIGINT and SIGUSR2 set."""
+    loop = asyncio.get_running_loop()
+    signals = Signals(asyncio.Event(), asyncio.Event())
+    loop.add_signal_handler(signal.SIGTERM, signals.stop.set)
+    loop.add_signal_handler(signal.SIGINT, signals.stop.set)
+    loop.add_signal_handler(signal.SIGUSR2, signals.restart.set)
+    return signals
+
+
+def watch_keys(sealer: Sealer, process: Process, key_file: str) -> None:
+    """Read the keys again on SIGHUP; keep the old ones if they are bad."""
+
+    def reload() -> None:
+        found = read_key_file(key_file)
+        if isinstance(found, KeyFault):
+            log.error("keys not changed", extra={"why": found.text})
+            process.metrics.bad_input("keys", "malformed")
+            return
+        sealer.use(found)
+        process.record(TimelineEvent(Topic.KEYS, f"{len(found)} keys in use"))
+
+    if key_file:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, reload)
+
+
+async def until(done: Callable[[], bool], limit_s: float) -> bool:
+    """Wait until something holds; return False where the limit came."""
+    ends = time.monotonic() + limit_s
+    while time.monotonic() < ends:
+        if done():
+            return True
+        await asyncio.sleep(POLL_S)
+    return done()
+
+
+async def either(signals: Signals) -> bool:
+    """Wait for a signal; return whether it asks for a planned stop."""
+    stop = asyncio.create_task(signals.stop.wait())
+    restart = asyncio.create_task(signals.restart.wait())
+    await asyncio.wait((stop, restart), return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    restart.cancel()
+    return signals.stop.is_set()
--- /dev/null
+++ b/packages/node/src/medlar_node/egress.py
@@ -0,0 +1,255 @@
+"""Attempts at an agent: balancers in front, the server behind."""
+
+import asyncio
+import hashlib
+
+from aiohttp import ClientConnectorError
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import web
+import msgspec
+
+from medlar_core.ids import AttemptId
+from medlar_core.requests.events import AnswerAttempt
+from medlar_core.requests.events import AttemptCame
+from medlar_core.requests.events import AttemptCancelled
+from medlar_core.requests.events import CancelWork
+from medlar_core.requests.events import DropAnswer
+from medlar_core.requests.events import StartWork
+from medlar_core.requests.events import WorkEnded
+from medlar_core.verdict import MayHaveRun
+from medlar_core.verdict import NotRun
+from medlar_core.verdict import Ran
+from medlar_core.verdict import Reason
+from medlar_core.verdict import Verdict
+
+from . import attempt_wire as wire
+from . import headers as names
+from .metrics import Metrics
+from .process import Process
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+SHED_STATUS = 503
+"""The server's word that it did not run the work."""
+
+
+class Held(msgspec.Struct, frozen=True):
+    """A whole answer of the server, kept for the caller and repeats."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Attempt(msgspec.Struct):
+    """An attempt whose balancer waits for a word."""
+
+    http: web.Request
+    started: asyncio.Future[StartWork]
+    ended: asyncio.Future[AnswerAttempt]
+
+
+class Egress:
+    """Carries out the effects of an agent's requests part."""
+
+    def __init__(
+        self, process: Process, metrics: Metrics, server: str
+    ) -> None:
+        self._process = process
+        self._metrics = metrics
+        self._server = server
+        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._work: dict[AttemptId, asyncio.Task[None]] = {}
+        self._held: dict[AttemptId, Held] = {}
+        self._session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the client session; needs the running loop."""
+        self._session = ClientSession(
+            timeout=ClientTimeout(total=None), auto_decompress=False
+        )
+
+    async def stop(self) -> None:
+        """Close the client session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def expect(self, http: web.Request) -> web.StreamResponse | None:
+        """Let the body of an attempt come once its work may start.
+
+        Returns the refusal where the work does not start at all.
+        """
+        came = self._read(http)
+        if came is None:
+            self._metrics.bad_input("attempt", "malformed")
+            return web.Response(status=400)
+        attempt = self._open(http, came)
+        self._process.give(came)
+        try:
+            await asyncio.wait(
+                (attempt.started, attempt.ended),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        except asyncio.CancelledError:
+            self._lost(came.attempt)
+            raise
+        if attempt.ended.done():
+            return self._answer(attempt.ended.result())
+        await _continue(http)
+        return None
+
+    async def handle(self, http: web.Request) -> web.StreamResponse:
+        """Run the work of an attempt and answer it."""
+        found = AttemptId(http.match_info["attempt"])
+        attempt = self._attempts.get(found)
+        if attempt is None:
+            # The client asked for no leave to send: it is no balancer.
+            return web.Response(status=417)
+        started = attempt.started.result()
+        body = await self._body(http)
+        if body is None:
+            verdict = NotRun(Reason.BODY_INCOMPLETE)
+            self._process.give(WorkEnded(started.work, verdict))
+        else:
+            work = asyncio.create_task(self._run(started, attempt, body))
+            self._work[started.work] = work
+        try:
+            return self._answer(await attempt.ended)
+        except asyncio.CancelledError:
+            self._lost(found)
+            raise
+
+    def carry(
+        self, effect: StartWork | CancelWork | AnswerAttempt | DropAnswer
+    ) -> None:
+        """Carry out one effect."""
+        match effect:
+            case StartWork(work=work):
+                attempt = self._attempts.get(work)
+                if attempt is None:
+                    verdict = NotRun(Reason.CANCELLED)
+                    self._process.give(WorkEnded(work, verdict))
+                elif not attempt.started.done():
+                    attempt.started.set_result(effect)
+            case CancelWork(work=work):
+                task = self._work.pop(work, None)
+                if task is not None:
+                    task.cancel()
+            case AnswerAttempt(attempt=name):
+                attempt = self._attempts.pop(name, None)
+                if attempt is not None and not attempt.ended.done():
+                    attempt.ended.set_result(effect)
+            case DropAnswer(work=work):
+                self._held.pop(work, None)
+
+    def _read(self, http: web.Request) -> AttemptCame | None:
+        try:
+            head = wire.parse_head(http.headers.get(names.ATTEMPT, ""))
+        except msgspec.DecodeError:
+            return None
+        if head.attempt != http.match_info["attempt"]:
+            return None
+        return AttemptCame(
+            attempt=head.attempt,
+            req=head.req,
+            src=head.src,
+            incarnation=head.incarnation,
+            service=head.service,
+            kind=head.kind,
+            key=head.key,
+            deadline_s=head.deadline_s,
+            body_bytes=head.body_bytes,
+            repeat=head.repeat,
+            ceded_by=head.ceded_by,
+            spare=head.spare,
+        )
+
+    def _open(self, http: web.Request, came: AttemptCame) -> _Attempt:
+        attempt = _Attempt(http, asyncio.Future(), asyncio.Future())
+        self._attempts[came.attempt] = attempt
+        return attempt
+
+    def _lost(self, attempt: AttemptId) -> None:
+        self._attempts.pop(attempt, None)
+        self._process.give(AttemptCancelled(attempt))
+
+    async def _body(self, http: web.Request) -> bytes | None:
+        """Return the whole body, or None where it did not come whole.
+
+        The work starts only with the whole body in hand, so that a
+        caller that breaks off has truly not run anything.
+        """
+        body = bytearray()
+        try:
+            async for chunk in http.content.iter_chunked(65536):
+                body += chunk
+                if len(body) > MAX_BODY_BYTES:
+                    return None
+        except (ClientError, OSError, asyncio.IncompleteReadError):
+            return None
+        return bytes(body)
+
+    async def _run(
+        self, started: StartWork, attempt: _Attempt, body: bytes
+    ) -> None:
+        try:
+            async with asyncio.timeout(max(started.deadline_s, 0.0)):
+                verdict = await self._call(started, attempt.http, body)
+        except TimeoutError:
+            verdict = MayHaveRun(Reason.DEADLINE)
+        except asyncio.CancelledError:
+            verdict = MayHaveRun(Reason.CANCELLED)
+        finally:
+            self._work.pop(started.work, None)
+        self._process.give(WorkEnded(started.work, verdict))
+
+    async def _call(
+        self, started: StartWork, http: web.Request, body: bytes
+    ) -> Verdict:
+        assert self._session is not None
+        headers = names.end_to_end(http.headers)
+        headers[names.KIND] = started.kind
+        headers[names.WORK] = started.key or started.work
+        target = http.headers.get(wire.TARGET, "/")
+        try:
+            async with self._session.request(
+                http.headers.get(wire.METHOD, "POST"),
+                f"http://{self._server}{target}",
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+            ) as res:
+                answer = await res.content.read(MAX_ANSWER_BYTES + 1)
+                while not res.content.at_eof():
+                    answer += await res.content.read(MAX_ANSWER_BYTES)
+                    if len(answer) > MAX_ANSWER_BYTES:
+                        return MayHaveRun(Reason.TOO_LARGE)
+        except ClientConnectorError:
+            return NotRun(Reason.UNREACHABLE)
+        except (ClientError, OSError):
+            return MayHaveRun(Reason.SERVER_DIED)
+        if res.status == SHED_STATUS:
+            return NotRun(Reason.SHED)
+        kept = names.end_to_end(res.headers)
+        self._held[started.work] = Held(res.status, kept, answer)
+        digest = hashlib.sha256(answer).hexdigest()
+        return Ran(res.status, digest, len(answer))
+
+    def _answer(self, ended: AnswerAttempt) -> web.Response:
+        held = self._held.get(ended.work) if ended.work else None
+        verdict = ended.verdict
+        if isinstance(verdict, Ran) and held is None:
+            verdict = MayHaveRun(Reason.CONNECTION_LOST)
+        headers = dict(held.headers) if held else {}
+        tail = wire.AttemptTail(verdict, ended.load, ended.go)
+        headers[names.ENDED] = wire.tail_text(tail)
+        body = held.body if held and isinstance(verdict, Ran) else b""
+        return web.Response(body=body, headers=headers)
+
+
+async def _continue(http: web.Request) -> None:
+    """Tell the balancer to send the body."""
+    if http.transport is not None:
+        http.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- /dev/null
+++ b/packages/node/src/medlar_node/gauges.py
@@ -0,0 +1,40 @@
+"""Gauges that are read off the status of a process."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+
+from medlar_core.members.view import ServerState
+
+from .metrics import Metrics
+from .status import Status
+
+PERIOD_S = 1.0
+
+
+@contextlib.asynccontextmanager
+async def keep_gauges(
+    metrics: Metrics, status: Callable[[], Status]
+) -> AsyncIterator[None]:
+    """Set the gauges once a second while the process runs."""
+    task = asyncio.create_task(_keep(metrics, status))
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def _keep(metrics: Metrics, status: Callable[[], Status]) -> None:
+    while True:
+        _set(metrics, status())
+        await asyncio.sleep(PERIOD_S)
+
+
+def _set(metrics: Metrics, status: Status) -> None:
+    metrics.version.set(status.version)
+    metrics.flows.set(status.open_flows)
+    metrics.open_work.set(status.open_work)
+    for state in ServerState:
+        count = sum(server.state is state for server in status.servers)
+        metrics.servers.labels(state.value).set(count)
--- /dev/null
+++ b/packages/node/src/medlar_node/ingress.py
@@ -0,0 +1,320 @@
+"""Requests at a balancer: callers in front, attempts on agents behind."""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+import itertools
+import uuid
+
+from aiohttp import ClientConnectorError
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import web
+import msgspec
+
+from medlar_core.config.model import Configuration
+from medlar_core.config.model import Kind
+from medlar_core.config.model import Service
+from medlar_core.ids import AttemptId
+from medlar_core.ids import IdempotencyKey
+from medlar_core.ids import RequestId
+from medlar_core.requests.events import AnswerCaller
+from medlar_core.requests.events import AttemptEnded
+from medlar_core.requests.events import CancelAttempt
+from medlar_core.requests.events import RequestCame
+from medlar_core.requests.events import RequestCancelled
+from medlar_core.requests.events import StartAttempt
+from medlar_core.verdict import MayHaveRun
+from medlar_core.verdict import NotRun
+from medlar_core.verdict import Ran
+from medlar_core.verdict import Reason
+from medlar_core.verdict import Verdict
+
+from . import attempt_wire as wire
+from . import headers as names
+from .bodies import Body
+from .bodies import BodyGone
+from .metrics import Metrics
+from .process import Process
+from .proxyline import Destination
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+GRACE_S = 0.5
+"""Time beyond the deadline in which an agent's own verdict still counts."""
+KEY_CHARS = 128
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of a server, checked against its digest."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Open(msgspec.Struct):
+    """A request that has not ended."""
+
+    http: web.BaseRequest
+    body: Body
+    done: asyncio.Future[AnswerCaller]
+
+
+class Ingress:
+    """Carries out the effects of a balancer's requests part."""
+
+    def __init__(
+        self,
+        process: Process,
+        metrics: Metrics,
+        destinations: dict[asyncio.BaseTransport, Destination],
+    ) -> None:
+        self._source: Callable[[], Configuration | None] = lambda: None
+        self._cfg: Configuration | None = None
+        self._by_address: dict[str, Service] = {}
+        self._process = process
+        self._metrics = metrics
+        self._destinations = destinations
+        self._prefix = uuid.uuid4().hex[:12]
+        self._numbers = itertools.count()
+        self._open: dict[RequestId, _Open] = {}
+        self._answers: dict[AttemptId, Answer] = {}
+        self._attempts: dict[AttemptId, asyncio.Task[None]] = {}
+        self._session: ClientSession | None = None
+
+    def follow(self, source: Callable[[], Configuration | None]) -> None:
+        """Read the configuration in force from here, for each request."""
+        self._source = source
+
+    async def start(self) -> None:
+        """Open the client session; needs the running loop."""
+        self._session = ClientSession(
+            timeout=ClientTimeout(total=None), auto_decompress=False
+        )
+
+    async def stop(self) -> None:
+        """Close the client session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Take a caller's request and answer it."""
+        came = self._read(http)
+        if isinstance(came, NotRun):
+            return self._refused(came)
+        with self._metrics.request_seconds.time():
+            return await self._serve(http, came)
+
+    def carry(
+        self, effect: StartAttempt | CancelAttempt | AnswerCaller
+    ) -> None:
+        """Carry out one effect."""
+        match effect:
+            case StartAttempt():
+                task = asyncio.create_task(self._attempt(effect))
+                self._attempts[effect.attempt] = task
+            case CancelAttempt(attempt=attempt):
+                task_or_none = self._attempts.pop(attempt, None)
+                if task_or_none is not None:
+                    task_or_none.cancel()
+            case AnswerCaller(req=req):
+                waiting = self._open.get(req)
+                if waiting is not None and not waiting.done.done():
+                    waiting.done.set_result(effect)
+
+    async def _serve(
+        self, http: web.BaseRequest, came: RequestCame
+    ) -> web.StreamResponse:
+        fut: asyncio.Future[AnswerCaller] = asyncio.Future()
+        self._open[came.req] = _Open(http, Body(http.content), fut)
+        self._process.give(came)
+        try:
+            ended = await fut
+        except asyncio.CancelledError:
+            self._process.give(RequestCancelled(came.req))
+            raise
+        finally:
+            del self._open[came.req]
+        self._metrics.verdict(
+            came.service, came.kind, names.verdict_name(ended.verdict)
+        )
+        return self._answer(ended)
+
+    def _answer(self, ended: AnswerCaller) -> web.StreamResponse:
+        match ended.verdict:
+            case Ran():
+                answer = None
+                if ended.attempt is not None:
+                    answer = self._answers.pop(ended.attempt, None)
+                if answer is None:
+                    return names.refusal(MayHaveRun(Reason.CONNECTION_LOST))
+                headers = {**answer.headers, names.VERDICT: "ran"}
+                return web.Response(
+                    body=answer.body, status=answer.status, headers=headers
+                )
+            case verdict:
+                return names.refusal(verdict)
+
+    def _read(self, http: web.BaseRequest) -> RequestCame | NotRun:
+        told = (
+            self._destinations.get(http.transport) if http.transport else None
+        )
+        if told is None or not self._configured():
+            return NotRun(Reason.NOT_READY, 1.0)
+        service = self._by_address.get(told.address)
+        if service is None:
+            return NotRun(Reason.UNKNOWN_ADDRESS)
+        kind = _kind_of(service, http.headers.get(names.KIND))
+        if kind is None:
+            return NotRun(Reason.UNKNOWN_KIND)
+        size = http.content_length or 0
+        if size > kind.max_body_bytes:
+            return NotRun(Reason.TOO_LARGE)
+        key = http.headers.get(names.KEY)
+        deadline_s = _deadline(http, kind)
+        if deadline_s is None or (key and len(key) > KEY_CHARS):
+            return NotRun(Reason.MALFORMED)
+        return RequestCame(
+            req=RequestId(f"{self._prefix}-{next(self._numbers)}"),
+            service=service.name,
+            kind=kind.name,
+            key=IdempotencyKey(key) if key else None,
+            deadline_s=deadline_s,
+            body_bytes=size,
+            caller=told.caller.rsplit(":", 1)[0],
+            repeat=_repeat(http),
+        )
+
+    def _configured(self) -> bool:
+        """Take a newer configuration; return whether there is one."""
+        cfg = self._source()
+        if cfg is not self._cfg and cfg is not None:
+            self._by_address = {
+                address.text: service
+                for service in cfg.services
+                for address in service.addresses
+            }
+        self._cfg = cfg
+        return cfg is not None
+
+    def _refused(self, verdict: NotRun) -> web.Response:
+        self._metrics.bad_input("request", verdict.reason.value)
+        return names.refusal(verdict)
+
+    async def _attempt(self, effect: StartAttempt) -> None:
+        tail: AttemptEnded
+        try:
+            tail = await self._try(effect)
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._attempts.pop(effect.attempt, None)
+        self._process.give(tail)
+        if effect.req not in self._open:
+            self._answers.pop(effect.attempt, None)
+
+    async def _try(self, effect: StartAttempt) -> AttemptEnded:
+        """Make an attempt; say whether it may have run.
+
+        Before the connection stands nothing was sent. Later the agent
+        may have started the work, whatever the error.
+        """
+        waiting = self._open.get(effect.req)
+        if waiting is None or waiting.body.gone:
+            return AttemptEnded(effect.attempt, NotRun(Reason.BODY_INCOMPLETE))
+        limit_s = max(effect.deadline_s, 0.0) + GRACE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._post(effect, waiting)
+        except ClientConnectorError:
+            verdict: Verdict = NotRun(Reason.UNREACHABLE)
+        except BodyGone:
+            verdict = MayHaveRun(Reason.BODY_INCOMPLETE)
+        except TimeoutError:
+            verdict = MayHaveRun(Reason.DEADLINE)
+        except (ClientError, OSError, msgspec.DecodeError):
+            verdict = MayHaveRun(Reason.CONNECTION_LOST)
+        return AttemptEnded(effect.attempt, verdict)
+
+    async def _post(
+        self, effect: StartAttempt, waiting: _Open
+    ) -> AttemptEnded:
+        assert self._session is not None
+        http = waiting.http
+        headers = names.end_to_end(http.headers)
+        headers[names.ATTEMPT] = wire.head_text(self._head(effect))
+        headers[wire.METHOD] = http.method
+        headers[wire.TARGET] = http.path_qs
+        url = f"http://{effect.dst}{wire.PATH}{effect.attempt}"
+        async with self._session.post(
+            url,
+            data=waiting.body.chunks(),
+            headers=headers,
+            expect100=True,
+            allow_redirects=False,
+        ) as res:
+            tail = wire.parse_tail(res.headers.get(names.ENDED, ""))
+            verdict = tail.verdict
+            if isinstance(verdict, Ran):
+                body = await _whole(res.content.iter_chunked(65536), verdict)
+                kept = names.end_to_end(res.headers)
+                self._answers[effect.attempt] = Answer(
+                    verdict.status, kept, body
+                )
+        return AttemptEnded(effect.attempt, verdict, tail.load, tail.go)
+
+    def _head(self, effect: StartAttempt) -> wire.AttemptHead:
+        return wire.AttemptHead(
+            attempt=effect.attempt,
+            req=effect.req,
+            src=self._process.node,
+            incarnation=effect.incarnation,
+            service=effect.service,
+            kind=effect.kind,
+            deadline_s=effect.deadline_s,
+            key=effect.key,
+            body_bytes=effect.body_bytes,
+            repeat=effect.repeat,
+            ceded_by=effect.ceded_by,
+            spare=effect.spare,
+        )
+
+
+async def _whole(chunks, verdict: Ran) -> bytes:  # type: ignore[no-untyped-def]
+    """Read an answer and check its size and digest.
+
+    :raises ClientError: if the answer is not the whole one.
+    """
+    digest = hashlib.sha256()
+    body = bytearray()
+    async for chunk in chunks:
+        digest.update(chunk)
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ClientError("answer is too large")
+    whole = len(body) == verdict.body_size
+    if not whole or digest.hexdigest() != verdict.body_digest:
+        raise ClientError("answer is not whole")
+    return bytes(body)
+
+
+def _kind_of(service: Service, name: str | None) -> Kind | None:
+    if name is None:
+        return service.kinds[0] if len(service.kinds) == 1 else None
+    return next((kind for kind in service.kinds if kind.name == name), None)
+
+
+def _deadline(http: web.BaseRequest, kind: Kind) -> float | None:
+    text = http.headers.get(names.DEADLINE)
+    if text is None:
+        return kind.deadline_s
+    try:
+        given = float(text)
+    except ValueError:
+        return None
+    return min(given, kind.deadline_s) if given > 0 else None
+
+
+def _repeat(http: web.BaseRequest) -> bool | None:
+    return {"1": True, "0": False}.get(http.headers.get(names.REPEAT, ""))
--- /dev/null
+++ b/packages/node/src/medlar_node/process.py
@@ -0,0 +1,233 @@
+"""Carries out the effects of a reducer and feeds it with events."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+from typing import Any
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+import msgspec
+
+from medlar_core.effects import CallStore
+from medlar_core.effects import Deliver
+from medlar_core.effects import Forward
+from medlar_core.effects import Record
+from medlar_core.effects import Return
+from medlar_core.effects import Send
+from medlar_core.events import PacketArrived
+from medlar_core.events import Received
+from medlar_core.events import Reducer
+from medlar_core.events import StoreAnswered
+from medlar_core.events import Tick
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+from medlar_core.keys.envelope import Envelope
+from medlar_core.keys.envelope import seal
+from medlar_core.keys.envelope import unseal
+from medlar_core.keys.seal import Sealer
+from medlar_core.keys.seal import SealReason
+from medlar_core.packets import Packet
+from medlar_core.store import StoreAnswer
+from medlar_core.store import StoreOp
+from medlar_core.store import Unavailable
+from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.events import Topic
+from medlar_core.timeline.recorder import Recorder
+from medlar_core.wire import decode
+from medlar_core.wire import encode
+
+from .datagrams import Datagrams
+from .logs import part_logger
+from .metrics import Metrics
+
+TICK_S = 0.1
+DATAGRAM_LIMIT_BYTES = 1200
+CONTROL_TIMEOUT_S = 5.0
+MAX_POSTS = 64
+"""Control messages by HTTP that are on their way at once."""
+
+log = part_logger("process")
+
+AskStore = Callable[[StoreOp], Awaitable[StoreAnswer]]
+
+
+class Process:
+    """One reducer with its sockets, store and time line.
+
+    ``other`` takes the effects that only one role knows and ``deliver``
+    the packets for the server; ``fabric`` is the ``ip:port`` that takes
+    packets for callers.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        reducer: Reducer,
+        sealer: Sealer,
+        recorder: Recorder,
+        metrics: Metrics,
+        ask_store: AskStore,
+        fabric: str,
+    ) -> None:
+        self.node = node
+        self.reducer = reducer
+        self.recorder = recorder
+        self.metrics = metrics
+        self.other: Callable[[Any], None] = _unknown
+        self.deliver: Callable[[Packet], None] = _unknown
+        self._sealer = sealer
+        self._ask_store = ask_store
+        self._fabric = fabric
+        self._datagrams = Datagrams(
+            self._packet_came, self.control_came, metrics
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._posts = asyncio.Semaphore(MAX_POSTS)
+        self._session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the sockets and let time pass for the reducer."""
+        self._session = ClientSession(
+            timeout=ClientTimeout(total=CONTROL_TIMEOUT_S)
+        )
+        await self._datagrams.listen(self.node)
+        self._spawn(self._tick())
+
+    async def stop(self) -> None:
+        """Close the sockets and end what still waits."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._datagrams.close()
+        if self._session is not None:
+            await self._session.close()
+
+    def now(self) -> Seconds:
+        """Return monotonic time in seconds."""
+        return Seconds(time.monotonic())
+
+    def give(self, event: Any) -> None:
+        """Hand an event to the reducer and carry out its effects."""
+        began = time.thread_time()
+        try:
+            effects = self.reducer.reduce(self.now(), event)
+        except Exception:
+            # A fault in one event must not end flows of all others.
+            self.metrics.fault(type(event).__name__)
+            log.exception("failed on %s", type(event).__name__)
+            return
+        self.metrics.control_seconds.inc(time.thread_time() - began)
+        for effect in effects:
+            self._carry(effect)
+
+    def control_came(self, sealed: bytes) -> None:
+        """Take a sealed control message from either transport."""
+        opened = self.unseal(sealed, "control")
+        if isinstance(opened, SealReason):
+            return
+        try:
+            msg = decode(opened.body)
+        except msgspec.DecodeError:
+            self.metrics.bad_input("control", "malformed")
+            return
+        self.recorder.clock.observe(_wall_ms(), opened.stamp)
+        self.metrics.control(type(msg).__name__, "in", len(sealed))
+        self.give(Received(opened.src, msg))
+
+    def unseal(self, sealed: bytes, part: str) -> Envelope | SealReason:
+        """Return what was sealed; count and log a refusal for a part."""
+        opened = unseal(self._sealer, time.time(), sealed)
+        if isinstance(opened, SealReason):
+            self.metrics.bad_input(part, opened.value)
+            self.record(
+                TimelineEvent(
+                    Topic.KEYS, "message refused", reason=opened.value
+                )
+            )
+        return opened
+
+    def record(self, event: TimelineEvent) -> None:
+        """Put an event on the time line and count it."""
+        self.metrics.event(event.topic.value, event.reason)
+        if self.recorder.record(_wall_ms(), event):
+            log.info(
+                event.text,
+                extra={
+                    name: value
+                    for name, value in msgspec.structs.asdict(event).items()
+                    if value and name not in ("text", "topic")
+                },
+            )
+
+    def _carry(self, effect: Any) -> None:
+        match effect:
+            case Forward(dst=dst, packet=packet):
+                self.metrics.packet("forwarded")
+                self._datagrams.send_packet(dst, packet)
+            case Deliver(packet=packet):
+                self.metrics.packet("delivered")
+                self.deliver(packet)
+            case Return(packet=packet):
+                self.metrics.packet("returned")
+                self._datagrams.send_packet(self._fabric, packet)
+            case Send(dst=dst, msg=msg):
+                self._send(dst, msg)
+            case CallStore(call=call, op=op):
+                self._spawn(self._call(call, op))
+            case Record(event=event):
+                self.record(event)
+            case _:
+                self.other(effect)
+
+    def _packet_came(self, packet: Packet) -> None:
+        self.metrics.packet("arrived")
+        self.give(PacketArrived(packet))
+
+    def _send(self, dst: NodeId, msg: msgspec.Struct) -> None:
+        stamp = self.recorder.clock.tick(_wall_ms())
+        sealed = seal(self._sealer, time.time(), stamp, encode(msg), dst)
+        self.metrics.control(type(msg).__name__, "out", len(sealed))
+        if len(sealed) <= DATAGRAM_LIMIT_BYTES:
+            self._datagrams.send_control(dst, sealed)
+        elif not self._posts.locked():
+            self._spawn(self._post(dst, sealed))
+
+    async def _post(self, dst: NodeId, sealed: bytes) -> None:
+        assert self._session is not None
+        async with self._posts:
+            try:
+                url = f"http://{dst}/v1/control"
+                async with self._session.post(url, data=sealed) as res:
+                    await res.read()
+            except (ClientError, OSError, TimeoutError):
+                # Control messages may be lost; the parts send them again.
+                self.metrics.control("lost", "out", len(sealed))
+
+    async def _call(self, call: Any, op: StoreOp) -> None:
+        answer = await self._ask_store(op)
+        result = type(answer).__name__
+        self.metrics.store_call(type(op).__name__, result)
+        if isinstance(answer, Unavailable):
+            log.debug("store did not answer", extra={"why": answer.why})
+        self.give(StoreAnswered(call, answer))
+
+    async def _tick(self) -> None:
+        while True:
+            self.give(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def _spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def _unknown(effect: Any) -> None:
+    raise TypeError(f"expected an effect of this role, got {effect!r}")
--- /dev/null
+++ b/packages/node/src/medlar_node/serverport.py
@@ -0,0 +1,105 @@
+"""The server beside an agent: its packets, its health, its flows."""
+
+import asyncio
+import contextlib
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+import msgspec
+
+from medlar_core.events import ServerConnections
+from medlar_core.events import ServerProbed
+from medlar_core.events import ServerSent
+from medlar_core.packets import decode
+from medlar_core.packets import encode
+from medlar_core.packets import Packet
+
+from .datagrams import split
+from .process import Process
+
+PROBE_PERIOD_S = 0.5
+PROBE_TIMEOUT_S = 2.0
+FAILS_TO_DIE = 2
+"""Probes in a row without a connection that tell a dead server."""
+
+
+class ServerPort(asyncio.DatagramProtocol):
+    """Speaks with the server beside this agent."""
+
+    def __init__(self, process: Process, server: str) -> None:
+        self._process = process
+        self._server = server
+        self._transport: asyncio.DatagramTransport | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Connect and ask the server for its open flows, then its health."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, remote_addr=split(self._server)
+        )
+        self._task = asyncio.create_task(self._probe())
+
+    async def stop(self) -> None:
+        """Stop probing and close the port."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        if self._transport is not None:
+            self._transport.close()
+
+    def deliver(self, packet: Packet) -> None:
+        """Hand a packet to the server."""
+        if self._transport is not None:
+            self._transport.sendto(encode(packet))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a packet that the server sends to a caller."""
+        try:
+            packet = decode(data)
+        except msgspec.DecodeError:
+            self._process.metrics.bad_input("server", "malformed")
+            return
+        self._process.give(ServerSent(packet))
+
+    def error_received(self, exc: Exception) -> None:
+        """Leave it to the probe to tell whether the server is alive."""
+
+    async def _probe(self) -> None:
+        timeout = ClientTimeout(total=PROBE_TIMEOUT_S)
+        fails = 0
+        known = False
+        async with ClientSession(timeout=timeout) as session:
+            while True:
+                probed = await self._health(session)
+                fails = 0 if probed.alive else fails + 1
+                if probed.alive and not known:
+                    known = await self._connections(session)
+                if probed.alive or fails >= FAILS_TO_DIE:
+                    self._process.give(probed)
+                    known = known and probed.alive
+                await asyncio.sleep(PROBE_PERIOD_S)
+
+    async def _health(self, session: ClientSession) -> ServerProbed:
+        """Ask the server's health; only a refused connection is death."""
+        try:
+            async with session.get(f"http://{self._server}/health") as res:
+                return ServerProbed(alive=True, ready=res.status == 200)
+        except TimeoutError:
+            return ServerProbed(alive=True, ready=False)
+        except (ClientError, OSError):
+            return ServerProbed(alive=False, ready=False)
+
+    async def _connections(self, session: ClientSession) -> bool:
+        url = f"http://{self._server}/connections"
+        try:
+            async with session.get(url) as res:
+                pairs = msgspec.json.decode(
+                    await res.read(), type=tuple[tuple[str, str], ...]
+                )
+        except (ClientError, OSError, TimeoutError, msgspec.DecodeError):
+            return False
+        self._process.give(ServerConnections(pairs))
+        return True
--- /dev/null
+++ b/packages/node/src/medlar_node/status.py
@@ -0,0 +1,56 @@
+"""What a process tells of itself over HTTP."""
+
+import msgspec
+
+from medlar_core.flows.explain import AgentAnswer
+from medlar_core.flows.explain import BalancerAnswer
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import ServiceName
+from medlar_core.members.view import Balancer
+from medlar_core.members.view import Server
+from medlar_core.members.view import View
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """The state of one process and the members that it knows.
+
+    ``version`` is that of the configuration in force, 0 for none;
+    ``open_flows`` and ``open_work`` count what has not ended here.
+    """
+
+    node: NodeId
+    role: str
+    place: PlaceName
+    ready: bool
+    version: int
+    open_flows: int
+    open_work: int
+    servers: tuple[Server, ...]
+    balancers: tuple[Balancer, ...]
+    service: ServiceName = ServiceName("")
+    state: str = ""
+
+
+class Unexplained(msgspec.Struct, frozen=True):
+    """A question that can't be answered, and what to ask."""
+
+    error: str
+
+
+class Explained(msgspec.Struct, frozen=True):
+    """Answers of a process: routing of a flow, state of its requests."""
+
+    node: NodeId
+    version: int
+    requests: msgspec.Struct
+    flow: BalancerAnswer | AgentAnswer | None = None
+
+
+def states(view: View) -> dict[str, int]:
+    """Return how many servers of a view are in each state."""
+    found: dict[str, int] = {}
+    for server in view.servers:
+        name = server.state.value
+        found[name] = found.get(name, 0) + 1
+    return found
--- /dev/null
+++ b/packages/standins/src/medlar_standins/__main__.py
@@ -0,0 +1,121 @@
+"""Command line of the stand-ins."""
+
+import asyncio
+import pathlib
+import sys
+
+import defopt
+import msgspec
+
+from medlar_core.config.model import Configuration
+from medlar_core.ids import NodeId
+
+from . import fabric as fabric_module
+from . import server as server_module
+from . import store as store_module
+
+USAGE_ERROR = 2
+
+
+class BadInput(ValueError):
+    """A flag or file is wrong; the text says what is expected."""
+
+
+def store(*, host: str = "127.0.0.1", port: int = 7000) -> None:
+    """Serve the platform's key-value service.
+
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    """
+    asyncio.run(store_module.serve(host, port))
+
+
+def fabric(
+    *,
+    config: str,
+    balancers: str,
+    host: str = "127.0.0.1",
+    port: int = 7001,
+    seed: int = 1,
+) -> None:
+    """Hand packets and connections of callers to random balancers.
+
+    :param config: file with the configuration, for the addresses.
+    :param balancers: ip:port/request-port of each, with commas.
+    :param host: IP number that balancers and agents return packets to.
+    :param port: port of the same.
+    :param seed: seed of the choice.
+    """
+    cfg = read_config(config)
+    entries = tuple(_entry(part) for part in balancers.split(","))
+    asyncio.run(fabric_module.serve(cfg, entries, host, port, seed))
+
+
+def server(
+    *,
+    host: str = "127.0.0.1",
+    port: int = 9000,
+    slots: int = 2,
+    kinds: str = "",
+    seed: int = 1,
+) -> None:
+    """Serve as a backend server.
+
+    :param host: IP number to listen on, for HTTP and for feeds.
+    :param port: port of both.
+    :param slots: requests that run at once.
+    :param kinds: name=seconds of each kind's mean service time.
+    :param seed: seed of the service times.
+    """
+    means = _means(kinds)
+    asyncio.run(server_module.serve(host, port, slots, means, seed))
+
+
+def read_config(path: str) -> Configuration:
+    """Return the configuration in a file.
+
+    :raises BadInput: if there is none.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+        return msgspec.json.decode(data, type=Configuration)
+    except (OSError, msgspec.DecodeError) as exc:
+        raise BadInput(f"--config: {path}: {exc}") from None
+
+
+def _entry(text: str) -> fabric_module.Entry:
+    node, _, port = text.strip().partition("/")
+    if not port.isdigit() or ":" not in node:
+        raise BadInput(
+            f"--balancers: got {text!r}, expected ip:port/request-port"
+        )
+    return fabric_module.Entry(NodeId(node), int(port))
+
+
+def _means(text: str) -> server_module.Means:
+    means: server_module.Means = {}
+    for part in filter(None, text.split(",")):
+        name, _, seconds = part.partition("=")
+        try:
+            means[name.strip()] = float(seconds)
+        except ValueError:
+            raise BadInput(
+                f"--kinds: got {part!r}, expected name=seconds"
+            ) from None
+    return means
+
+
+def main() -> None:
+    """Run the stand-in that the arguments name."""
+    try:
+        defopt.run([store, fabric, server])
+    except BadInput as exc:
+        print(f"medlar_standins: {exc}", file=sys.stderr)
+        sys.exit(USAGE_ERROR)
+    except OSError as exc:
+        print(f"medlar_standins: {exc.strerror or exc}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/medlar_standins/requesters.py
@@ -0,0 +1,190 @@
+"""Callers of requests: an ordinary HTTP client with Poisson arrivals."""
+
+import asyncio
+import collections
+import enum
+import hashlib
+import random
+import uuid
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import TCPConnector
+from hdrh.histogram import HdrHistogram
+import msgspec
+
+from .server import Done
+
+KIND_HEADER = "Medlarstage-Kind"
+VERDICT_HEADER = "Medlarstage-Verdict"
+DEADLINE_HEADER = "Medlarstage-Deadline"
+KEY_HEADER = "Idempotency-Key"
+REPEAT_SHARE = 0.1
+REPEAT_AFTER = 3.0
+"""Mean service times after which some callers repeat."""
+GIVE_UP_S = 2.0
+LONGEST_US = 120_000_000
+
+
+class Outcome(enum.Enum):
+    """How a request ended for its caller."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    LOST = "lost"
+    MIXED = "mixed"
+
+
+class Work(msgspec.Struct, frozen=True):
+    """A kind of work as the callers send it.
+
+    ``rate`` is requests a second; times are seconds.
+    """
+
+    service: str
+    kind: str
+    url: str
+    rate: float
+    mean_s: float
+    deadline_s: float
+    idempotent: bool
+    body_bytes: int = 200
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """A request that ended: when, how, and how long it took."""
+
+    key: str
+    kind: str
+    idempotent: bool
+    began_s: float
+    took_s: float
+    outcome: Outcome
+    reason: str
+
+
+class Requesters:
+    """Sends work of several kinds and keeps how each request ended."""
+
+    def __init__(self, seed: int) -> None:
+        self.ended: list[Ended] = []
+        self.latency: dict[str, HdrHistogram] = {}
+        self._rng = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP client: a new connection for each request."""
+        connector = TCPConnector(limit=0, force_close=True)
+        self._session = ClientSession(connector=connector)
+
+    async def stop(self) -> None:
+        """Wait for open requests and close the client."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def run(self, work: Work, seconds: float) -> None:
+        """Send work at its rate for some seconds."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + seconds
+        due = loop.time()
+        while True:
+            due += self._rng.expovariate(work.rate)
+            if due >= ends:
+                return
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            self._spawn(self._request(work))
+
+    def outcomes(
+        self, kind: str, begin_s: float = 0.0, end_s: float = float("inf")
+    ) -> collections.Counter[Outcome]:
+        """Return how requests of a kind that began in a time ended."""
+        return collections.Counter(
+            ended.outcome
+            for ended in self.ended
+            if ended.kind == kind and begin_s <= ended.began_s < end_s
+        )
+
+    def _spawn(
+        self, coro: "collections.abc.Coroutine[None, None, None]"
+    ) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, work: Work) -> None:
+        loop = asyncio.get_running_loop()
+        key = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        body = self._rng.randbytes(work.body_bytes)
+        began = loop.time()
+        outcome, reason = await self._call(work, key, body)
+        took = loop.time() - began
+        self.ended.append(
+            Ended(
+                key, work.kind, work.idempotent, began, took, outcome, reason
+            )
+        )
+        if outcome is Outcome.RAN:
+            self._histogram(work.kind).record_value(int(took * 1e6))
+
+    async def _call(
+        self, work: Work, key: str, body: bytes
+    ) -> tuple[Outcome, str]:
+        repeats = self._rng.random() < REPEAT_SHARE
+        if not repeats:
+            limit_s = work.deadline_s + GIVE_UP_S
+            return await self._post(work, key, body, limit_s)
+        first = await self._post(work, key, body, REPEAT_AFTER * work.mean_s)
+        if first[0] is not Outcome.LOST:
+            return first
+        return await self._post(work, key, body, work.deadline_s + GIVE_UP_S)
+
+    async def _post(
+        self, work: Work, key: str, body: bytes, limit_s: float
+    ) -> tuple[Outcome, str]:
+        assert self._session is not None
+        headers = {
+            KIND_HEADER: work.kind,
+            KEY_HEADER: key,
+            DEADLINE_HEADER: f"{work.deadline_s}",
+        }
+        try:
+            async with self._session.post(
+                work.url,
+                data=body,
+                headers=headers,
+                timeout=ClientTimeout(total=limit_s),
+            ) as res:
+                answer = await res.read()
+                verdict = res.headers.get(VERDICT_HEADER, "")
+        except (ClientError, OSError, TimeoutError) as exc:
+            return Outcome.LOST, type(exc).__name__
+        return _judge(verdict, answer, key, body)
+
+    def _histogram(self, kind: str) -> HdrHistogram:
+        if kind not in self.latency:
+            self.latency[kind] = HdrHistogram(1, LONGEST_US, 3)
+        return self.latency[kind]
+
+
+def _judge(
+    verdict: str, answer: bytes, key: str, body: bytes
+) -> tuple[Outcome, str]:
+    """Return the outcome that an answer tells, checked against the call."""
+    name, _, reason = verdict.partition("; reason=")
+    if name in (Outcome.NOT_RUN.value, Outcome.MAY_HAVE_RUN.value):
+        return Outcome(name), reason
+    if name != Outcome.RAN.value:
+        return Outcome.LOST, "no verdict"
+    try:
+        done = msgspec.json.decode(answer, type=Done)
+    except msgspec.DecodeError:
+        return Outcome.MIXED, "answer is not whole"
+    if done.work != key:
+        return Outcome.MIXED, "answer of another request"
+    if done.digest != hashlib.sha256(body).hexdigest():
+        return Outcome.MIXED, "answer to another body"
+    return Outcome.RAN, ""
--- /dev/null
+++ b/packages/standins/src/medlar_standins/server.py
@@ -0,0 +1,243 @@
+"""Stand-in of a backend server: slots for requests, UDP for feeds.
+
+Requests are HTTP. The body is read whole and the answer tells its digest
+and how often the work of that key ran here. A closed connection cancels
+the work. Feeds are packets from the agent; each data packet is echoed.
+"""
+
+import asyncio
+import collections
+import hashlib
+import math
+import random
+from typing import cast
+
+from aiohttp import web
+import msgspec
+
+from medlar_core.packets import decode
+from medlar_core.packets import encode
+from medlar_core.packets import Flag
+from medlar_core.packets import Packet
+
+from .serving import forever
+from .serving import json_response
+
+WORK_HEADER = "X-Medlar-Work"
+KIND_HEADER = "Medlarstage-Kind"
+MAX_BODY_BYTES = 8 * 1024 * 1024
+SIGMA = 0.5
+"""Spread of the log-normal service times."""
+LAG_STEP_S = 0.1
+USUAL_S = 0.04
+
+Means = dict[str, float]
+"""Mean service time of each kind of work, in seconds."""
+
+
+class ServerFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Switches of the server.
+
+    ``slow`` multiplies service times (a cold start), ``shed`` refuses
+    all work, ``lag_s`` delays what health and load say, and ``lies`` has
+    load always say idle.
+    """
+
+    slow: float = 1.0
+    shed: bool = False
+    healthy: bool = True
+    lag_s: float = 0.0
+    lies: bool = False
+
+
+class Done(msgspec.Struct, frozen=True):
+    """Answer to a request: which work ran where, over which body."""
+
+    work: str
+    server: str
+    kind: str
+    digest: str
+    size: int
+
+
+class LoadAnswer(msgspec.Struct, frozen=True):
+    """What the load endpoint says: busy slots of all slots."""
+
+    busy: int
+    slots: int
+
+
+class RunCount(msgspec.Struct, frozen=True):
+    """How often each keyed work ran here."""
+
+    runs: dict[str, int]
+    cancelled: int
+
+
+class Server:
+    """State of one server: slots, what ran, and its open flows."""
+
+    def __init__(self, name: str, slots: int, means: Means, seed: int) -> None:
+        self.name = name
+        self.means = means
+        self.slots = asyncio.Semaphore(slots)
+        self.faults = ServerFaults()
+        self.busy = 0
+        self.size = slots
+        self.cancelled = 0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.flows: set[tuple[str, str]] = set()
+        self._rng = random.Random(seed)
+        self._said: collections.deque[tuple[float, LoadAnswer]]
+        self._said = collections.deque(maxlen=1000)
+
+    def service_s(self, mean_s: float) -> float:
+        """Return a service time around a mean, in seconds."""
+        mu = math.log(mean_s) - SIGMA * SIGMA / 2
+        return self._rng.lognormvariate(mu, SIGMA) * self.faults.slow
+
+    async def work(self, work: str, kind: str) -> None:
+        """Hold a slot for the service time of one piece of work."""
+        mean_s = self.means.get(kind, USUAL_S)
+        async with self.slots:
+            self.runs[work] += 1
+            self.busy += 1
+            try:
+                await asyncio.sleep(self.service_s(mean_s))
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+            finally:
+                self.busy -= 1
+
+    def sample(self, now: float) -> None:
+        """Remember the load, for answers that lag."""
+        self._said.append((now, LoadAnswer(self.busy, self.size)))
+
+    def load(self, now: float) -> LoadAnswer:
+        """Return what the load endpoint says at a time."""
+        if self.faults.lies:
+            return LoadAnswer(0, self.size)
+        old = [
+            load for at, load in self._said if at <= now - self.faults.lag_s
+        ]
+        return old[-1] if old else LoadAnswer(self.busy, self.size)
+
+    def packet(self, packet: Packet) -> Packet | None:
+        """Take a packet of a feed and return the answer to it."""
+        pair = (packet.caller, packet.address)
+        if packet.flags & (Flag.FIN | Flag.RST):
+            self.flows.discard(pair)
+            return self._reply(packet, Flag.FIN | Flag.ACK, b"")
+        if packet.flags & Flag.SYN:
+            self.flows.add(pair)
+            return self._reply(packet, Flag.SYN | Flag.ACK, b"")
+        if pair not in self.flows:
+            return self._reply(packet, Flag.RST, b"")
+        if not packet.payload:
+            return None
+        return self._reply(packet, Flag.ACK, packet.payload)
+
+    def _reply(self, packet: Packet, flags: Flag, payload: bytes) -> Packet:
+        return Packet(packet.caller, packet.address, int(flags), payload)
+
+
+class _Feeds(asyncio.DatagramProtocol):
+    def __init__(self, server: Server) -> None:
+        self._server = server
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        try:
+            packet = decode(data)
+        except msgspec.DecodeError:
+            return
+        reply = self._server.packet(packet)
+        if reply is not None:
+            self._transport.sendto(encode(reply), addr)
+
+
+def make_app(server: Server) -> web.Application:
+    """Return the HTTP service of a server."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_get("/health", _health)
+    app.router.add_get("/load", _load)
+    app.router.add_get("/connections", _connections)
+    app.router.add_get("/runs", _runs)
+    app.router.add_post("/v1/faults", _faults)
+    app.router.add_route("*", "/{path:.*}", _run)
+    app[_SERVER] = server
+    return app
+
+
+_SERVER: web.AppKey[Server] = web.AppKey("server", Server)
+
+
+async def _health(req: web.Request) -> web.Response:
+    healthy = req.app[_SERVER].faults.healthy
+    return web.Response(status=200 if healthy else 503)
+
+
+async def _load(req: web.Request) -> web.Response:
+    now = asyncio.get_running_loop().time()
+    return json_response(req.app[_SERVER].load(now))
+
+
+async def _connections(req: web.Request) -> web.Response:
+    return json_response(sorted(req.app[_SERVER].flows))
+
+
+async def _runs(req: web.Request) -> web.Response:
+    server = req.app[_SERVER]
+    return json_response(RunCount(dict(server.runs), server.cancelled))
+
+
+async def _faults(req: web.Request) -> web.Response:
+    try:
+        found = msgspec.json.decode(await req.read(), type=ServerFaults)
+    except msgspec.DecodeError as exc:
+        return web.Response(status=400, text=str(exc))
+    req.app[_SERVER].faults = found
+    return json_response(found)
+
+
+async def _run(req: web.Request) -> web.Response:
+    server = req.app[_SERVER]
+    if server.faults.shed:
+        return web.Response(status=503, headers={"Retry-After": "1"})
+    digest = hashlib.sha256()
+    size = 0
+    async for chunk in req.content.iter_chunked(64 * 1024):
+        digest.update(chunk)
+        size += len(chunk)
+    work = req.headers.get(WORK_HEADER, "")
+    kind = req.headers.get(KIND_HEADER, "")
+    await server.work(work, kind)
+    return json_response(
+        Done(work, server.name, kind, digest.hexdigest(), size)
+    )
+
+
+async def serve(
+    host: str, port: int, slots: int, means: Means, seed: int
+) -> None:
+    """Serve a backend server until the process is stopped."""
+    server = Server(f"{host}:{port}", slots, means, seed)
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(
+        lambda: _Feeds(server), local_addr=(host, port)
+    )
+    sampling = asyncio.create_task(_sample(server))
+    try:
+        await forever(make_app(server), host, port, "server")
+    finally:
+        sampling.cancel()
+
+
+async def _sample(server: Server) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        server.sample(loop.time())
+        await asyncio.sleep(LAG_STEP_S)
