--- a/packages/core/src/medlar_core/members/answer.py
+++ b/packages/core/src/medlar_core/members/answer.py
@@ -4,6 +4,7 @@
 
 from ..effects import Send
 from ..ids import NodeId
+from ..ids import PlaceName
 from .messages import Ack
 from .messages import Beat
 from .record import pack
@@ -35,7 +36,7 @@
         beat: Beat,
         watchers: tuple[NodeId, ...],
         others: list[NodeId],
-        down: tuple[str, ...],
+        down: tuple[PlaceName, ...],
     ) -> list[Send]:
         """Return the answer to a beat, if one is needed."""
         record = self._table.get(src)
--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -227,8 +227,8 @@
                 return self._live.helped(src)
             case ProbeFor(target=target):
                 return self._live.help(now, src, target)
-            case Heard(target=target):
-                self._live.heard_for(now, target)
+            case Heard():
+                self._live.heard_for(now, msg)
             case News(packed=packed, down=down):
                 for place in down:
                     self._live.reach.check(now, place)
--- a/packages/core/src/medlar_core/members/liveness.py
+++ b/packages/core/src/medlar_core/members/liveness.py
@@ -21,7 +21,7 @@
 
 SENTINELS = 3
 """Balancers of each place that look after the other places."""
-SENTINEL_S = 0.5
+SENTINEL_S = 1.0
 SENTINEL_WAIT_S = 0.3
 HELPERS = 2
 RECENT_S = 0.6
@@ -90,16 +90,18 @@
         self._watch.excuse(now, self._table.in_place(record.place))
         return True
 
-    def heard_for(self, now: Seconds, target: NodeId) -> None:
+    def heard_for(self, now: Seconds, msg: Heard) -> None:
         """Note that a helper heard of a process."""
-        self._watch.heard(now, target)
+        age = min(max(msg.age, 0.0), RECENT_S)
+        self._watch.heard(now, msg.target, age)
 
     def help(
         self, now: Seconds, asker: NodeId, target: NodeId
     ) -> list[Effect]:
         """Probe a process on behalf of another balancer."""
-        if self._watch.heard_within(now, target, RECENT_S):
-            return [Send(asker, Heard(target))]
+        age = self._watch.age(now, target)
+        if age <= RECENT_S:
+            return [Send(asker, Heard(target, round(age, 2)))]
         if target not in self._table.live:
             return []
         self._asked.setdefault(target, {})[asker] = None
@@ -108,7 +110,7 @@
     def helped(self, target: NodeId) -> list[Effect]:
         """Tell those who asked that a process answered."""
         askers = self._asked.pop(target, {})
-        return [Send(asker, Heard(target)) for asker in askers]
+        return [Send(asker, Heard(target, 0.0)) for asker in askers]
 
     def reassign(self, now: Seconds) -> None:
         """Find out whom to watch, if members or places changed."""
--- a/packages/core/src/medlar_core/members/messages.py
+++ b/packages/core/src/medlar_core/members/messages.py
@@ -96,9 +96,13 @@
 
 
 class Heard(msgspec.Struct, frozen=True, array_like=True, tag="member.heard"):
-    """A balancer heard from the process it was asked to probe."""
+    """A balancer heard from the process it was asked to probe.
+
+    ``age`` tells how long ago, in seconds.
+    """
 
     target: NodeId
+    age: float
 
 
 class News(
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -16,13 +16,13 @@
 from .record import Record
 from .view import ServerState
 
-BEAT_S = 1.5
+BEAT_S = 2.0
 """Period of beats to one watcher; those to two are half of it apart."""
-ASK_S = 2.5
+ASK_S = 3.5
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
 """Pause before a change that was not answered is told again."""
-LOST_S = 4.5
+LOST_S = 5.0
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
--- a/packages/core/src/medlar_core/members/table.py
+++ b/packages/core/src/medlar_core/members/table.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
-        self.start = self.version = rng.getrandbits(48) << 4
+        self.start = self.version = rng.getrandbits(32)
         self.members_version = 0
         self.total = 0
         self.hashes = [0] * BUCKETS
--- a/packages/core/src/medlar_core/members/viewer.py
+++ b/packages/core/src/medlar_core/members/viewer.py
@@ -73,7 +73,7 @@
         """
         if not self._urgent and now < self._next_slow:
             return None
-        self._stale.update(self._warming)
+        self._stale.update(dict.fromkeys(self._warming))
         if not self._urgent and not self._stale:
             return None
         count = len(self._table.live)
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -7,12 +7,12 @@
 from ..ids import NodeId
 from ..ids import Seconds
 
-SUSPECT_S = 1.7
-"""Silence after which a process is probed; its beats come each 1.5 s."""
+SUSPECT_S = 2.2
+"""Silence after which a process is probed; its beats come each 2 s."""
 PROBE_S = 0.1
 JUDGE_S = 0.8
 """Time in which a suspect may answer any probe."""
-HELP_ROUNDS = (1, 4, 6)
+HELP_ROUNDS = (1, 3, 5)
 """Rounds of probing in which other balancers are asked to probe too."""
 GRACE_S = 0.5
 """A process is given so long to beat to a balancer new to it."""
@@ -58,17 +58,18 @@
         """Return the processes watched, sorted."""
         return list(self._watched)
 
-    def heard(self, now: Seconds, node: NodeId) -> None:
-        """Note that a process was heard of: it lives."""
+    def heard(self, now: Seconds, node: NodeId, age: float = 0.0) -> None:
+        """Note that a process lived ``age`` seconds ago."""
         watched = self._watched.get(node)
-        if watched is not None:
-            watched.heard = now
-            watched.rounds = 0
+        if watched is None or now - age < watched.heard:
+            return
+        watched.heard = now - age
+        watched.rounds = 0
 
-    def heard_within(self, now: Seconds, node: NodeId, limit: float) -> bool:
-        """Return whether a process was heard of in the last seconds."""
+    def age(self, now: Seconds, node: NodeId) -> float:
+        """Return how long ago a watched process was heard of, in seconds."""
         watched = self._watched.get(node)
-        return watched is not None and now - watched.heard <= limit
+        return now - watched.heard if watched else float("inf")
 
     def excuse(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
         """Start anew with processes that could not be heard."""
