--- /dev/null
+++ b/packages/standins/src/medlar_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The Authority's deployment on loopback, with changes and a flood."""
--- /dev/null
+++ b/packages/standins/src/medlar_standins/demo/__main__.py
@@ -0,0 +1,70 @@
+"""Run the demo: ``python -m medlar_standins.demo``."""
+
+import asyncio
+import pathlib
+import secrets
+import sys
+
+import defopt
+import msgspec
+
+from medlar_core.config.model import Configuration
+
+from .processes import fleet
+from .report import lines
+from .report import table
+from .scenario import Demo
+from .scenario import NotReady
+
+FOLDER = pathlib.Path("build/demo")
+EXAMPLE = pathlib.Path("examples/authority.py")
+LAST_LINES = 12
+
+
+async def _demo(cfg: Configuration, folder: pathlib.Path) -> bool:
+    """Run the demo; return whether all promises were kept."""
+    async with fleet(folder, secrets.token_hex(32)) as found_fleet:
+        demo = Demo(found_fleet, cfg, folder)
+        found = await demo.run()
+        timeline = await demo.timeline()
+    bad = (*found.bad_ends, *found_fleet.ended_badly)
+    rows = lines(msgspec.structs.replace(found, bad_ends=bad))
+    (folder / "timeline.txt").write_text(timeline)
+    print(table(rows))
+    for name in bad:
+        print(f"ended badly: {name}")
+    print(f"\nlast lines of the time line ({folder}/timeline.txt):")
+    print("\n".join(timeline.rstrip().splitlines()[-LAST_LINES:]))
+    return all(row.kept is not False for row in rows)
+
+
+async def _configuration(folder: pathlib.Path) -> Configuration:
+    """Return the Authority's example as its program prints it."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, str(EXAMPLE), stdout=asyncio.subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    (folder / "authority.json").write_bytes(out)
+    return msgspec.json.decode(out, type=Configuration)
+
+
+async def _main(folder: pathlib.Path) -> bool:
+    folder.mkdir(parents=True, exist_ok=True)
+    return await _demo(await _configuration(folder), folder)
+
+
+def demo(*, folder: pathlib.Path = FOLDER) -> None:
+    """Run the Authority's deployment on loopback and judge it.
+
+    :param folder: where logs and the time line are written.
+    """
+    try:
+        kept = asyncio.run(_main(folder))
+    except (NotReady, RuntimeError) as exc:
+        print(f"demo: {exc}", file=sys.stderr)
+        sys.exit(1)
+    sys.exit(0 if kept else 1)
+
+
+if __name__ == "__main__":
+    defopt.run(demo)
--- /dev/null
+++ b/packages/standins/src/medlar_standins/demo/report.py
@@ -0,0 +1,149 @@
+"""What the demo found: promises kept or broken, and figures."""
+
+import collections
+from collections.abc import Iterable
+
+import msgspec
+
+from ..feeds import FeedCount
+from ..requesters import Ended
+from ..requesters import Outcome
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One line of the table; ``kept`` is None for a plain figure."""
+
+    name: str
+    value: str
+    bound: str
+    kept: bool | None = None
+
+
+class Span(msgspec.Struct, frozen=True):
+    """A part of the demo, in seconds of the loop's clock."""
+
+    begin_s: float
+    end_s: float
+
+
+class Found(msgspec.Struct, frozen=True):
+    """All that the demo saw, from which its table is made.
+
+    ``runs`` counts how often the work of each key ran on all servers;
+    ``flows`` are open flows per ready server after the drain.
+    """
+
+    feeds: FeedCount
+    ended: tuple[Ended, ...]
+    runs: collections.Counter[str]
+    flows: tuple[int, ...]
+    usual: Span
+    flood: Span
+    flood_kind: str
+    leaving_new: int
+    everywhere_s: float
+    bad_ends: tuple[str, ...]
+
+
+KEEP_MIN = 0.97
+IMBALANCE_MAX = 1.15
+EVERYWHERE_MAX_S = 10.0
+
+
+def lines(found: Found) -> list[Line]:
+    """Return the table of the demo."""
+    return [
+        _none("broken feeds", found.feeds.broken),
+        _none("requests lost", _count(found.ended, Outcome.LOST)),
+        _none("requests doubled", _doubled(found)),
+        _none('false "not run"', _false_not_run(found)),
+        _none("mixed answers", _count(found.ended, Outcome.MIXED)),
+        _none("new work on the drained server", found.leaving_new),
+        _none("processes that ended badly", len(found.bad_ends)),
+        _everywhere(found),
+        *_kept(found),
+        _imbalance(found),
+        _figure("feeds opened", found.feeds.opened),
+        _figure("feed packets answered", found.feeds.echoed),
+        _figure("requests", len(found.ended)),
+        _figure('"may have run"', _count(found.ended, Outcome.MAY_HAVE_RUN)),
+    ]
+
+
+def in_deadline_share(ended: Iterable[Ended], kind: str, span: Span) -> float:
+    """Return the share of a kind's requests that ran, by their start."""
+    all_of = [
+        item
+        for item in ended
+        if item.kind == kind and span.begin_s <= item.began_s < span.end_s
+    ]
+    ran = sum(item.outcome is Outcome.RAN for item in all_of)
+    return ran / len(all_of) if all_of else 0.0
+
+
+def _none(name: str, count: int) -> Line:
+    return Line(name, str(count), "0", count == 0)
+
+
+def _figure(name: str, value: int) -> Line:
+    return Line(name, str(value), "")
+
+
+def _count(ended: Iterable[Ended], outcome: Outcome) -> int:
+    return sum(item.outcome is outcome for item in ended)
+
+
+def _doubled(found: Found) -> int:
+    """Count non-idempotent requests whose work ran more than once."""
+    keys = {item.key for item in found.ended if not item.idempotent}
+    return sum(found.runs[key] > 1 for key in keys)
+
+
+def _false_not_run(found: Found) -> int:
+    return sum(
+        item.outcome is Outcome.NOT_RUN and found.runs[item.key] > 0
+        for item in found.ended
+    )
+
+
+def _everywhere(found: Found) -> Line:
+    return Line(
+        "configuration everywhere after",
+        f"{found.everywhere_s:.1f} s",
+        f"{EVERYWHERE_MAX_S:.0f} s",
+        found.everywhere_s <= EVERYWHERE_MAX_S,
+    )
+
+
+def _kept(found: Found) -> list[Line]:
+    kinds = sorted({item.kind for item in found.ended})
+    rows = []
+    for kind in kinds:
+        usual = in_deadline_share(found.ended, kind, found.usual)
+        flood = in_deadline_share(found.ended, kind, found.flood)
+        share = flood / usual if usual else 0.0
+        name = f"{kind} kept in the flood"
+        if kind == found.flood_kind:
+            rows.append(Line(name, f"{share:.3f}", ""))
+        else:
+            kept = share >= KEEP_MIN
+            rows.append(Line(name, f"{share:.3f}", f"{KEEP_MIN}", kept))
+    return rows
+
+
+def _imbalance(found: Found) -> Line:
+    """Show max/mean open flows; one drain is too few to judge it by."""
+    mean = sum(found.flows) / max(1, len(found.flows))
+    ratio = max(found.flows, default=0) / mean if mean else 0.0
+    return Line("max/mean open flows", f"{ratio:.2f}", "")
+
+
+def table(rows: Iterable[Line]) -> str:
+    """Return the table as text."""
+    shown = [f"{'promise or figure':<34}{'value':>10}{'bound':>8}"]
+    words = {True: "kept", False: "BROKEN", None: ""}
+    for row in rows:
+        shown.append(
+            f"{row.name:<34}{row.value:>10}{row.bound:>8}  {words[row.kept]}"
+        )
+    return "\n".join(shown)
--- /dev/null
+++ b/packages/standins/src/medlar_standins/demo/scenario.py
@@ -0,0 +1,306 @@
+"""The steps of the demo, one after the other."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import sys
+import time
+from typing import TypeVar
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+import msgspec
+
+from medlar_core.config.model import Configuration
+from medlar_core.ids import NodeId
+from medlar_core.ids import ServiceName
+from medlar_node.status import Status
+
+from ..feeds import Feeds
+from ..requesters import Requesters
+from ..requesters import Work
+from ..server import RunCount
+from .layout import agent_command
+from .layout import balancer_command
+from .layout import balancer_node
+from .layout import BALANCERS
+from .layout import fabric_command
+from .layout import nodes
+from .layout import Pair
+from .layout import pairs
+from .layout import place_of
+from .layout import server_command
+from .layout import SERVERS
+from .layout import SPARE
+from .layout import store_command
+from .processes import Fleet
+from .report import Found
+from .report import Span
+from .workload import feed_address
+from .workload import FEED_SERVICE
+from .workload import FLOOD_KIND
+from .workload import FLOOD_TIMES
+from .workload import flood_work
+from .workload import usual_work
+
+T = TypeVar("T")
+
+FEEDS = 140
+FEED_PERIOD_S = 2.0
+USUAL_S = 6.0
+FLOOD_S = 6.0
+SETTLE_S = 1.0
+READY_LIMIT_S = 20.0
+EVERYWHERE_LIMIT_S = 15.0
+DRAIN_LIMIT_S = 600
+LEAVING_S = 3.0
+"""Time after which a drained server gets nothing new."""
+POLL_S = 0.1
+SEED = 20
+
+
+class NotReady(RuntimeError):
+    """The fleet did not come up, or not to a version, in time."""
+
+
+class Demo:
+    """Drives the fleet and its callers and keeps what was seen."""
+
+    def __init__(
+        self, fleet: Fleet, cfg: Configuration, folder: pathlib.Path
+    ) -> None:
+        self._fleet = fleet
+        self._cfg = cfg
+        self._folder = folder
+        self._feeds = Feeds(*feed_address(cfg))
+        self._callers = Requesters(SEED)
+        self._session = ClientSession(timeout=ClientTimeout(total=2.0))
+        self._began = time.monotonic()
+
+    async def run(self) -> Found:
+        """Run all steps and return what was seen."""
+        await self._callers.start()
+        try:
+            return await self._steps()
+        finally:
+            await self._feeds.close()
+            await self._callers.stop()
+            await self._session.close()
+
+    async def _steps(self) -> Found:
+        await self._start_fleet()
+        await self._feeds.open(FEEDS, FEED_PERIOD_S)
+        works = usual_work(self._cfg)
+        load = [
+            asyncio.create_task(self._callers.run(work, 600.0))
+            for work in works
+        ]
+        try:
+            usual = await self._usual()
+            drained = await self._drain()
+            await self._replace_balancer()
+            everywhere_s = await self._change()
+            flood = await self._flood(flood_work(works))
+        finally:
+            for task in load:
+                task.cancel()
+        self._say("waiting for the last answers")
+        await self._callers.stop()
+        return Found(
+            feeds=self._feeds.count,
+            ended=tuple(self._callers.ended),
+            runs=await self._runs(),
+            flows=await self._open_flows(drained),
+            usual=usual,
+            flood=flood,
+            flood_kind=FLOOD_KIND,
+            leaving_new=self._leaving_new,
+            everywhere_s=everywhere_s,
+            bad_ends=tuple(self._fleet.dead()),
+        )
+
+    async def _start_fleet(self) -> None:
+        self._say("starting store, fabric, servers, agents and balancers")
+        cfg_path = str(self._folder / "authority.json")
+        await self._fleet.start(store_command())
+        await self._fleet.start(fabric_command(cfg_path))
+        services = {service.name: service for service in self._cfg.services}
+        for number in range(1, BALANCERS + 1):
+            place = place_of(self._cfg, number)
+            await self._fleet.start(balancer_command(number, place))
+        for number, pair in enumerate(pairs()):
+            place = place_of(self._cfg, number)
+            service = services[ServiceName(pair.service)]
+            await self._fleet.start(server_command(pair, service))
+            await self._fleet.start(agent_command(pair, place))
+        await self._until_all_answer()
+        self._say("applying the Authority's configuration")
+        await self._apply(cfg_path)
+        await self._until_ready()
+
+    async def _usual(self) -> Span:
+        self._say(f"usual load for {USUAL_S:.0f} s, {FEEDS} feeds open")
+        await asyncio.sleep(SETTLE_S)
+        begin = self._loop_time()
+        await asyncio.sleep(USUAL_S)
+        return Span(begin, self._loop_time())
+
+    async def _drain(self) -> NodeId:
+        pair = pairs()[0]
+        self._say(f"draining the server of agent {pair.agent}")
+        await self._medlarctl(
+            "drain", pair.agent, "--limit-s", str(DRAIN_LIMIT_S)
+        )
+        await asyncio.sleep(LEAVING_S)
+        before = await self._work_of(pair)
+        await asyncio.sleep(LEAVING_S)
+        after = await self._work_of(pair)
+        self._leaving_new = after - before
+        return pair.agent
+
+    async def _replace_balancer(self) -> None:
+        self._say("replacing balancer 1")
+        place = place_of(self._cfg, 1)
+        await self._fleet.start(balancer_command(SPARE, place))
+        await self._until_known(balancer_node(SPARE))
+        await self._fleet.stop("balancer-1")
+
+    async def _change(self) -> float:
+        """Apply a change; return the seconds until it is everywhere."""
+        self._say("applying a change")
+        services = tuple(
+            msgspec.structs.replace(service, drain_limit_s=3600.0)
+            for service in self._cfg.services
+        )
+        changed = msgspec.structs.replace(self._cfg, services=services)
+        path = self._folder / "changed.json"
+        path.write_bytes(msgspec.json.encode(changed))
+        await self._apply(str(path))
+        began = time.monotonic()
+        await self._until(self._all_have_2, EVERYWHERE_LIMIT_S, "version 2")
+        return time.monotonic() - began
+
+    async def _flood(self, flood: Work) -> Span:
+        times = FLOOD_TIMES
+        self._say(f"{flood.kind} floods {times:.0f}x for {FLOOD_S:.0f} s")
+        begin = self._loop_time()
+        await self._callers.run(flood, FLOOD_S)
+        return Span(begin, self._loop_time())
+
+    async def timeline(self) -> str:
+        """Return the time line of the fleet as text."""
+        return await self._medlarctl("timeline")
+
+    async def _apply(self, path: str) -> None:
+        said = await self._medlarctl("apply", path, "--by", "demo")
+        self._say(said.strip().splitlines()[-1])
+
+    async def _medlarctl(self, *args: str) -> str:
+        asked = ",".join((balancer_node(SPARE), *nodes()))
+        return await self._fleet.run(
+            sys.executable, "-m", "medlar_ops.cli", *args, "--nodes", asked
+        )
+
+    # What the fleet says
+
+    async def _until_all_answer(self) -> None:
+        async def answer() -> bool:
+            return len(await self._statuses()) == len(nodes())
+
+        await self._until(answer, READY_LIMIT_S, "an answer of each process")
+
+    async def _until_ready(self) -> None:
+        """Wait until each balancer sees every server ready or warming."""
+        count = sum(SERVERS.values())
+
+        async def ready() -> bool:
+            statuses = await self._statuses()
+            known = [
+                status
+                for status in statuses
+                if status.ready and _taking(status) == count
+            ]
+            wanted = [s for s in statuses if s.role == "balancer"]
+            return len([s for s in known if s in wanted]) == BALANCERS
+
+        await self._until(ready, READY_LIMIT_S, f"{count} ready servers")
+        self._say("all balancers see all servers ready")
+
+    async def _until_known(self, node: NodeId) -> None:
+        async def known() -> bool:
+            status = await self._status(node)
+            return status is not None and status.ready and _taking(status) > 0
+
+        await self._until(known, READY_LIMIT_S, f"{node} to be ready")
+
+    async def _all_have_2(self) -> bool:
+        statuses = await self._statuses()
+        return all(status.version >= 2 for status in statuses)
+
+    async def _until(
+        self,
+        holds: Callable[[], Awaitable[bool]],
+        limit_s: float,
+        what: str,
+    ) -> None:
+        ends = time.monotonic() + limit_s
+        while not await holds():
+            if time.monotonic() > ends:
+                raise NotReady(
+                    f"waited {limit_s:.0f} s for {what}; "
+                    f"see the logs in {self._folder}"
+                )
+            await asyncio.sleep(POLL_S)
+
+    async def _statuses(self) -> list[Status]:
+        asked = (*nodes(), balancer_node(SPARE))
+        found = await asyncio.gather(*(self._status(n) for n in asked))
+        return [status for status in found if status is not None]
+
+    async def _status(self, node: NodeId) -> Status | None:
+        return await self._get(f"http://{node}/v1/status", Status)
+
+    async def _get(self, url: str, kind: type[T]) -> T | None:
+        try:
+            async with self._session.get(url) as res:
+                return msgspec.json.decode(await res.read(), type=kind)
+        except (ClientError, OSError, TimeoutError, msgspec.DecodeError):
+            return None
+
+    async def _runs(self) -> collections.Counter[str]:
+        runs: collections.Counter[str] = collections.Counter()
+        for pair in pairs():
+            found = await self._get(f"http://{pair.server}/runs", RunCount)
+            if found is not None:
+                runs.update(found.runs)
+        return runs
+
+    async def _work_of(self, pair: Pair) -> int:
+        """Return how much work and how many flows a server has had."""
+        found = await self._get(f"http://{pair.server}/runs", RunCount)
+        return sum(found.runs.values()) + found.opened if found else 0
+
+    async def _open_flows(self, drained: NodeId) -> tuple[int, ...]:
+        statuses = await self._statuses()
+        return tuple(
+            status.open_flows
+            for status in statuses
+            if status.service == FEED_SERVICE and status.node != drained
+        )
+
+    def _loop_time(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _say(self, text: str) -> None:
+        took = time.monotonic() - self._began
+        print(f"{took:5.1f} s  {text}", flush=True)
+
+
+def _taking(status: Status) -> int:
+    """Count the servers that take work in the view of a process."""
+    return sum(
+        server.state.value in ("ready", "warming") for server in status.servers
+    )
--- a/packages/standins/src/medlar_standins/requesters.py
+++ b/packages/standins/src/medlar_standins/requesters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Coroutine
 import enum
 import hashlib
 import random
@@ -53,6 +54,13 @@
     body_bytes: int = 200
 
 
+class Judged(msgspec.Struct, frozen=True):
+    """What one call came to and why."""
+
+    outcome: Outcome
+    reason: str = ""
+
+
 class Ended(msgspec.Struct, frozen=True):
     """A request that ended: when, how, and how long it took."""
 
@@ -108,9 +116,7 @@
             if ended.kind == kind and begin_s <= ended.began_s < end_s
         )
 
-    def _spawn(
-        self, coro: "collections.abc.Coroutine[None, None, None]"
-    ) -> None:
+    def _spawn(self, coro: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -120,31 +126,35 @@
         key = uuid.UUID(int=self._rng.getrandbits(128)).hex
         body = self._rng.randbytes(work.body_bytes)
         began = loop.time()
-        outcome, reason = await self._call(work, key, body)
+        judged = await self._call(work, key, body)
         took = loop.time() - began
         self.ended.append(
             Ended(
-                key, work.kind, work.idempotent, began, took, outcome, reason
+                key,
+                work.kind,
+                work.idempotent,
+                began,
+                took,
+                judged.outcome,
+                judged.reason,
             )
         )
-        if outcome is Outcome.RAN:
+        if judged.outcome is Outcome.RAN:
             self._histogram(work.kind).record_value(int(took * 1e6))
 
-    async def _call(
-        self, work: Work, key: str, body: bytes
-    ) -> tuple[Outcome, str]:
+    async def _call(self, work: Work, key: str, body: bytes) -> Judged:
         repeats = self._rng.random() < REPEAT_SHARE
         if not repeats:
             limit_s = work.deadline_s + GIVE_UP_S
             return await self._post(work, key, body, limit_s)
         first = await self._post(work, key, body, REPEAT_AFTER * work.mean_s)
-        if first[0] is not Outcome.LOST:
+        if first.outcome is not Outcome.LOST:
             return first
         return await self._post(work, key, body, work.deadline_s + GIVE_UP_S)
 
     async def _post(
         self, work: Work, key: str, body: bytes, limit_s: float
-    ) -> tuple[Outcome, str]:
+    ) -> Judged:
         assert self._session is not None
         headers = {
             KIND_HEADER: work.kind,
@@ -161,7 +171,7 @@
                 answer = await res.read()
                 verdict = res.headers.get(VERDICT_HEADER, "")
         except (ClientError, OSError, TimeoutError) as exc:
-            return Outcome.LOST, type(exc).__name__
+            return Judged(Outcome.LOST, type(exc).__name__)
         return _judge(verdict, answer, key, body)
 
     def _histogram(self, kind: str) -> HdrHistogram:
@@ -170,21 +180,19 @@
         return self.latency[kind]
 
 
-def _judge(
-    verdict: str, answer: bytes, key: str, body: bytes
-) -> tuple[Outcome, str]:
+def _judge(verdict: str, answer: bytes, key: str, body: bytes) -> Judged:
     """Return the outcome that an answer tells, checked against the call."""
     name, _, reason = verdict.partition("; reason=")
     if name in (Outcome.NOT_RUN.value, Outcome.MAY_HAVE_RUN.value):
-        return Outcome(name), reason
+        return Judged(Outcome(name), reason)
     if name != Outcome.RAN.value:
-        return Outcome.LOST, "no verdict"
+        return Judged(Outcome.LOST, "no verdict")
     try:
         done = msgspec.json.decode(answer, type=Done)
     except msgspec.DecodeError:
-        return Outcome.MIXED, "answer is not whole"
+        return Judged(Outcome.MIXED, "answer is not whole")
     if done.work != key:
-        return Outcome.MIXED, "answer of another request"
+        return Judged(Outcome.MIXED, "answer of another request")
     if done.digest != hashlib.sha256(body).hexdigest():
-        return Outcome.MIXED, "answer to another body"
-    return Outcome.RAN, ""
+        return Judged(Outcome.MIXED, "answer to another body")
+    return Judged(Outcome.RAN)
--- a/packages/standins/src/medlar_standins/server.py
+++ b/packages/standins/src/medlar_standins/server.py
@@ -68,10 +68,11 @@
 
 
 class RunCount(msgspec.Struct, frozen=True):
-    """How often each keyed work ran here."""
+    """How often each keyed work ran here, and flows opened so far."""
 
     runs: dict[str, int]
     cancelled: int
+    opened: int
 
 
 class Server:
@@ -85,6 +86,7 @@
         self.busy = 0
         self.size = slots
         self.cancelled = 0
+        self.opened = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self.flows: set[tuple[str, str]] = set()
         self._rng = random.Random(seed)
@@ -130,6 +132,7 @@
             self.flows.discard(pair)
             return self._reply(packet, Flag.FIN | Flag.ACK, b"")
         if packet.flags & Flag.SYN:
+            self.opened += pair not in self.flows
             self.flows.add(pair)
             return self._reply(packet, Flag.SYN | Flag.ACK, b"")
         if pair not in self.flows:
@@ -191,7 +194,9 @@
 
 async def _runs(req: web.Request) -> web.Response:
     server = req.app[_SERVER]
-    return json_response(RunCount(dict(server.runs), server.cancelled))
+    return json_response(
+        RunCount(dict(server.runs), server.cancelled, server.opened)
+    )
 
 
 async def _faults(req: web.Request) -> web.Response:
--- /dev/null
+++ b/testing/node/test_bodies.py
@@ -0,0 +1,46 @@
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from medlar_node.bodies import Body
+from medlar_node.bodies import BodyGone
+from medlar_node.bodies import KEEP_BYTES
+
+
+class Chunks:
+    def __init__(self, *chunks: bytes) -> None:
+        self._chunks = chunks
+
+    async def iter_chunked(self, n: int) -> AsyncIterator[bytes]:
+        for chunk in self._chunks:
+            yield chunk
+
+
+async def read(body: Body) -> bytes:
+    return b"".join([chunk async for chunk in body.chunks()])
+
+
+def test_small_body_is_sent_again_by_a_retry() -> None:
+    body = Body(Chunks(b"ab", b"c"))
+    assert asyncio.run(read(body)) == b"abc"
+    assert asyncio.run(read(body)) == b"abc"
+
+
+def test_large_body_is_sent_once() -> None:
+    body = Body(Chunks(b"x" * KEEP_BYTES, b"y"))
+    assert len(asyncio.run(read(body))) == KEEP_BYTES + 1
+    assert body.gone
+    with pytest.raises(BodyGone):
+        asyncio.run(read(body))
+
+
+def test_body_broken_off_is_not_sent_again() -> None:
+    async def scenario() -> None:
+        body = Body(Chunks(b"ab", b"cd"))
+        async for _ in body.chunks():
+            break
+        await read(body)
+
+    with pytest.raises(BodyGone):
+        asyncio.run(scenario())
