--- a/packages/core/src/medlar_core/config/assembly.py
+++ b/packages/core/src/medlar_core/config/assembly.py
@@ -9,9 +9,10 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import Version
+from .codec import decode_as
 from .held import Candidate
 from .messages import Parts
-from .messages import ShardBody
+from .messages import Shards
 from .messages import WantShards
 from .parts import assemble
 from .parts import decode_shard
@@ -25,10 +26,13 @@
 from .parts import Tree
 from .problem import Problem
 
-BATCH = 4
+BATCH = 8
 """Shards asked of one peer at a time."""
-BATCHES = 2
-"""Peers asked at the same time."""
+PACE_BYTES_PER_S = 3000.0
+HURRY_BYTES_PER_S = 12_000.0
+"""The pace while the whole fleet starts and little else is sent."""
+TEXT_SHARE = 4 / 3
+"""Bytes on the wire for each byte of a body, as base64."""
 AGAIN_S = 0.5
 GIVE_UP_S = 60.0
 
@@ -54,6 +58,9 @@
     return Target(msg.version, msg.root, msg.change, digests)
 
 
+_Texts = tuple[str, ...]
+
+
 class Assembly:
     """Shards of one target; whole only when every one is here."""
 
@@ -62,7 +69,7 @@
         self.peers: list[NodeId] = []
         self._heard_at = now
         self._shards: dict[int, Shard] = {}
-        self._asked: dict[int, Seconds] = {}
+        self._ask_at: float = now
         for i, named in enumerate(target.digests):
             for held in (known, EMPTY):
                 if held.digests[i] == named:
@@ -73,43 +80,45 @@
         if peer not in self.peers:
             self.peers.append(peer)
 
+    def shard(self, index: int) -> Shard | None:
+        """Return a shard of the target that is here already."""
+        return self._shards.get(index)
+
     def stale(self, now: Seconds) -> bool:
         """Return whether nothing has come for long."""
         return now - self._heard_at > GIVE_UP_S
 
-    def take(self, now: Seconds, msg: ShardBody) -> Problem | None:
-        """Take a shard of the target; another one changes nothing."""
-        if msg.root != self.target.root or not 0 <= msg.index < SHARDS:
+    def take(self, now: Seconds, msg: Shards, hurry: bool) -> Problem | None:
+        """Take shards of the target; others change nothing."""
+        if msg.root != self.target.root:
             return None
         raw = expand(msg.body)
-        if isinstance(raw, Problem):
-            return raw
-        shard = decode_shard(raw, self.target.digests[msg.index])
-        if isinstance(shard, Problem):
-            return shard
-        self._shards[msg.index] = shard
-        self._asked.pop(msg.index, None)
+        texts = raw if isinstance(raw, Problem) else decode_as(raw, _Texts)
+        if isinstance(texts, Problem):
+            return texts
+        for i, text in zip(msg.indices, texts, strict=False):
+            if not 0 <= i < SHARDS:
+                return Problem("indices", str(i), f"under {SHARDS}")
+            shard = decode_shard(text, self.target.digests[i])
+            if isinstance(shard, Problem):
+                return shard
+            self._shards[i] = shard
+        pace = HURRY_BYTES_PER_S if hurry else PACE_BYTES_PER_S
+        came = len(msg.body) * TEXT_SHARE
+        self._ask_at = max(self._ask_at - AGAIN_S, now) + came / pace
         self._heard_at = now
         return None
 
     def ask(self, now: Seconds, rng: random.Random) -> list[Send]:
-        """Ask peers for shards that are missing, a few at a time."""
-        due = {i for i, at in self._asked.items() if now - at > AGAIN_S}
-        for i in due:
-            del self._asked[i]
-        room = BATCH * BATCHES - len(self._asked)
-        missing = [
-            i
-            for i in range(SHARDS)
-            if i not in self._shards and i not in self._asked
-        ][: max(0, room)]
-        sends = []
-        for at in range(0, len(missing), BATCH):
-            batch = tuple(missing[at : at + BATCH])
-            self._asked.update(dict.fromkeys(batch, now))
-            peer = rng.choice(self.peers)
-            sends.append(Send(peer, WantShards(self.target.root, batch)))
-        return sends
+        """Ask a peer for shards that are missing, at a bounded pace."""
+        if now < self._ask_at:
+            return []
+        missing = [i for i in range(SHARDS) if i not in self._shards]
+        self._ask_at = now + AGAIN_S
+        peer = rng.choice(self.peers)
+        # Peers that gather too hold other shards than this process.
+        batch = tuple(rng.sample(missing, min(BATCH, len(missing))))
+        return [Send(peer, WantShards(self.target.root, batch))]
 
     def whole(self) -> Candidate | None:
         """Return the configuration once every shard is here."""
--- a/packages/core/src/medlar_core/config/check.py
+++ b/packages/core/src/medlar_core/config/check.py
@@ -30,12 +30,20 @@
 FLOOR_TOLERANCE = 1e-9
 
 
-def check(cfg: Configuration) -> tuple[Problem, ...]:
-    """Return every fault of a configuration; none means that it is good."""
-    return tuple(_problems(cfg))
+def check(
+    cfg: Configuration, sound: Configuration | None = None
+) -> tuple[Problem, ...]:
+    """Return every fault of a configuration; none means that it is good.
 
+    ``sound`` is one without faults: services taken over from it are not
+    checked again by themselves.
+    """
+    return tuple(_problems(cfg, sound))
 
-def _problems(cfg: Configuration) -> Iterator[Problem]:
+
+def _problems(
+    cfg: Configuration, sound: Configuration | None
+) -> Iterator[Problem]:
     if cfg.schema != SCHEMA_VERSION:
         yield Problem(
             "schema",
@@ -48,18 +56,24 @@
     yield from _names("places", (place.name for place in cfg.places))
     for i, place in enumerate(cfg.places):
         yield from _name(f"places[{i}].region", place.region)
-    yield from _names("services", (svc.name for svc in cfg.services))
+    yield from _twice("services", (svc.name for svc in cfg.services))
     yield from _addresses(cfg)
     places = {place.name for place in cfg.places}
+    same = sound is not None and sound.places == cfg.places
+    taken = {id(svc) for svc in sound.services} if sound and same else set()
     for service in cfg.services:
-        yield from _service(service, places)
+        if id(service) not in taken:
+            yield from _service(service, places)
 
 
 def _service(service: Service, places: set[PlaceName]) -> Iterator[Problem]:
     path = f"services.{service.name}"
+    yield from _name(f"{path}.name", service.name)
     yield from _count(
         f"{path}.addresses", len(service.addresses), 1, MAX_ADDRESSES
     )
+    for i, address in enumerate(service.addresses):
+        yield from _address(f"{path}.addresses[{i}]", address)
     yield from _count(f"{path}.places", len(service.places), 1, MAX_PLACES)
     yield from _count(f"{path}.kinds", len(service.kinds), 0, MAX_KINDS)
     yield from _twice(f"{path}.places", service.places)
@@ -120,7 +134,6 @@
     for service in cfg.services:
         for i, address in enumerate(service.addresses):
             path = f"services.{service.name}.addresses[{i}]"
-            yield from _address(path, address)
             key = (address.ip, address.port)
             if key in seen:
                 yield Problem(
--- a/packages/core/src/medlar_core/config/gossip.py
+++ b/packages/core/src/medlar_core/config/gossip.py
@@ -1,5 +1,6 @@
 """Whom a process tells its version, and when."""
 
+import itertools
 import random
 
 import msgspec
@@ -29,14 +30,13 @@
 
 def peers_of(view: View | None, seeds: Peers, node: NodeId) -> Peers:
     """Return the peers of a process, itself left out."""
-    found: set[NodeId] = set()
-    if view is not None:
-        found |= {held.id for held in view.balancers}
-        found |= {held.id for held in view.servers}
-    found.discard(node)
-    if not found:
+    if view is None:
         return seeds
-    return Peers(tuple(sorted(found)))
+    balancers = (held.id for held in view.balancers)
+    servers = (held.id for held in view.servers)
+    members = itertools.chain(balancers, servers)
+    found = tuple(peer for peer in members if peer != node)
+    return Peers(found) if found else seeds
 
 
 class Gossip:
--- a/packages/core/src/medlar_core/config/held.py
+++ b/packages/core/src/medlar_core/config/held.py
@@ -61,7 +61,7 @@
             older = Problem("version", str(new.version), "a newer version")
             same = new.tree.root == self.tree.root
             return None if same else older
-        found = faults(new.tree)
+        found = faults(new.tree, self.tree if self.version else None)
         if found:
             return found[0]
         self._remember(new)
--- a/packages/core/src/medlar_core/config/join.py
+++ b/packages/core/src/medlar_core/config/join.py
@@ -43,6 +43,11 @@
         """Return how many peers have told their version."""
         return len(self._heard)
 
+    @property
+    def hurry(self) -> bool:
+        """Return whether others start too: the fleet needs all soon."""
+        return any(not have.version for have in self._heard.values())
+
     def due(self, now: Seconds) -> bool:
         """Return whether peers should be asked now."""
         if self._began is None:
--- a/packages/core/src/medlar_core/config/messages.py
+++ b/packages/core/src/medlar_core/config/messages.py
@@ -7,11 +7,15 @@
 from .parts import Digest
 
 
-class Have(msgspec.Struct, frozen=True, tag="config.have"):
-    """The sender's version; 0 with an empty root is none."""
+class Have(msgspec.Struct, frozen=True, tag="config.have", omit_defaults=True):
+    """The sender's version; 0 with an empty root is none.
+
+    ``gathers`` is a root of which the sender holds some shards.
+    """
 
     version: Version
     root: Digest
+    gathers: Digest = b""
 
 
 class Want(msgspec.Struct, frozen=True, tag="config.want"):
@@ -53,12 +57,12 @@
     indices: tuple[int, ...]
 
 
-class ShardBody(msgspec.Struct, frozen=True, tag="config.shard"):
-    """One shard, compressed."""
+class Shards(msgspec.Struct, frozen=True, tag="config.shards"):
+    """Some shards of a root, compressed together as a list of texts."""
 
     root: Digest
-    index: int
+    indices: tuple[int, ...]
     body: bytes
 
 
-MESSAGES = (Have, Want, Delta, Parts, WantShards, ShardBody)
+MESSAGES = (Have, Want, Delta, Parts, WantShards, Shards)
--- a/packages/core/src/medlar_core/config/parts.py
+++ b/packages/core/src/medlar_core/config/parts.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import functools
 import hashlib
 import zlib
@@ -156,25 +157,27 @@
     return assemble(tuple(shards), tuple(digests))
 
 
-def faults(tree: Tree) -> tuple[Problem, ...]:
-    """Return what is wrong with a whole configuration."""
-    if tree.root not in _faults:
-        while len(_faults) >= _FAULTS_KEPT:
-            _faults.pop(next(iter(_faults)))
-        _faults[tree.root] = check(tree.cfg) or _misplaced(tree)
-    return _faults[tree.root]
+def faults(tree: Tree, sound: Tree | None = None) -> tuple[Problem, ...]:
+    """Return what is wrong with a whole configuration.
 
+    ``sound`` is one without faults from which this one was made.
+    """
+    before = sound.cfg if sound is not None else None
+    return tuple(_misplaced(tree)) or check(tree.cfg, before)
 
-_FAULTS_KEPT = 8
-_faults: dict[Digest, tuple[Problem, ...]] = {}
 
-
-def _misplaced(tree: Tree) -> tuple[Problem, ...]:
+def _misplaced(tree: Tree) -> Iterator[Problem]:
     """Refuse shards that hold what belongs elsewhere or out of order."""
-    right = build(tree.cfg).root
-    if right == tree.root:
-        return ()
-    return (Problem("$", f"root {tree.root.hex()}", right.hex()),)
+    for i, shard in enumerate(tree.shards):
+        names = [svc.name for svc in shard.services]
+        if names != sorted(names):
+            yield Problem(f"shard {i}", "services out of order", "by name")
+        if any(shard_index(name) != i for name in names):
+            yield Problem(f"shard {i}", "services of another shard", "its own")
+        if shard.places and i != PLACES_SHARD:
+            yield Problem(f"shard {i}", "places", f"shard {PLACES_SHARD}")
+        if shard.places != _sorted_places(shard.places):
+            yield Problem(f"shard {i}", "places out of order", "by name")
 
 
 def squeeze(value: object) -> bytes:
--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -29,6 +29,7 @@
 from ..timeline.events import TimelineEvent
 from ..timeline.events import Topic
 from .assembly import Assembly
+from .assembly import BATCH
 from .assembly import read_parts
 from .codec import decode_as
 from .gossip import Gossip
@@ -40,13 +41,16 @@
 from .messages import Delta
 from .messages import Have
 from .messages import Parts
-from .messages import ShardBody
+from .messages import Shards
 from .messages import Want
 from .messages import WantShards
 from .model import Configuration
+from .parts import Digest
+from .parts import encode_shard
 from .parts import expand
 from .parts import Patch
 from .parts import patched
+from .parts import Shard
 from .parts import SHARDS
 from .parts import squeeze
 from .problem import Problem
@@ -61,7 +65,7 @@
 SERVE_BYTES_PER_S = 2000.0
 SERVE_BURST_BYTES = 30_000.0
 MAX_DELTA_BYTES = 16_000
-MAX_BATCH = 8
+VIEW_PERIOD_S = 1.0
 ALERTS_PER_S = 0.1
 ALERT_BURST = 5
 
@@ -114,6 +118,8 @@
         self._parked: Delta | None = None
         self._news: _News | None = None
         self._watches = False
+        self._view: View | None = None
+        self._view_at = 0.0
         self._ask_at = 0.0
         self._serve = TokenBucket(SERVE_BYTES_PER_S, SERVE_BURST_BYTES)
         self._alerts = TokenBucket(ALERTS_PER_S, ALERT_BURST)
@@ -139,11 +145,11 @@
                 calls = self._store.answered(now, call, answer)
                 return [*calls, *self._from_store(now)]
             case ViewChanged(view=view):
-                self._watches = self._rule(view, self._node)
-                self._gossip.peers = peers_of(view, self._seeds, self._node)
+                self._view = view
         return []
 
     def _tick(self, now: Seconds) -> list[Effect]:
+        self._use_view(now)
         effects: list[Effect] = []
         effects += self._store.tick(now, self._duty(now))
         effects += self._from_store(now)
@@ -168,6 +174,15 @@
             self._news = msgspec.structs.replace(news, times_left=left)
         return sends
 
+    def _use_view(self, now: Seconds) -> None:
+        """Use the newest view; in a burst of changes only now and then."""
+        if self._view is None or now < self._view_at:
+            return
+        self._watches = self._rule(self._view, self._node)
+        self._gossip.peers = peers_of(self._view, self._seeds, self._node)
+        self._view = None
+        self._view_at = now + VIEW_PERIOD_S
+
     def _duty(self, now: Seconds) -> Duty:
         if self._watches:
             return Duty.WATCH
@@ -187,16 +202,21 @@
                 return self._take_parts(now, src, msg)
             case WantShards():
                 return self._serve_shards(now, src, msg)
-            case ShardBody():
-                return self._take_shard(now, msg)
+            case Shards():
+                return self._take_shards(now, msg)
         return []
 
     # What peers tell and ask
 
     def _have(self) -> Have:
-        return Have(self._held.version, self._held.root)
+        gathers = self._assembly.target.root if self._assembly else b""
+        return Have(self._held.version, self._held.root, gathers)
 
     def _told(self, now: Seconds, src: NodeId, have: Have) -> list[Effect]:
+        gathered = self._assembly
+        if gathered and gathered.target.root in (have.root, have.gathers):
+            gathered.add_peer(src)
+            return []
         if not self.version:
             self._join.heard(src, have)
             return self._choose(now)
@@ -238,16 +258,25 @@
     def _serve_shards(
         self, now: Seconds, src: NodeId, want: WantShards
     ) -> list[Effect]:
-        if want.root != self._held.root:
+        asked = sorted(set(want.indices))[:BATCH]
+        held = [(i, self._shard(want.root, i)) for i in asked]
+        found = {i: shard for i, shard in held if shard is not None}
+        if not found:
             return [Send(src, self._have())] if self.version else []
-        effects: list[Effect] = []
-        for i in want.indices[:MAX_BATCH]:
-            if 0 <= i < SHARDS:
-                shard = self._held.tree.shards[i]
-                body = squeeze(shard)
-                msg = ShardBody(want.root, i, body)
-                effects += self._answer(now, src, msg, len(body))
-        return effects
+        body = squeeze([encode_shard(x).decode() for x in found.values()])
+        msg = Shards(want.root, tuple(found), body)
+        return self._answer(now, src, msg, len(body))
+
+    def _shard(self, root: Digest, index: int) -> Shard | None:
+        """Return a shard of a root, also of one that is not whole yet."""
+        if not 0 <= index < SHARDS:
+            return None
+        if root == self._held.root:
+            return self._held.tree.shards[index]
+        gathered = self._assembly
+        if gathered is not None and gathered.target.root == root:
+            return gathered.shard(index)
+        return None
 
     def _answer(
         self, now: Seconds, dst: NodeId, msg: Any, size: int
@@ -311,10 +340,10 @@
             current.add_peer(src)
         return self._gather(now, current)
 
-    def _take_shard(self, now: Seconds, msg: ShardBody) -> list[Effect]:
+    def _take_shards(self, now: Seconds, msg: Shards) -> list[Effect]:
         if self._assembly is None:
             return []
-        problem = self._assembly.take(now, msg)
+        problem = self._assembly.take(now, msg, self._join.hurry)
         if problem is not None:
             return self._refuse(now, problem)
         return self._gather(now, self._assembly)
