--- a/packages/bench/src/medlar_bench/config/fleet.py
+++ b/packages/bench/src/medlar_bench/config/fleet.py
@@ -111,10 +111,13 @@
         base: int,
         limit_s: float = 30.0,
         handover: bool = True,
+        at_least: int = 0,
     ) -> ChangeId:
         """Let an operator apply a document; the outcome comes later."""
         operator = NodeId(f"operator-{change}")
-        wanted = Change(ChangeId(change), operator, Version(base))
+        wanted = Change(
+            ChangeId(change), operator, Version(base), Version(at_least)
+        )
         nodes = tuple(self.alive) if handover else ()
         rng = random.Random(self.rng.random())
         writer = ConfigWriter(wanted, cfg, rng, nodes, limit_s)
--- a/packages/core/src/medlar_core/config/history.py
+++ b/packages/core/src/medlar_core/config/history.py
@@ -20,6 +20,7 @@
 from .records import MAX_RECENT
 from .records import PAGE_CHANGES
 from .records import page_key
+from .records import put_once
 from .records import read_head
 from .records import Reading
 
@@ -86,7 +87,7 @@
 
 def page_out(
     recent: tuple[ChangeRecord, ...],
-) -> Reading[tuple[ChangeRecord, ...] | Down]:
+) -> Reading[tuple[ChangeRecord, ...] | Problem | Down]:
     """Move the oldest changes to a page once the head names too many.
 
     The page depends only on accepted changes, so that a second writer
@@ -96,9 +97,9 @@
         return recent
     page = HistoryPage(recent[:PAGE_CHANGES])
     text = msgspec.json.encode(page).decode()
-    answer = yield ops.Put(page_key(page.changes[0].version), text, 0)
-    if isinstance(answer, ops.Unavailable):
-        return Down(answer.why)
+    found = yield from put_once(page_key(page.changes[0].version), text)
+    if found is not None:
+        return found
     return recent[PAGE_CHANGES:]
 
 
--- a/packages/core/src/medlar_core/config/records.py
+++ b/packages/core/src/medlar_core/config/records.py
@@ -113,6 +113,26 @@
     return Down(f"unexpected answer {type(answer).__name__}")
 
 
+def put_once(key: str, value: str) -> Reading[Problem | Down | None]:
+    """Write an immutable value; None says that it is there.
+
+    A lost answer and a key that is there already are both resolved by
+    reading the key back.
+    """
+    answer = yield ops.Put(key, value, 0)
+    if isinstance(answer, ops.Written):
+        return None
+    held = yield from get(key)
+    match held:
+        case Down():
+            return held
+        case ops.Item() if held.value == value:
+            return None
+        case ops.Item():
+            return Problem(key, "another value", "the value of its name")
+    return Down(f"no answer to the write of {key}")
+
+
 def read_head(text: str) -> Head | Problem:
     """Return the head in its text, or why it is refused."""
     head = decode_as(text, Head)
--- a/packages/core/src/medlar_core/config/writer.py
+++ b/packages/core/src/medlar_core/config/writer.py
@@ -41,11 +41,11 @@
 from .problem import Problem
 from .records import ChangeRecord
 from .records import Down
-from .records import get
 from .records import Head
 from .records import HEAD_KEY
 from .records import load_tree
 from .records import MAX_TOUCHED
+from .records import put_once
 from .records import root_key
 from .records import RootRecord
 from .records import shard_key
@@ -244,15 +244,11 @@
         self, tree: Tree, current: Tree
     ) -> Generator[Step, Any, Down | Outcome | None]:
         for key, value in _new_parts(tree, current):
-            answer = yield ops.Put(key, value, 0)
-            if isinstance(answer, ops.Unavailable):
-                return Down(answer.why)
-            if isinstance(answer, ops.Conflict):
-                held = yield from get(key)
-                if isinstance(held, Down):
-                    return held
-                if isinstance(held, Problem) or held.value != value:
-                    return self._reject(f"the store holds another {key}")
+            found = yield from put_once(key, value)
+            if isinstance(found, Problem):
+                return self._reject(f"the store: {found.text}")
+            if found is not None:
+                return found
         return None
 
     def _commit(
@@ -261,8 +257,8 @@
         newest = max(history.head.version, self._change.at_least)
         record = self._record(Version(newest + 1), sides.current, tree)
         recent = yield from page_out((*history.head.recent, record))
-        if isinstance(recent, Down):
-            return recent
+        if not isinstance(recent, tuple):
+            return self._bad(recent)
         head = Head(record.version, record.root, recent)
         text = msgspec.json.encode(head).decode()
         self._hand_over(history.head.version, record, sides, tree)
