Stagger beats, judge sooner and spread wider

They are set apart anew when watchers change, suspects are judged after 2.1 + 0.6 s, and a change goes to four balancers a tick. Unanswered changes are told ever more slowly.

--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -56,6 +56,8 @@
 """A gap between events after which a process no longer trusts itself."""
 SYNC_S = 1.0
 HASTY_SYNC_S = 0.4
+LIVELY_S = 3.0
+"""Time after a change in which tables are compared more often."""
 EXPIRE_S = 60.0
 
 
@@ -90,6 +92,7 @@
         self._holder = SeedHolder(access, self_record.place)
         self._reader = SeedReader(access)
         self._next_sync = 0.0
+        self._lively_until = 0.0
         self._next_expire = 0.0
         self._last: Seconds | None = None
         self._closed = False
@@ -183,7 +186,8 @@
             return []
         awaited = self._live.reach.awaited()
         hasty = self._closed or not self.synced or bool(awaited)
-        period = HASTY_SYNC_S if hasty else SYNC_S
+        lively = now < self._lively_until
+        period = HASTY_SYNC_S if hasty or lively else SYNC_S
         self._next_sync = now + period * self._rng.uniform(0.75, 1.25)
         wanted = self._live.peers_of(awaited[0]) if awaited else others
         peer = self._rng.choice(wanted or others)
@@ -319,6 +323,7 @@
                 self._grid.forget(record.id)
             if spread:
                 self._outbox.add(record)
+            self._lively_until = now + LIVELY_S
             effects += changed(held, record)
         return effects
 
--- a/packages/core/src/medlar_core/members/news.py
+++ b/packages/core/src/medlar_core/members/news.py
@@ -14,10 +14,10 @@
 
 COPIES = 8
 """Balancers that each one tells a change; the rest find out by digest."""
-FAN = 2
+FAN = 4
 """Balancers told in one tick."""
 FEW = 64
-MANY_COPIES = 2
+MANY_COPIES = 4
 """Copies of a change while more than a FEW wait: digests do better."""
 RECORDS_PER_MESSAGE = 40
 HINT_S = 10.0
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -21,7 +21,7 @@
 ASK_S = 3.5
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
-"""Pause before a change that was not answered is told again."""
+"""First pause before a change that was not answered is told again."""
 LOST_S = 5.0
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
@@ -37,6 +37,7 @@
     acked_at: float
     told: int = -1
     seen: int = 0
+    again: float = AGAIN_S
 
 
 def check(watchers: Iterable[NodeId]) -> int:
@@ -122,9 +123,9 @@
             return
         kept: dict[NodeId, _Watcher] = {}
         for number, node in enumerate(watchers):
-            first = now + number * BEAT_S / len(watchers)
-            held = self.watchers.get(node)
-            kept[node] = held or _Watcher(first, now)
+            held = self.watchers.get(node) or _Watcher(now, now)
+            held.next_beat = now + number * BEAT_S / len(watchers)
+            kept[node] = held
         self.watchers = kept
 
     def acked(self, now: Seconds, src: NodeId, ack: Ack) -> bool:
@@ -145,6 +146,7 @@
             watcher.acked_at = now
             watcher.told = ack.seq
             watcher.seen = ack.version
+            watcher.again = AGAIN_S
         return False
 
     def due(self, now: Seconds) -> list[Send]:
@@ -164,10 +166,11 @@
         """Let the next ``due`` tell a change to all watchers."""
         for watcher in self.watchers.values():
             watcher.next_beat = 0.0
+            watcher.again = AGAIN_S / 2
 
     def _untold(self, now: Seconds, watcher: _Watcher) -> bool:
         behind = watcher.told < self.record.seq
-        return behind and now >= watcher.next_beat - BEAT_S + AGAIN_S
+        return behind and now >= watcher.next_beat - BEAT_S + watcher.again
 
     def _beat(self, now: Seconds, node: NodeId, watcher: _Watcher) -> Send:
         late = now - watcher.next_beat
@@ -178,6 +181,7 @@
             watcher.seen, want=now - watcher.acked_at > ASK_S
         )
         if watcher.told < self.record.seq:
+            watcher.again = min(2 * watcher.again, BEAT_S)
             return Send(node, Announce(self.record, beat))
         return Send(node, beat)
 
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -7,10 +7,10 @@
 from ..ids import NodeId
 from ..ids import Seconds
 
-SUSPECT_S = 2.2
+SUSPECT_S = 2.1
 """Silence after which a process is probed; its beats come each 2 s."""
 PROBE_S = 0.1
-JUDGE_S = 0.8
+JUDGE_S = 0.6
 """Time in which a suspect may answer any probe."""
 HELP_ROUNDS = (1, 3, 5)
 """Rounds of probing in which other balancers are asked to probe too."""
