--- a/packages/bench/src/medlar_bench/members/__init__.py
+++ b/packages/bench/src/medlar_bench/members/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of membership, store access, control budgets and recovery."""
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -35,6 +35,7 @@
 
     next_beat: float
     acked_at: float
+    next_tell: float = 0.0
     told: int = -1
     seen: int = 0
     again: float = AGAIN_S
@@ -165,22 +166,23 @@
     def tell_now(self) -> None:
         """Let the next ``due`` tell a change to all watchers."""
         for watcher in self.watchers.values():
-            watcher.next_beat = 0.0
-            watcher.again = AGAIN_S / 2
+            watcher.next_tell = 0.0
+            watcher.again = AGAIN_S
 
     def _untold(self, now: Seconds, watcher: _Watcher) -> bool:
         behind = watcher.told < self.record.seq
-        return behind and now >= watcher.next_beat - BEAT_S + watcher.again
+        return behind and now >= watcher.next_tell
 
     def _beat(self, now: Seconds, node: NodeId, watcher: _Watcher) -> Send:
         late = now - watcher.next_beat
-        on_time = 0.0 <= late < BEAT_S
-        base = watcher.next_beat if on_time else now
-        watcher.next_beat = base + BEAT_S
+        if late >= 0.0:  # else it goes besides, and the rhythm stays
+            base = watcher.next_beat if late < BEAT_S else now
+            watcher.next_beat = base + BEAT_S
         beat = self._make_beat(
             watcher.seen, want=now - watcher.acked_at > ASK_S
         )
         if watcher.told < self.record.seq:
+            watcher.next_tell = now + watcher.again
             watcher.again = min(2 * watcher.again, BEAT_S)
             return Send(node, Announce(self.record, beat))
         return Send(node, beat)
