--- a/packages/bench/src/medlar_bench/members/fleet.py
+++ b/packages/bench/src/medlar_bench/members/fleet.py
@@ -131,8 +131,12 @@
 
     def in_place(self, place: PlaceName) -> list[NodeId]:
         """Return the processes of a place."""
-        hosts = {**self.balancers, **self.agents}
-        return [n for n, host in hosts.items() if host.record.place == place]
+        found = [
+            n for n, h in self.balancers.items() if h.record.place == place
+        ]
+        return found + [
+            n for n, h in self.agents.items() if h.record.place == place
+        ]
 
     def cut(self, places: Iterable[PlaceName]) -> None:
         """Cut the processes of these places off from all others."""
--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -56,6 +56,7 @@
 """A gap between events after which a process no longer trusts itself."""
 SYNC_S = 1.0
 HASTY_SYNC_S = 0.4
+STORE_S = 1.0
 LIVELY_S = 3.0
 """Time after a change in which tables are compared more often."""
 EXPIRE_S = 60.0
@@ -93,8 +94,11 @@
         self._reader = SeedReader(access)
         self._next_sync = 0.0
         self._lively_until = 0.0
+        self._next_store = 0.0
         self._next_expire = 0.0
         self._last: Seconds | None = None
+        self._told_known: tuple[Record, ...] = ()
+        self._told: tuple[Balancer, ...] = ()
         self._closed = False
         self._token = 1
         self.synced = False
@@ -194,24 +198,30 @@
         return [self._sync.start(peer, self._token if hasty else 0)]
 
     def _tell_loads(self, now: Seconds) -> list[Effect]:
-        ids = tuple(record.id for record in self._table.balancers())
-        servers = len(self._table.live) - len(ids)
-        return [*self._grid.due(now, self._me, ids, servers)]
+        known = self._table.balancers()
+        servers = len(self._table.live) - len(known)
+        return [*self._grid.due(now, self._me, known, servers)]
 
     def _use_store(self, now: Seconds, others: list[NodeId]) -> list[Effect]:
         if not others and self._reporter.lost(now):
             return [*self._reader.due(now)]
+        if now < self._next_store:
+            return [*self._access.due(now)]
+        self._next_store = now + STORE_S
         near = self._live.near()
         holds = near[:1] == [self._me] and not self._closed
         return [*self._holder.due(now, holds, tuple(near))]
 
     def _publish(self, now: Seconds) -> list[Effect]:
-        known = tuple(
-            Balancer(record.id, record.incarnation, record.place)
-            for record in self._table.balancers()
-        )
+        known = self._table.balancers()
+        if known is not self._told_known:
+            self._told_known = known
+            self._told = tuple(
+                Balancer(record.id, record.incarnation, record.place)
+                for record in known
+            )
         down = self._live.reach.down()
-        view = self._viewer.due(now, known, down, self._closed)
+        view = self._viewer.due(now, self._told, down, self._closed)
         return [Publish(ViewChanged(view))] if view else []
 
     def _received(self, now: Seconds, src: NodeId, msg: Any) -> list[Effect]:
--- a/packages/core/src/medlar_core/members/liveness.py
+++ b/packages/core/src/medlar_core/members/liveness.py
@@ -48,6 +48,9 @@
         self.reach = Reach(rng)
         self.watchers: dict[NodeId, tuple[NodeId, ...]] = {}
         self._assigned: tuple[int, tuple[PlaceName, ...]] | None = None
+        self._known: tuple[Record, ...] | None = None
+        self._without: tuple[PlaceName, ...] = ()
+        self._others: list[NodeId] = []
         self._next_assign = 0.0
         self._next_sentinel = 0.0
         self._looked: dict[PlaceName, Seconds] = {}
@@ -55,7 +58,13 @@
 
     def others(self) -> list[NodeId]:
         """Return the other balancers that can be reached."""
-        return [r.id for r in self._reachable() if r.id != self._me]
+        known = self._table.balancers()
+        if known is not self._known or self.reach.cut_places != self._without:
+            self._known = known
+            self._without = self.reach.cut_places
+            found = self._reachable()
+            self._others = [r.id for r in found if r.id != self._me]
+        return self._others
 
     def near(self) -> list[NodeId]:
         """Return the balancers of one's own place."""
@@ -114,7 +123,7 @@
 
     def reassign(self, now: Seconds) -> None:
         """Find out whom to watch, if members or places changed."""
-        version = (self._table.members_version, self._cut())
+        version = (self._table.members_version, self.reach.cut_places)
         if version == self._assigned or now < self._next_assign:
             return
         self._assigned = version
@@ -155,9 +164,6 @@
         known = self._table.balancers()
         return [r for r in known if not self.reach.cut(r.place)]
 
-    def _cut(self) -> tuple[PlaceName, ...]:
-        return tuple(p for p in self.reach.down() if self.reach.cut(p))
-
     def _others_in(self, place: PlaceName) -> list[NodeId]:
         return [n for n in self._table.in_place(place) if n != self._me]
 
--- a/packages/core/src/medlar_core/members/load.py
+++ b/packages/core/src/medlar_core/members/load.py
@@ -14,6 +14,7 @@
 from ..ids import Seconds
 from .messages import Loads
 from .record import id_hash
+from .record import Record
 
 BYTES_S = 500.0
 """Bytes per second to which the cycle is stretched, each way."""
@@ -112,7 +113,7 @@
         self,
         now: Seconds,
         me: NodeId,
-        balancers: tuple[NodeId, ...],
+        balancers: tuple[Record, ...],
         servers: int,
     ) -> list[Send]:
         """Return the messages of this tick; all are spread over a cycle."""
@@ -130,10 +131,11 @@
         self,
         now: Seconds,
         me: NodeId,
-        balancers: tuple[NodeId, ...],
+        balancers: tuple[Record, ...],
         servers: int,
     ) -> None:
-        row, column = neighbours(me, balancers)
+        ids = tuple(record.id for record in balancers)
+        row, column = neighbours(me, ids)
         self._cycle_s = cycle_s(len(balancers), servers)
         self._starts = now
         self._sent = 0
--- a/packages/core/src/medlar_core/members/reach.py
+++ b/packages/core/src/medlar_core/members/reach.py
@@ -54,6 +54,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._places: dict[PlaceName, _Place] = {}
+        self.cut_places: tuple[PlaceName, ...] = ()
 
     def heard(self, now: Seconds, place: PlaceName) -> bool:
         """Note a message from a place; return whether it is back."""
@@ -61,6 +62,8 @@
         held.heard = now
         back = held.reached is Reached.NO
         held.reached = Reached.YES
+        if back:
+            self._list_cut()
         return back
 
     def reconciled(self, place: PlaceName) -> None:
@@ -89,8 +92,7 @@
 
     def cut(self, place: PlaceName) -> bool:
         """Return whether a place is silent."""
-        held = self._places.get(place)
-        return held is not None and held.reached is Reached.NO
+        return place in self.cut_places
 
     def awaited(self) -> list[PlaceName]:
         """Return the places that are back but not reconciled, sorted."""
@@ -109,6 +111,7 @@
         ]
         for place in ended:
             del self._places[place]
+            self._list_cut()
         return sorted(ended)
 
     def paused(self, now: Seconds) -> None:
@@ -133,8 +136,15 @@
                 case Reached.NO if now - held.probed >= RETRY_S:
                     held.probed = now
                     probe.append(place)
+        if silent:
+            self._list_cut()
         return probe, silent
 
+    def _list_cut(self) -> None:
+        held = self._places.items()
+        cut = [p for p, v in held if v.reached is Reached.NO]
+        self.cut_places = tuple(sorted(cut))
+
     def pick(self, place: PlaceName, nodes: list[NodeId]) -> list[NodeId]:
         """Return the processes of a place to probe in this round."""
         count = 1 if self.cut(place) else TARGETS
--- a/packages/core/src/medlar_core/members/viewer.py
+++ b/packages/core/src/medlar_core/members/viewer.py
@@ -22,6 +22,8 @@
 SERVERS_PER_S = 1000.0
 """Loads are told no more often than so many servers a second."""
 QUICKEST_S = 0.5
+WARMING_S = 1.0
+"""Warmth of warming servers is told at least so often."""
 
 
 class Viewer:
@@ -76,8 +78,9 @@
         self._stale.update(dict.fromkeys(self._warming))
         if not self._urgent and not self._stale:
             return None
-        count = len(self._table.live)
-        self._next_slow = now + max(QUICKEST_S, count / SERVERS_PER_S)
+        pause = len(self._table.live) / SERVERS_PER_S
+        longest = WARMING_S if self._warming else pause
+        self._next_slow = now + max(QUICKEST_S, min(pause, longest))
         changed = self._renew(now, frozenset(down), closed)
         return self._tell(balancers) if changed else None
 
