--- a/testing/core/config/test_spread.py
+++ b/testing/core/config/test_spread.py
@@ -277,3 +277,15 @@
     for msg in msgs:
         spread.reduce(1.0, Received(PEER, msg))
     assert spread.cfg == DOC
+
+
+def test_a_joining_process_hears_several_before_it_takes_the_newest() -> None:
+    spread = ConfigSpread(NODE, [PEER], random.Random(1))
+    spread.reduce(0.0, Tick())
+    told = [(PEER, 4), ("10.0.0.3:7000", 6), ("10.0.0.4:7000", 4)]
+    asked = []
+    for src, version in told:
+        have = Have(Version(version), b"%010d" % version)
+        effects = spread.reduce(0.1, Received(NodeId(src), have))
+        asked += [(e.dst, e.msg) for e in effects]
+    assert asked == [("10.0.0.3:7000", Want(Version(0)))]
