--- /dev/null
+++ b/packages/bench/src/medlar_bench/requests/callers.py
@@ -0,0 +1,216 @@
+"""Callers: they send, wait, repeat with their key, and keep accounts."""
+
+import collections
+from collections.abc import Iterator
+import random
+
+import msgspec
+
+from medlar_core.ids import IdempotencyKey
+from medlar_core.ids import KindName
+from medlar_core.ids import NodeId
+from medlar_core.ids import RequestId
+from medlar_core.requests.events import AnswerCaller
+from medlar_core.requests.events import RequestCame
+from medlar_core.requests.events import RequestCancelled
+from medlar_core.requests.events import StartAttempt
+from medlar_core.verdict import MayHaveRun
+from medlar_core.verdict import NotRun
+from medlar_core.verdict import Ran
+from medlar_core.verdict import Verdict
+
+from .fleet import Fleet
+from .workloads import Stream
+
+REPEATING = 0.1
+"""Share of callers that repeat after a timeout."""
+PATIENCE_MEANS = (1.0, 4.0)
+"""Their timeouts, in mean service times, from and to."""
+GIVE_UP_S = 0.5
+"""Time past its deadline after which any caller repeats, in seconds."""
+MOST_CALLS = 4
+CALLERS = 200
+"""Callers of each kind, each with its own address."""
+
+
+class Job(msgspec.Struct):
+    """What a caller wants done once, over all its calls."""
+
+    id: str
+    stream: Stream
+    sent_at: float
+    calls: int = 0
+    balancer: NodeId = NodeId("")
+    runs: int = 0
+    attempts: int = 0
+    verdict: Verdict | None = None
+    ended_at: float = 0.0
+    started_at: float = 0.0
+    mixed: bool = False
+
+    @property
+    def in_time(self) -> bool:
+        """Whether its answer came within the deadline of the first call."""
+        limit = self.sent_at + self.stream.kind.deadline_s
+        return isinstance(self.verdict, Ran) and self.ended_at <= limit
+
+    @property
+    def took_s(self) -> float:
+        """Time from the first call to the answer, in seconds."""
+        return self.ended_at - self.sent_at
+
+
+class Callers:
+    """Poisson arrivals of each stream, and every job they made.
+
+    ``repeating`` is the share that repeats early; ``marked`` callers say
+    whether they repeat.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        repeating: float = REPEATING,
+        marked: bool = True,
+    ) -> None:
+        self.fleet = fleet
+        self.jobs: dict[str, Job] = {}
+        self._rng = random.Random(seed)
+        self._repeating = repeating
+        self._marked = marked
+        self._made = 0
+        fleet.answered = self._answered
+        fleet.ran = self._ran
+
+    def arrive(
+        self, stream: Stream, rate: float, since: float, until: float
+    ) -> None:
+        """Let jobs of a stream come between two times."""
+        clock = self.fleet.clock
+
+        def next_one() -> None:
+            if clock.now >= until:
+                return
+            if clock.now >= since:
+                self._new(stream)
+            clock.after(self._rng.expovariate(rate), next_one)
+
+        if rate > 0.0:
+            clock.at(since + self._rng.expovariate(rate), next_one)
+
+    def within(self, since: float, until: float) -> Iterator[Job]:
+        """Yield the jobs first sent between two times."""
+        for job in self.jobs.values():
+            if since <= job.sent_at < until:
+                yield job
+
+    def goodput(
+        self, kinds: list[KindName], since: float, until: float
+    ) -> dict[KindName, int]:
+        """Return jobs answered in time by kind, for those sent between."""
+        found = collections.Counter(
+            job.stream.kind.name
+            for job in self.within(since, until)
+            if job.in_time
+        )
+        return {kind: found[kind] for kind in kinds}
+
+    def _new(self, stream: Stream) -> None:
+        self._made += 1
+        job = Job(f"job-{self._made}", stream, self.fleet.clock.now)
+        self.jobs[job.id] = job
+        self._call(job)
+
+    def _call(self, job: Job) -> None:
+        """Call through any balancer; the fabric picks one that lives."""
+        job.calls += 1
+        call = job.calls
+        kind = job.stream.kind
+        fleet = self.fleet
+        live = [b for b in fleet.balancers if b in fleet.net.hosts]
+        job.balancer = self._rng.choice(live)
+        who = self._rng.randrange(CALLERS)
+        came = RequestCame(
+            req=RequestId(f"{job.id}/{call}"),
+            service=job.stream.service,
+            kind=kind.name,
+            key=IdempotencyKey(job.id),
+            deadline_s=kind.deadline_s,
+            body_bytes=job.stream.body_bytes,
+            caller=f"10.9.{kind.rank}.{who}",
+            repeat=call > 1 if self._marked else None,
+        )
+        balancer = job.balancer
+        delay = fleet.load.client_s
+        fleet.clock.after(delay, lambda: self._enter(job, balancer, came))
+        if self._rng.random() < self._repeating:
+            patience = self._rng.uniform(*PATIENCE_MEANS) * kind.mean_s
+            fleet.clock.after(patience, lambda: self._give_up(job, call))
+        limit = kind.deadline_s + GIVE_UP_S
+        fleet.clock.after(limit, lambda: self._give_up(job, call))
+
+    def _enter(self, job: Job, balancer: NodeId, came: RequestCame) -> None:
+        if balancer in self.fleet.net.hosts:
+            self.fleet.net.give(balancer, came)
+        else:
+            self.lost(balancer)
+
+    def _give_up(self, job: Job, call: int) -> None:
+        """Leave a call that takes too long, and repeat it elsewhere."""
+        if job.verdict is not None or job.calls != call:
+            return
+        if call >= MOST_CALLS:
+            return
+        gone = RequestCancelled(RequestId(f"{job.id}/{call}"))
+        if job.balancer in self.fleet.net.hosts:
+            self.fleet.net.give(job.balancer, gone)
+        self._call(job)
+
+    def lost(self, balancer: NodeId) -> None:
+        """Repeat the open calls of a balancer that died."""
+        for job in self.jobs.values():
+            if job.verdict is None and job.balancer == balancer:
+                self._call(job)
+
+    def _answered(self, node: NodeId, answer: AnswerCaller) -> None:
+        id, _, call = answer.req.partition("/")
+        job = self.jobs[id]
+        if job.verdict is not None or int(call) != job.calls:
+            return
+        job.verdict = answer.verdict
+        job.ended_at = self.fleet.clock.now + self.fleet.load.client_s
+        if isinstance(answer.verdict, Ran):
+            job.mixed = answer.verdict.body_digest != f"answer to {id}"
+
+    def _ran(self, start: StartAttempt) -> None:
+        job = self.jobs[start.req.partition("/")[0]]
+        job.runs += 1
+        job.started_at = job.started_at or self.fleet.clock.now
+
+
+class Accounts(msgspec.Struct, frozen=True):
+    """What the jobs of a run came to."""
+
+    jobs: int
+    lost: int
+    doubled: int
+    false_not_run: int
+    mixed: int
+    unknown: int
+    ran: int
+
+
+def settle(jobs: list[Job]) -> Accounts:
+    """Count what became of jobs; those with no verdict are lost."""
+    not_run = [j for j in jobs if isinstance(j.verdict, NotRun)]
+    once = [j for j in jobs if not j.stream.kind.idempotent]
+    return Accounts(
+        jobs=len(jobs),
+        lost=sum(j.verdict is None for j in jobs),
+        doubled=sum(j.runs > 1 for j in once),
+        false_not_run=sum(j.runs > 0 for j in not_run),
+        mixed=sum(j.mixed for j in jobs),
+        unknown=sum(isinstance(j.verdict, MayHaveRun) for j in jobs),
+        ran=sum(isinstance(j.verdict, Ran) for j in jobs),
+    )
--- /dev/null
+++ b/packages/bench/src/medlar_bench/requests/faults.py
@@ -0,0 +1,215 @@
+"""The fault schedule: what fails, restarts, pauses and leaves, and when."""
+
+import enum
+import functools
+import random
+
+from medlar_core.events import StopAsked
+from medlar_core.ids import NodeId
+from medlar_core.members.view import ServerState
+
+from .callers import Callers
+from .fleet import Fleet
+
+SPREAD_S = 3.0
+"""Longest time that a change takes to reach a process."""
+DETECT_S = (1.0, 2.5)
+"""Time until a process that is silent leaves the views."""
+
+
+class Fault(enum.Enum):
+    """What may happen; each hits a process picked at random."""
+
+    KILL_SERVER = "kill a server with its agent"
+    RESTART_AGENT = "restart an agent beside its server"
+    PAUSE_AGENT = "pause an agent"
+    DRAIN = "drain a server and replace it"
+    KILL_BALANCER = "kill a balancer and replace it"
+    STOP_BALANCER = "stop a balancer as planned"
+    PAUSE_BALANCER = "pause a balancer"
+    STORE = "take the store down"
+    CUT = "cut a balancer or agent from an agent"
+
+
+DEATHS = (Fault.KILL_SERVER, Fault.RESTART_AGENT)
+
+
+class Schedule:
+    """Makes faults happen, about one every ``period_s`` seconds."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        callers: Callers,
+        seed: int,
+        faults: tuple[Fault, ...] = tuple(Fault),
+    ) -> None:
+        self.happened: list[tuple[float, Fault, NodeId]] = []
+        self._fleet = fleet
+        self._callers = callers
+        self._rng = random.Random(seed)
+        self._faults = faults
+        self._balancers = len(fleet.balancers)
+        fleet.net.faults.loss = 0.05
+        fleet.net.faults.double = 0.05
+        fleet.link.lost = 0.01
+        fleet.link.doubled = 0.02
+
+    def run(self, since: float, until: float, period_s: float) -> None:
+        """Plan the faults between two times."""
+        at = since
+        while at < until:
+            fault = self._rng.choice(self._faults)
+            self._fleet.clock.at(at, functools.partial(self._do, fault))
+            at += self._rng.expovariate(1.0 / period_s)
+
+    def _do(self, fault: Fault) -> None:
+        fleet = self._fleet
+        server = self._some_server()
+        balancer = self._rng.choice(
+            [b for b in fleet.balancers if b in fleet.net.hosts]
+        )
+        if server is None:
+            return
+        self.happened.append((fleet.clock.now, fault, server))
+        match fault:
+            case Fault.KILL_SERVER:
+                self._kill_server(server)
+            case Fault.RESTART_AGENT:
+                fleet.restart_agent(server)
+                fleet.spread(SPREAD_S)
+            case Fault.PAUSE_AGENT:
+                self._pause_agent(server)
+            case Fault.DRAIN:
+                fleet.drain(server)
+                fleet.spread(SPREAD_S)
+                fleet.clock.after(1.0, lambda: self._leave(server))
+                fleet.start_server(fleet.service(server))
+                fleet.spread(SPREAD_S)
+            case Fault.KILL_BALANCER:
+                fleet.kill(balancer)
+                self._callers.lost(balancer)
+                self._replace(balancer)
+            case Fault.STOP_BALANCER:
+                self._stop(balancer)
+            case Fault.PAUSE_BALANCER:
+                fleet.net.pause(balancer)
+                pause = self._rng.uniform(1.5, 12.0)
+                fleet.clock.after(pause, lambda: fleet.net.resume(balancer))
+            case Fault.STORE:
+                fleet.store.down = True
+                fleet.clock.after(
+                    self._rng.uniform(2.0, 10.0), self._store_back
+                )
+            case Fault.CUT:
+                self._cut(server)
+
+    def _some_server(self) -> NodeId | None:
+        """Return a ready server of a service that has another one."""
+        fleet = self._fleet
+        ready = [
+            s
+            for s in fleet.members.values()
+            if s.state is ServerState.READY and s.id in fleet.net.hosts
+        ]
+        spare = [
+            s.id
+            for s in ready
+            if sum(o.service == s.service for o in ready) > 1
+        ]
+        return self._rng.choice(spare) if spare else None
+
+    def _kill_server(self, node: NodeId) -> None:
+        fleet = self._fleet
+        service = fleet.service(node)
+        fleet.kill_server(node)
+        detect = self._rng.uniform(*DETECT_S)
+        fleet.clock.after(detect, lambda: fleet.spread(SPREAD_S))
+        again = self._rng.uniform(0.5, 6.0)
+        address = node if self._rng.random() < 0.5 else None
+
+        def start() -> None:
+            fleet.start_server(service, address)
+            fleet.spread(SPREAD_S)
+
+        fleet.clock.after(again, start)
+
+    def _pause_agent(self, node: NodeId) -> None:
+        """Pause an agent; it is taken for dead and comes back."""
+        fleet = self._fleet
+        member = fleet.members[node]
+        fleet.net.pause(node)
+
+        def taken_out() -> None:
+            if fleet.members.pop(node, None) is not None:
+                fleet.spread(SPREAD_S)
+
+        def back() -> None:
+            fleet.net.resume(node)
+            if node in fleet.net.hosts:
+                fleet.members[node] = member
+                fleet.spread(SPREAD_S)
+
+        fleet.clock.after(self._rng.uniform(*DETECT_S), taken_out)
+        fleet.clock.after(self._rng.uniform(3.0, 30.0), back)
+
+    def _leave(self, node: NodeId) -> None:
+        """Let a drained server go once its agent has nothing open."""
+        fleet = self._fleet
+        host = fleet.net.hosts.get(node)
+        if host is None or node not in fleet.members:
+            return
+        if getattr(host, "open_work", 0) == 0:
+            fleet.kill_server(node)
+            fleet.spread(SPREAD_S)
+            return
+        fleet.clock.after(1.0, lambda: self._leave(node))
+
+    def _stop(self, node: NodeId) -> None:
+        """Stop a balancer; the fabric sends it nothing more."""
+        fleet = self._fleet
+        if node in fleet.balancers:
+            fleet.balancers.remove(node)
+        fleet.net.give(node, StopAsked())
+        self._end_balancer(node)
+        self._replace(node)
+
+    def _end_balancer(self, node: NodeId) -> None:
+        fleet = self._fleet
+        host = fleet.net.hosts.get(node)
+        if host is None:
+            return
+        if getattr(host, "open_work", 0) == 0:
+            fleet.kill(node)
+            self._callers.lost(node)
+            return
+        fleet.clock.after(0.5, lambda: self._end_balancer(node))
+
+    def _replace(self, node: NodeId) -> None:
+        fleet = self._fleet
+        if node in fleet.balancers:
+            fleet.balancers.remove(node)
+        live = [b for b in fleet.balancers if b in fleet.net.hosts]
+        if len(live) < self._balancers:
+            number = len(self.happened)
+            fleet.start_balancer(NodeId(f"10.3.{number // 250}.{number}:1"))
+
+    def _store_back(self) -> None:
+        self._fleet.store.down = False
+
+    def _cut(self, node: NodeId) -> None:
+        """Cut one agent from one other process for a while."""
+        net = self._fleet.net
+        other = self._rng.choice([n for n in net.hosts if n != node])
+        pair = {node, other}
+        earlier = net.cut
+
+        def cut(a: NodeId, b: NodeId) -> bool:
+            return {a, b} == pair or earlier(a, b)
+
+        net.cut = cut
+
+        def heal() -> None:
+            net.cut = earlier
+
+        self._fleet.clock.after(self._rng.uniform(1.0, 5.0), heal)
--- a/packages/core/src/medlar_core/requests/agent.py
+++ b/packages/core/src/medlar_core/requests/agent.py
@@ -208,13 +208,14 @@
         """Return why an attempt is refused whatever else holds."""
         if came.incarnation != self._me.incarnation:
             return Reason.FENCED
-        if now < self._fenced_until:
-            return Reason.FENCED
         if came.service != self._service:
             return Reason.UNKNOWN_SERVICE
         if came.kind not in self._kinds:
             return Reason.UNKNOWN_KIND
-        if came.body_bytes > self._kinds[came.kind].max_body_bytes:
+        kind = self._kinds[came.kind]
+        if now < self._fenced_until and not kind.idempotent:
+            return Reason.FENCED
+        if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
         return None
 
--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -3,8 +3,6 @@
 import random
 from typing import Any
 
-import msgspec
-
 from ..config.model import Kind
 from ..events import ConfigurationChanged
 from ..events import StopAsked
@@ -38,6 +36,9 @@
 from .journal import Journal
 from .policy import POLICY
 from .policy import Policy
+from .tracking import BalancerExplained
+from .tracking import DoorExplained
+from .tracking import OpenRequest
 
 NO_ROOM = (Reason.OVER_SHARE, Reason.QUEUE_FULL, Reason.DEADLINE, Reason.SHED)
 """Refusals by which a balancer learns what agents take."""
@@ -45,6 +46,9 @@
 FREE_RETRIES = (Reason.UNREACHABLE, Reason.DRAINING, Reason.FENCED)
 """Refusals that cost a server nothing and need no retry budget."""
 
+FINAL = (Reason.CANCELLED, Reason.TOO_LARGE, Reason.MALFORMED)
+"""Reasons after which another attempt would end no better."""
+
 FAILURES = (
     Reason.UNREACHABLE,
     Reason.CONNECTION_LOST,
@@ -54,44 +58,6 @@
 """Ends of attempts that count against a server."""
 
 
-class _Request(msgspec.Struct):
-    """An open request and the attempt under way.
-
-    ``settled`` is set once the home of its key refused it; ``moved``
-    once an agent named another that holds the key.
-    """
-
-    came: RequestCame
-    kind: Kind
-    due: float
-    attempt: AttemptId = AttemptId("")
-    dst: NodeId = NodeId("")
-    attempts: int = 0
-    tried: set[NodeId] = msgspec.field(default_factory=set)
-    settled: bool = False
-    moved: bool = False
-
-    @property
-    def keyed(self) -> bool:
-        """Whether its key decides where it may run."""
-        return self.came.key is not None and not self.kind.idempotent
-
-
-class DoorExplained(msgspec.Struct, frozen=True):
-    """Share of a kind's requests that this balancer lets on now."""
-
-    service: ServiceName
-    kind: KindName
-    open_share: float
-
-
-class BalancerExplained(msgspec.Struct, frozen=True):
-    """What a balancer holds and refuses now."""
-
-    open_requests: int
-    doors: tuple[DoorExplained, ...]
-
-
 class BalancerRequests:
     """Decides which agent a request is tried on and how it ends."""
 
@@ -110,7 +76,7 @@
         self._retries = RetryBudget(policy)
         self._bounds = ServiceBounds(policy)
         self._journal = Journal()
-        self._requests: dict[RequestId, _Request] = {}
+        self._requests: dict[RequestId, OpenRequest] = {}
         self._attempts: dict[AttemptId, RequestId] = {}
         self._stem = f"{rng.getrandbits(64):016x}"
         self._made = 0
@@ -175,7 +141,7 @@
             return self._bar(now, came, reason or Reason.UNKNOWN_KIND)
         if not self._bounds.take(came.service, came.body_bytes):
             return self._bar(now, came, Reason.OVER_SHARE)
-        req = _Request(came, kind, now + came.deadline_s)
+        req = OpenRequest(came, kind, now + came.deadline_s)
         self._requests[came.req] = req
         self._retries.earn(came.service, came.kind)
         return self._try_next(now, req)
@@ -190,13 +156,13 @@
             return Reason.UNKNOWN_KIND
         if self._stopping:
             return Reason.DRAINING
-        if now < self._fenced_until:
+        if now < self._fenced_until and not kind.idempotent:
             return Reason.FENCED
         if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
         admits = self._door.admits(came.service, came.kind, came.caller)
-        # Only the home of its key can tell that a repeat did not run.
-        if not admits and not (came.repeat and not kind.idempotent):
+        # Whether a repeat ran before can't be told at the door.
+        if not admits and not came.repeat:
             return Reason.OVER_SHARE
         return None
 
@@ -207,7 +173,7 @@
             verdict = MayHaveRun(why)
         return [AnswerCaller(came.req, verdict)]
 
-    def _try_next(self, now: float, req: _Request) -> list[Any]:
+    def _try_next(self, now: float, req: OpenRequest) -> list[Any]:
         if req.keyed:
             return self._try_home(now, req)
         service = req.came.service
@@ -216,15 +182,17 @@
             return self._finish(now, req, NotRun(Reason.NO_SERVER))
         return self._start(now, req, as_go(server))
 
-    def _try_home(self, now: float, req: _Request) -> list[Any]:
+    def _try_home(self, now: float, req: OpenRequest) -> list[Any]:
         key = req.came.key
         homes = self._choice.homes(req.came.service)
         home = home_of(key, homes) if key is not None else None
         if home is None:
             return self._finish(now, req, NotRun(Reason.NO_SERVER))
+        if not self._choice.speaks(now, home.node):
+            return self._finish(now, req, NotRun(Reason.UNREACHABLE))
         return self._start(now, req, home, spare=self._spare(now, req, home))
 
-    def _spare(self, now: float, req: _Request, home: Go) -> Go | None:
+    def _spare(self, now: float, req: OpenRequest, home: Go) -> Go | None:
         """Return a process with a free slot that the home may cede to."""
         tried = {home.node, *req.tried}
         server = self._choice.pick(now, req.came.service, tried)
@@ -235,22 +203,16 @@
     def _start(
         self,
         now: float,
-        req: _Request,
+        req: OpenRequest,
         to: Go,
         spare: Go | None = None,
         ceded_by: NodeId | None = None,
     ) -> list[Any]:
         came = req.came
         self._made += 1
-        req.attempt = AttemptId(f"{self._stem}-{self._made}")
-        req.dst = to.node
-        req.attempts += 1
-        req.tried.add(to.node)
-        self._attempts[req.attempt] = came.req
-        self._choice.sent(to.node)
-        self._door.sent(came.service, came.kind)
+        attempt = AttemptId(f"{self._stem}-{self._made}")
         start = StartAttempt(
-            attempt=req.attempt,
+            attempt=attempt,
             req=came.req,
             dst=to.node,
             incarnation=to.incarnation,
@@ -259,10 +221,18 @@
             key=came.key,
             deadline_s=max(req.due - now, 0.0),
             body_bytes=came.body_bytes,
-            repeat=came.repeat,
+            repeat=True if req.unsure else came.repeat,
             ceded_by=ceded_by,
             spare=spare,
+            hops=req.attempts,
         )
+        req.open[attempt] = to.node
+        req.attempts += 1
+        req.tried.add(to.node)
+        req.sent_at = now
+        self._attempts[attempt] = came.req
+        self._choice.sent(now, to.node)
+        self._door.sent(came.service, came.kind)
         return [start]
 
     def _ended(self, now: float, end: AttemptEnded) -> list[Any]:
@@ -270,48 +240,63 @@
         if found is None:
             return []
         req = self._requests[found]
+        dst = req.open.pop(end.attempt)
         verdict = end.verdict
         reason = None if isinstance(verdict, Ran) else verdict.reason
-        failed = reason in FAILURES
-        self._choice.ended(now, req.dst, end.load, failed)
+        self._choice.ended(now, dst, end.load, reason in FAILURES)
         match verdict:
             case Ran():
                 return self._finish(now, req, verdict, end.attempt)
             case NotRun():
-                return self._not_run(now, req, verdict, end)
+                return self._not_run(now, req, verdict, end, dst)
             case MayHaveRun(reason=why):
-                if req.kind.idempotent and self._may_retry(now, req, why):
+                req.unsure = True
+                if req.open:
+                    return []
+                if self._may_ask_again(now, req, why):
                     return self._try_next(now, req)
                 return self._finish(now, req, verdict)
 
+    def _may_ask_again(
+        self, now: float, req: OpenRequest, why: Reason
+    ) -> bool:
+        """Return whether another attempt may be made all the same.
+
+        Idempotent work may run again. A key whose answer got lost is
+        asked of its home again, which runs it at most once.
+        """
+        lost = why is Reason.CONNECTION_LOST
+        if not req.kind.idempotent and not (req.keyed and lost):
+            return False
+        return self._may_retry(now, req, why)
+
     def _not_run(
-        self, now: float, req: _Request, verdict: NotRun, end: AttemptEnded
+        self,
+        now: float,
+        req: OpenRequest,
+        verdict: NotRun,
+        end: AttemptEnded,
+        dst: NodeId,
     ) -> list[Any]:
         came = req.came
-        by_agent = end.load is not None
-        if by_agent and verdict.reason in NO_ROOM:
+        if end.load is not None and verdict.reason in NO_ROOM:
             self._door.refused(came.service, came.kind)
             req.settled = req.keyed
             if req.keyed:
                 return self._finish(now, req, verdict)
+        if req.open:
+            return []
         if end.go is not None and req.attempts < self._policy.hops:
-            return self._follow(now, req, end.go)
+            req.moved = req.moved or not end.go.ceded
+            ceded_by = dst if end.go.ceded else None
+            return self._start(now, req, end.go, ceded_by=ceded_by)
         if req.keyed or not self._may_retry(now, req, verdict.reason):
             return self._finish(now, req, verdict)
         return self._try_next(now, req)
 
-    def _follow(self, now: float, req: _Request, go: Go) -> list[Any]:
-        """Go where the agent asked says that the key is."""
-        if not go.ceded:
-            req.moved = True
-            return self._start(now, req, go)
-        return self._start(now, req, go, ceded_by=req.dst)
-
-    def _may_retry(self, now: float, req: _Request, why: Reason) -> bool:
+    def _may_retry(self, now: float, req: OpenRequest, why: Reason) -> bool:
         came = req.came
-        if why in (Reason.CANCELLED, Reason.TOO_LARGE, Reason.MALFORMED):
-            return False
-        if req.attempts >= self._policy.hops:
+        if why in FINAL or req.attempts >= self._policy.hops:
             return False
         if req.due - now < self._policy.finish_means * req.kind.mean_s:
             return False
@@ -322,39 +307,41 @@
     def _finish(
         self,
         now: float,
-        req: _Request,
+        req: OpenRequest,
         verdict: Verdict,
         attempt: AttemptId | None = None,
     ) -> list[Any]:
-        came = req.came
-        del self._requests[came.req]
-        self._bounds.give(came.service, came.body_bytes)
+        effects = self._close(now, req)
         if isinstance(verdict, NotRun) and not self._proved(req):
             verdict = MayHaveRun(verdict.reason)
         if not isinstance(verdict, Ran):
-            self._journal.note(now, came, verdict.reason)
-        return [AnswerCaller(came.req, verdict, attempt)]
+            self._journal.note(now, req.came, verdict.reason)
+        return [*effects, AnswerCaller(req.came.req, verdict, attempt)]
 
-    def _proved(self, req: _Request) -> bool:
+    def _proved(self, req: OpenRequest) -> bool:
         """Return whether "not run" holds for the key, not just for us."""
-        if not req.keyed or req.settled or req.came.repeat is False:
+        if req.settled:
             return True
-        return req.came.repeat is None and not req.moved
+        if req.unsure or req.came.repeat:
+            return False
+        return req.came.repeat is False or not req.moved
 
     def _cancelled(self, now: float, id: RequestId) -> list[Any]:
         req = self._requests.get(id)
-        if req is None:
-            return []
-        effects = self._abandon(now, req)
-        del self._requests[id]
-        self._bounds.give(req.came.service, req.came.body_bytes)
-        return effects
+        return self._close(now, req) if req is not None else []
 
-    def _abandon(self, now: float, req: _Request) -> list[Any]:
-        if self._attempts.pop(req.attempt, None) is None:
-            return []
-        self._choice.ended(now, req.dst, None, False)
-        return [CancelAttempt(req.attempt, req.dst)]
+    def _close(self, now: float, req: OpenRequest) -> list[Any]:
+        """Forget a request and cancel what is still under way for it."""
+        came = req.came
+        effects: list[Any] = []
+        for attempt, dst in req.open.items():
+            del self._attempts[attempt]
+            self._choice.ended(now, dst, None, False)
+            effects.append(CancelAttempt(attempt, dst))
+            req.unsure = True
+        del self._requests[came.req]
+        self._bounds.give(came.service, came.body_bytes)
+        return effects
 
     def _tick(self, now: float) -> list[Any]:
         self._door.tick(now)
@@ -362,6 +349,25 @@
         grace = self._policy.grace_s
         late = [r for r in self._requests.values() if r.due + grace <= now]
         for req in late:
-            effects += self._abandon(now, req)
             effects += self._finish(now, req, MayHaveRun(Reason.DEADLINE))
+        for req in list(self._requests.values()):
+            effects += self._hedge(now, req)
         return effects
+
+    def _hedge(self, now: float, req: OpenRequest) -> list[Any]:
+        """Try idempotent work that takes long on a second server."""
+        if not req.kind.idempotent or req.hedged or not req.open:
+            return []
+        wait = self._policy.hedge_share * req.kind.deadline_s
+        if now - req.sent_at < wait:
+            return []
+        left = req.due - now
+        server = self._choice.pick(now, req.came.service, req.tried)
+        if server is None or left < self._policy.finish_means * (
+            req.kind.mean_s
+        ):
+            return []
+        if not self._retries.spend(req.came.service, req.came.kind):
+            return []
+        req.hedged = True
+        return self._start(now, req, as_go(server))
--- a/packages/core/src/medlar_core/requests/choice.py
+++ b/packages/core/src/medlar_core/requests/choice.py
@@ -37,6 +37,9 @@
     since: int = 0
     open: int = 0
     failures: float = 0.0
+    heard_at: float = 0.0
+    probed_at: float = 0.0
+    silent: bool = False
 
 
 class Choice:
@@ -74,7 +77,8 @@
     ) -> Server | None:
         """Return the server that looks least loaded among a few."""
         known = self._servers.get(service, [])
-        open_to = [s for s in known if s.id not in tried]
+        rest = [s for s in known if s.id not in tried]
+        open_to = [s for s in rest if self.speaks(now, s.id)] or rest
         if not open_to:
             return None
         count = min(self._policy.choices, len(open_to))
@@ -86,12 +90,26 @@
         """Return whether a server seems to have a free slot."""
         return self._score(now, server, False) < 1.0
 
-    def sent(self, node: NodeId) -> None:
+    def speaks(self, now: float, node: NodeId) -> bool:
+        """Return whether a server answers, or is due to be probed."""
+        stat = self._stats.get(node)
+        if stat is None:
+            return True
+        wait = self._policy.silence_s
+        if stat.open and now - stat.heard_at > wait:
+            stat.silent = True
+        return not stat.silent or now - stat.probed_at > wait
+
+    def sent(self, now: float, node: NodeId) -> None:
         """Note an attempt at a server."""
         stat = self._stats.get(node)
-        if stat is not None:
-            stat.open += 1
-            stat.since += 1
+        if stat is None:
+            return
+        if not stat.open:
+            stat.heard_at = now
+        stat.open += 1
+        stat.since += 1
+        stat.probed_at = now
 
     def ended(
         self, now: float, node: NodeId, load: ServerLoad | None, failed: bool
@@ -107,6 +125,8 @@
             stat.told = load.busy + load.queued
             stat.told_at = now
             stat.since = 0
+            stat.heard_at = now
+            stat.silent = False
 
     def _score(self, now: float, server: Server, outlier: bool) -> float:
         """Return the load of a server as a share of what it may take."""
--- a/packages/core/src/medlar_core/requests/events.py
+++ b/packages/core/src/medlar_core/requests/events.py
@@ -103,6 +103,7 @@
     repeat: bool | None = None
     ceded_by: NodeId | None = None
     spare: Go | None = None
+    hops: int = 0
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -143,6 +144,7 @@
     repeat: bool | None = None
     ceded_by: NodeId | None = None
     spare: Go | None = None
+    hops: int = 0
 
 
 class AttemptCancelled(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/requests/keyed.py
+++ b/packages/core/src/medlar_core/requests/keyed.py
@@ -96,11 +96,14 @@
             return Asks([self._known(key, claim, attempt.attempt)])
         ceded = attempt.ceded_by is not None
         home = home_of(key, self.history.homes)
-        if home != self.me and not ceded:
+        astray = home != self.me and not ceded
+        if astray and not attempt.hops:
             return Asks([Ruling(Say.ELSEWHERE, key, ids, home)])
         claim = Claim(KeyState.ASKING, now + win.repeat_s)
         claim.waiting.append(attempt.attempt)
         self.claims.put(key, claim)
+        # Views differ where an attempt went astray twice: whoever has it
+        # now asks the homes it knows of, as only one of them can give it.
         claim.whole = ceded or self.history.covers(now, win.doubt_s)
         if not ceded:
             claim.to_ask = self._must_ask(now, key, claim.whole, win)
--- a/packages/core/src/medlar_core/requests/policy.py
+++ b/packages/core/src/medlar_core/requests/policy.py
@@ -22,7 +22,10 @@
     when work starts. A server that sheds gets no start for ``shed_s``.
 
     Balancer: each request earns ``retry_share`` of a retry, up to
-    ``retry_burst``, and takes at most ``hops`` attempts. The door keeps
+    ``retry_burst``, and takes at most ``hops`` attempts. Idempotent work
+    is tried on a second server after ``hedge_share`` of its deadline. A
+    server that says nothing for ``silence_s`` while attempts are open
+    gets only one to probe it each ``silence_s``. The door keeps
     ``door_slack`` times what agents take of a kind, averaged over
     ``door_tau_s``, shared fairly between ``door_callers`` groups of
     callers. A service may hold ``service_bytes`` of unread bodies and
@@ -35,7 +38,7 @@
     """
 
     repeat_deadlines: float = 4.0
-    repeat_least_s: float = 8.0
+    repeat_least_s: float = 15.0
     view_spread_s: float = 10.0
     fence_gap_s: float = 1.0
     fence_hold_s: float = 0.2
@@ -48,6 +51,8 @@
     shed_s: float = 0.02
     retry_share: float = 0.1
     retry_burst: float = 10.0
+    hedge_share: float = 0.4
+    silence_s: float = 1.0
     hops: int = 4
     door_slack: float = 1.2
     door_tau_s: float = 1.0
--- /dev/null
+++ b/packages/core/src/medlar_core/requests/tracking.py
@@ -0,0 +1,53 @@
+"""Requests that a balancer has open, and what it explains of itself."""
+
+import msgspec
+
+from ..config.model import Kind
+from ..ids import AttemptId
+from ..ids import KindName
+from ..ids import NodeId
+from ..ids import ServiceName
+from .events import RequestCame
+
+
+class OpenRequest(msgspec.Struct):
+    """An open request and its attempts under way, with their agents.
+
+    ``tried`` are the agents that had an attempt and ``attempts`` counts
+    them. ``settled`` is set once the home of its key refused it,
+    ``moved`` once an agent named another that holds the key, ``unsure``
+    once an attempt may have run and ``hedged`` once a second attempt
+    was made beside the first.
+    """
+
+    came: RequestCame
+    kind: Kind
+    due: float
+    sent_at: float = 0.0
+    attempts: int = 0
+    open: dict[AttemptId, NodeId] = msgspec.field(default_factory=dict)
+    tried: set[NodeId] = msgspec.field(default_factory=set)
+    settled: bool = False
+    moved: bool = False
+    unsure: bool = False
+    hedged: bool = False
+
+    @property
+    def keyed(self) -> bool:
+        """Whether its key decides where it may run."""
+        return self.came.key is not None and not self.kind.idempotent
+
+
+class DoorExplained(msgspec.Struct, frozen=True):
+    """Share of a kind's requests that a balancer lets on now."""
+
+    service: ServiceName
+    kind: KindName
+    open_share: float
+
+
+class BalancerExplained(msgspec.Struct, frozen=True):
+    """What a balancer holds and refuses now."""
+
+    open_requests: int
+    doors: tuple[DoorExplained, ...]
