--- a/packages/core/src/medlar_core/requests/keyed.py
+++ b/packages/core/src/medlar_core/requests/keyed.py
@@ -91,7 +91,7 @@
             raise ValueError("expected an attempt with a key, got none")
         ids = (attempt.attempt,)
         claim = self.claims.get(key)
-        if claim is not None and claim.state is not KeyState.REFUSED:
+        if claim is not None and not _is_free(claim, attempt):
             claim.expires = max(claim.expires, now + win.repeat_s)
             return Asks([self._known(key, claim, attempt.attempt)])
         ceded = attempt.ceded_by is not None
@@ -288,6 +288,16 @@
         return made
 
 
+def _is_free(claim: Claim, attempt: AttemptCame) -> bool:
+    """Return whether a key known here may be ruled on anew.
+
+    Who got the key from here may cede it back.
+    """
+    if claim.state is KeyState.CEDED and claim.holder is not None:
+        return attempt.ceded_by == claim.holder.node
+    return claim.state is KeyState.REFUSED
+
+
 def _all_told(claim: Claim) -> bool:
     return all(go in claim.told for go in claim.to_ask)
 
