--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -386,7 +386,8 @@
                     effects += self._refuse(now, why)
                 case StoreDown(why=why):
                     self.counts.store_down += 1
-                    effects += self._alert(now, "store does not answer", why)
+                    text = f"store does not answer: {why}"
+                    effects += self._alert(now, text, "store-down")
         return effects
 
     def _offer(
@@ -420,14 +421,12 @@
 
     def _refuse(self, now: Seconds, why: Problem) -> list[Effect]:
         self.counts.refused += 1
-        return self._alert(now, "document refused; the last good stays", why)
+        text = f"document refused, the last good stays: {why.text}"
+        return self._alert(now, text, "document-refused")
 
-    def _alert(
-        self, now: Seconds, text: str, why: Problem | str
-    ) -> list[Effect]:
+    def _alert(self, now: Seconds, text: str, reason: str) -> list[Effect]:
         if not self._alerts.take(now):
             return []
-        reason = why.text if isinstance(why, Problem) else why
         event = TimelineEvent(
             Topic.CONFIGURATION, text, reason=reason, version=self.version
         )
--- a/testing/core/config/test_spread.py
+++ b/testing/core/config/test_spread.py
@@ -31,6 +31,7 @@
 from medlar_core.store import Put
 
 DOC = document(6)
+REFUSED = "document-refused"
 NODE = NodeId("10.0.0.1:7000")
 PEER = NodeId("10.0.0.2:7000")
 
@@ -49,7 +50,7 @@
 
 
 def refusals(made: Fleet) -> list[str]:
-    return [e.reason for _, e in made.records if "refused" in e.text]
+    return [e.text for _, e in made.records if e.reason == REFUSED]
 
 
 def test_a_change_reaches_all_while_messages_are_lost_and_doubled() -> None:
@@ -159,7 +160,7 @@
         made.store.call(Put(key, value, 0), lambda _: None)
     head = Head(Version(2), root, ())
     put_head(made, msgspec.json.encode(head).decode())
-    assert any("slots: got 0" in reason for reason in refusals(made))
+    assert any("slots: got 0" in text for text in refusals(made))
     assert {made.newest(node) for node in made.alive} == {1}
 
 
