Give equal documents equal digests

Cause: the encoder leaves out a field only if it holds the very default object, so a document with defaults written out got another root. Change: documents are brought to one form before they are dealt; shards in another form are refused.

--- a/packages/core/src/medlar_core/config/parts.py
+++ b/packages/core/src/medlar_core/config/parts.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from ..ids import ServiceName
+from .canonical import canonical
 from .check import check
 from .codec import decode_as
 from .model import Configuration
@@ -75,6 +76,7 @@
 
 def build(cfg: Configuration) -> Tree:
     """Return the parts of a configuration, in their fixed order."""
+    cfg = canonical(cfg)
     dealt: list[list[Service]] = [[] for _ in range(SHARDS)]
     for service in sorted(cfg.services, key=lambda held: held.name):
         dealt[shard_index(service.name)].append(service)
@@ -108,7 +110,10 @@
         return Problem("$", f"{len(raw)} bytes", f"at most {MAX_PART_BYTES}")
     if digest(raw) != named:
         return Problem("$", f"digest {digest(raw).hex()}", named.hex())
-    return decode_as(raw, Shard)
+    shard = decode_as(raw, Shard)
+    if isinstance(shard, Shard) and encode_shard(shard) != raw:
+        return Problem("$", "text in another form", "the canonical form")
+    return shard
 
 
 def patch_between(old: Tree, new: Tree) -> Patch:
--- a/testing/core/config/test_parts.py
+++ b/testing/core/config/test_parts.py
@@ -5,21 +5,34 @@
 import pytest
 
 from medlar_bench.config.documents import document
-from medlar_core.config import parts
+from medlar_core.config.model import Configuration
+from medlar_core.config.parts import assemble
+from medlar_core.config.parts import build
+from medlar_core.config.parts import decode_shard
+from medlar_core.config.parts import digest
+from medlar_core.config.parts import encode_shard
+from medlar_core.config.parts import expand
+from medlar_core.config.parts import faults
+from medlar_core.config.parts import patch_between
+from medlar_core.config.parts import patched
+from medlar_core.config.parts import shard_index
+from medlar_core.config.parts import SHARDS
+from medlar_core.config.parts import squeeze
+from medlar_core.config.parts import Tree
 from medlar_core.config.problem import Problem
 
 POOL = document(12).services
 PLACES = document(1).places
 
 
-def tree_of(chosen: list[tuple[int, int]]) -> parts.Tree:
+def tree_of(chosen: list[tuple[int, int]]) -> Tree:
     services = {
         i: msgspec.structs.replace(POOL[i], slots=slots) for i, slots in chosen
     }
     cfg = msgspec.structs.replace(
         document(1), services=tuple(services.values())
     )
-    return parts.build(cfg)
+    return build(cfg)
 
 
 CHOSEN = st.lists(
@@ -33,7 +46,7 @@
     a: list[tuple[int, int]], b: list[tuple[int, int]]
 ) -> None:
     old, new = tree_of(a), tree_of(b)
-    assert parts.patched(old, parts.patch_between(old, new)) == new
+    assert patched(old, patch_between(old, new)) == new
 
 
 def test_the_order_of_a_document_does_not_change_its_root() -> None:
@@ -43,31 +56,54 @@
         services=tuple(reversed(cfg.services)),
         places=tuple(reversed(cfg.places)),
     )
-    assert parts.build(turned) == parts.build(cfg)
+    assert build(turned) == build(cfg)
 
 
 def test_a_shard_other_than_the_one_named_is_refused() -> None:
-    tree = parts.build(document(3))
-    data = parts.encode_shard(tree.shards[0])
-    found = parts.decode_shard(data + b" ", tree.digests[0])
+    tree = build(document(3))
+    data = encode_shard(tree.shards[0])
+    found = decode_shard(data + b" ", tree.digests[0])
     assert isinstance(found, Problem)
 
 
 def test_a_service_in_a_shard_not_its_own_is_a_fault() -> None:
-    tree = parts.build(document(1))
-    at = parts.shard_index(tree.cfg.services[0].name)
+    tree = build(document(1))
+    at = shard_index(tree.cfg.services[0].name)
     shards = list(tree.shards)
-    other = at % (parts.SHARDS - 1) + 1
+    other = at % (SHARDS - 1) + 1
     shards[at], shards[other] = shards[other], shards[at]
-    moved = parts.assemble(tuple(shards))
-    assert parts.faults(tree) == ()
-    assert "another shard" in parts.faults(moved)[0].text
+    moved = assemble(tuple(shards))
+    assert faults(tree) == ()
+    assert "another shard" in faults(moved)[0].text
 
 
 @pytest.mark.parametrize(
     "data",
-    [b"", b"garbage", parts.squeeze([1])[:-3], parts.squeeze("x" * 2**21)],
+    [b"", b"garbage", squeeze([1])[:-3], squeeze("x" * 2**21)],
     ids=["empty", "garbage", "cut short", "too large"],
 )
 def test_bytes_that_do_not_expand_are_refused(data: bytes) -> None:
-    assert isinstance(parts.expand(data), Problem)
+    assert isinstance(expand(data), Problem)
+
+
+def test_defaults_written_out_do_not_change_the_root() -> None:
+    cfg = document(2)
+    plain = msgspec.to_builtins(cfg)
+    for held in plain["services"]:
+        held.update(slots=2, connections=2000, warm_s=10, buckets=1024)
+    explicit = msgspec.convert(plain, Configuration)
+    assert explicit.services[0].warm_s == 10.0
+    left_out = [
+        msgspec.structs.replace(held, slots=2, connections=2000)
+        for held in cfg.services
+    ]
+    short = msgspec.structs.replace(cfg, services=tuple(left_out))
+    assert build(explicit).root == build(short).root
+
+
+def test_a_shard_in_another_form_is_refused() -> None:
+    tree = build(document(1))
+    text = encode_shard(tree.shards[0]).replace(b",", b", ")
+    found = decode_shard(text, digest(text))
+    assert isinstance(found, Problem)
+    assert "canonical" in found.expected
