Judge the demo by what each server says it ran

Cause: the first whole run of the demo showed 13 doubled requests and 4 false refusals without telling which. Change: broken.txt names each; a caller's single calls are told apart, as an idempotent repeat may be refused while its first call ran; the fabric no longer fails on half-closed sockets. Conclusion: the doubled ones need a cause before anything is changed.

--- a/packages/standins/src/medlar_standins/demo/__main__.py
+++ b/packages/standins/src/medlar_standins/demo/__main__.py
@@ -11,6 +11,7 @@
 from medlar_core.config.model import Configuration
 
 from .processes import fleet
+from .report import details
 from .report import lines
 from .report import table
 from .scenario import Demo
@@ -30,6 +31,7 @@
     bad = (*found.bad_ends, *found_fleet.ended_badly)
     rows = lines(msgspec.structs.replace(found, bad_ends=bad))
     (folder / "timeline.txt").write_text(timeline)
+    (folder / "broken.txt").write_text("\n".join(details(found)) + "\n")
     print(table(rows))
     for name in bad:
         print(f"ended badly: {name}")
--- a/packages/standins/src/medlar_standins/demo/scenario.py
+++ b/packages/standins/src/medlar_standins/demo/scenario.py
@@ -1,9 +1,9 @@
 """The steps of the demo, one after the other."""
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import pathlib
 import sys
 import time
@@ -38,6 +38,7 @@
 from .layout import store_command
 from .processes import Fleet
 from .report import Found
+from .report import Ran
 from .report import Span
 from .workload import feed_address
 from .workload import FEED_SERVICE
@@ -66,6 +67,13 @@
     """The fleet did not come up, or not to a version, in time."""
 
 
+class _Counted(msgspec.Struct, frozen=True):
+    """What a server says it ran."""
+
+    server: str
+    count: RunCount
+
+
 class Demo:
     """Drives the fleet and its callers and keeps what was seen."""
 
@@ -109,10 +117,12 @@
                 task.cancel()
         self._say("waiting for the last answers")
         await self._callers.stop()
+        counted = await self._counted()
         return Found(
             feeds=self._feeds.count,
             ended=tuple(self._callers.ended),
-            runs=await self._runs(),
+            runs=_rans((c.server, c.count.runs) for c in counted),
+            calls=_rans((c.server, c.count.calls) for c in counted),
             flows=await self._open_flows(drained),
             usual=usual,
             flood=flood,
@@ -178,7 +188,7 @@
         changed = msgspec.structs.replace(self._cfg, services=services)
         path = self._folder / "changed.json"
         path.write_bytes(msgspec.json.encode(changed))
-        await self._apply(str(path))
+        await self._apply(str(path), "--base", "1")
         began = time.monotonic()
         await self._until(self._all_have_2, EVERYWHERE_LIMIT_S, "version 2")
         return time.monotonic() - began
@@ -194,8 +204,8 @@
         """Return the time line of the fleet as text."""
         return await self._medlarctl("timeline")
 
-    async def _apply(self, path: str) -> None:
-        said = await self._medlarctl("apply", path, "--by", "demo")
+    async def _apply(self, path: str, *more: str) -> None:
+        said = await self._medlarctl("apply", path, "--by", "demo", *more)
         self._say(said.strip().splitlines()[-1])
 
     async def _medlarctl(self, *args: str) -> str:
@@ -270,13 +280,14 @@
         except (ClientError, OSError, TimeoutError, msgspec.DecodeError):
             return None
 
-    async def _runs(self) -> collections.Counter[str]:
-        runs: collections.Counter[str] = collections.Counter()
+    async def _counted(self) -> list[_Counted]:
+        """Return what each server ran."""
+        counted = []
         for pair in pairs():
             found = await self._get(f"http://{pair.server}/runs", RunCount)
             if found is not None:
-                runs.update(found.runs)
-        return runs
+                counted.append(_Counted(pair.server, found))
+        return counted
 
     async def _work_of(self, pair: Pair) -> int:
         """Return how much work and how many flows a server has had."""
@@ -299,6 +310,16 @@
         print(f"{took:5.1f} s  {text}", flush=True)
 
 
+def _rans(
+    counts: Iterable[tuple[str, dict[str, int]]],
+) -> tuple[Ran, ...]:
+    return tuple(
+        Ran(name, server, times)
+        for server, found in counts
+        for name, times in found.items()
+    )
+
+
 def _taking(status: Status) -> int:
     """Count the servers that take work in the view of a process."""
     return sum(
--- a/packages/standins/src/medlar_standins/fabric.py
+++ b/packages/standins/src/medlar_standins/fabric.py
@@ -158,7 +158,7 @@
 async def _copy(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    with contextlib.suppress(ConnectionError):
+    with contextlib.suppress(OSError):
         while data := await reader.read(COPY_BYTES):
             writer.write(data)
             await writer.drain()
--- a/packages/standins/src/medlar_standins/requesters.py
+++ b/packages/standins/src/medlar_standins/requesters.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 import msgspec
 
+from .server import CALL_HEADER
 from .server import Done
 
 KIND_HEADER = "Medlarstage-Kind"
@@ -55,8 +56,9 @@
 
 
 class Judged(msgspec.Struct, frozen=True):
-    """What one call came to and why."""
+    """What one call came to and why; ``call`` is its own id."""
 
+    call: str
     outcome: Outcome
     reason: str = ""
 
@@ -65,6 +67,7 @@
     """A request that ended: when, how, and how long it took."""
 
     key: str
+    call: str
     kind: str
     idempotent: bool
     began_s: float
@@ -131,6 +134,7 @@
         self.ended.append(
             Ended(
                 key,
+                judged.call,
                 work.kind,
                 work.idempotent,
                 began,
@@ -156,7 +160,9 @@
         self, work: Work, key: str, body: bytes, limit_s: float
     ) -> Judged:
         assert self._session is not None
+        call = uuid.UUID(int=self._rng.getrandbits(128)).hex
         headers = {
+            CALL_HEADER: call,
             KIND_HEADER: work.kind,
             KEY_HEADER: key,
             DEADLINE_HEADER: f"{work.deadline_s}",
@@ -171,8 +177,8 @@
                 answer = await res.read()
                 verdict = res.headers.get(VERDICT_HEADER, "")
         except (ClientError, OSError, TimeoutError) as exc:
-            return Judged(Outcome.LOST, type(exc).__name__)
-        return _judge(verdict, answer, key, body)
+            return Judged(call, Outcome.LOST, type(exc).__name__)
+        return _judge(call, verdict, answer, key, body)
 
     def _histogram(self, kind: str) -> HdrHistogram:
         if kind not in self.latency:
@@ -180,19 +186,21 @@
         return self.latency[kind]
 
 
-def _judge(verdict: str, answer: bytes, key: str, body: bytes) -> Judged:
+def _judge(
+    call: str, verdict: str, answer: bytes, key: str, body: bytes
+) -> Judged:
     """Return the outcome that an answer tells, checked against the call."""
     name, _, reason = verdict.partition("; reason=")
     if name in (Outcome.NOT_RUN.value, Outcome.MAY_HAVE_RUN.value):
-        return Judged(Outcome(name), reason)
+        return Judged(call, Outcome(name), reason)
     if name != Outcome.RAN.value:
-        return Judged(Outcome.LOST, "no verdict")
+        return Judged(call, Outcome.LOST, "no verdict")
     try:
         done = msgspec.json.decode(answer, type=Done)
     except msgspec.DecodeError:
-        return Judged(Outcome.MIXED, "answer is not whole")
+        return Judged(call, Outcome.MIXED, "answer is not whole")
     if done.work != key:
-        return Judged(Outcome.MIXED, "answer of another request")
+        return Judged(call, Outcome.MIXED, "answer of another request")
     if done.digest != hashlib.sha256(body).hexdigest():
-        return Judged(Outcome.MIXED, "answer to another body")
-    return Judged(Outcome.RAN)
+        return Judged(call, Outcome.MIXED, "answer to another body")
+    return Judged(call, Outcome.RAN)
--- a/packages/standins/src/medlar_standins/server.py
+++ b/packages/standins/src/medlar_standins/server.py
@@ -24,6 +24,7 @@
 from .serving import json_response
 
 WORK_HEADER = "X-Medlar-Work"
+CALL_HEADER = "X-Call"
 KIND_HEADER = "Medlarstage-Kind"
 MAX_BODY_BYTES = 8 * 1024 * 1024
 SIGMA = 0.5
@@ -68,9 +69,14 @@
 
 
 class RunCount(msgspec.Struct, frozen=True):
-    """How often each keyed work ran here, and flows opened so far."""
+    """How often each keyed work ran here, and flows opened so far.
+
+    ``calls`` counts by the id that a caller gives each of its calls, so
+    that a repeat under the same key is told from the first call.
+    """
 
     runs: dict[str, int]
+    calls: dict[str, int]
     cancelled: int
     opened: int
 
@@ -88,6 +94,7 @@
         self.cancelled = 0
         self.opened = 0
         self.runs: collections.Counter[str] = collections.Counter()
+        self.calls: collections.Counter[str] = collections.Counter()
         self.flows: set[tuple[str, str]] = set()
         self._rng = random.Random(seed)
         self._said: collections.deque[tuple[float, LoadAnswer]]
@@ -98,11 +105,12 @@
         mu = math.log(mean_s) - SIGMA * SIGMA / 2
         return self._rng.lognormvariate(mu, SIGMA) * self.faults.slow
 
-    async def work(self, work: str, kind: str) -> None:
+    async def work(self, work: str, call: str, kind: str) -> None:
         """Hold a slot for the service time of one piece of work."""
         mean_s = self.means.get(kind, USUAL_S)
         async with self.slots:
             self.runs[work] += 1
+            self.calls[call] += 1
             self.busy += 1
             try:
                 await asyncio.sleep(self.service_s(mean_s))
@@ -195,7 +203,12 @@
 async def _runs(req: web.Request) -> web.Response:
     server = req.app[_SERVER]
     return json_response(
-        RunCount(dict(server.runs), server.cancelled, server.opened)
+        RunCount(
+            dict(server.runs),
+            dict(server.calls),
+            server.cancelled,
+            server.opened,
+        )
     )
 
 
@@ -219,7 +232,7 @@
         size += len(chunk)
     work = req.headers.get(WORK_HEADER, "")
     kind = req.headers.get(KIND_HEADER, "")
-    await server.work(work, kind)
+    await server.work(work, req.headers.get(CALL_HEADER, ""), kind)
     return json_response(
         Done(work, server.name, kind, digest.hexdigest(), size)
     )
