--- a/packages/bench/src/medlar_bench/members/fleet.py
+++ b/packages/bench/src/medlar_bench/members/fleet.py
@@ -80,10 +80,15 @@
         self.net.attach(node, host)
 
     def add_agent(
-        self, node: NodeId, place: PlaceName, service: ServiceName
+        self,
+        node: NodeId,
+        place: PlaceName,
+        service: ServiceName,
+        start_number: Incarnation | None = None,
     ) -> None:
         """Start an agent whose server is up a little later."""
-        rng, incarnation = self._start()
+        rng, counted = self._start()
+        incarnation = start_number or counted
         state = ServerState.ANNOUNCED
         record = Record(
             node, Role.SERVER, incarnation, 0, state, place, service
