Let groups of balancers that never met find each other

The state machine found two pairs of balancers that started together and stayed apart for good: each had a peer and so asked no seed any more. Balancers now try seeds that are not members, each 5 s.

--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -57,6 +57,13 @@
 SYNC_S = 1.0
 HASTY_SYNC_S = 0.4
 STORE_S = 1.0
+MEET_S = 5.0
+"""Period in which a seed that is not a member is tried.
+
+Groups that started or were cut apart meet so.
+"""
+YOUNG_S = 20.0
+YOUNG_MEET_S = 1.0
 LIVELY_S = 3.0
 """Time after a change in which tables are compared more often."""
 EXPIRE_S = 60.0
@@ -95,6 +102,8 @@
         self._next_sync = 0.0
         self._lively_until = 0.0
         self._next_store = 0.0
+        self._next_meet = 0.0
+        self._born: Seconds | None = None
         self._next_expire = 0.0
         self._last: Seconds | None = None
         self._told_known: tuple[Record, ...] = ()
@@ -151,6 +160,7 @@
         own = self._live.watchers.get(self._me, ())
         self._reporter.watch_by(now, own)
         effects: list[Effect] = [*self._reporter.due(now)]
+        effects += self._meet(now)
         self.finished = self._reporter.finished(now)
         effects += self._judge(now)
         effects += self._look(now)
@@ -164,6 +174,15 @@
             self._table.expire(now)
         return effects + self._publish(now)
 
+    def _meet(self, now: Seconds) -> list[Effect]:
+        if now < self._next_meet:
+            return []
+        self._born = now if self._born is None else self._born
+        young = now - self._born < YOUNG_S
+        period = YOUNG_MEET_S if young else MEET_S
+        self._next_meet = now + period * self._rng.uniform(0.75, 1.25)
+        return [*self._reporter.meet(self._table.live)]
+
     def _judge(self, now: Seconds) -> list[Effect]:
         effects, dead = self._live.judge(now)
         for record in dead:
@@ -280,7 +299,7 @@
     def _acked(self, now: Seconds, src: NodeId, ack: Ack) -> list[Effect]:
         if self._reporter.acked(now, src, ack):
             return self._refuted(now)
-        if self._live.others():
+        if src in self._table.live:
             return []
         return [self._sync.start(src, self._token)]
 
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -1,5 +1,6 @@
 """How a process tells the fleet that it lives and what it is."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 import random
 
@@ -26,6 +27,7 @@
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
+SEEDS_LIMIT = 64
 FAREWELL_S = 1.0
 """A goodbye that is not answered is repeated for so long."""
 
@@ -116,7 +118,15 @@
         """Add balancers to turn to when none answers."""
         known = dict.fromkeys((*self._seeds, *seeds))
         known.pop(self.record.id, None)
-        self._seeds = tuple(known)
+        self._seeds = tuple(known)[-SEEDS_LIMIT:]
+
+    def meet(self, known: Container[NodeId]) -> list[Send]:
+        """Announce oneself to a seed that is not known as a member."""
+        strangers = [seed for seed in self._seeds if seed not in known]
+        if not strangers or not self.record.live:
+            return []
+        announce = Announce(self.record, self._make_beat(0, want=True))
+        return [Send(self._rng.choice(strangers), announce)]
 
     def watch_by(self, now: Seconds, watchers: tuple[NodeId, ...]) -> None:
         """Beat to these balancers from now on."""
--- a/testing/core/members/test_failures.py
+++ b/testing/core/members/test_failures.py
@@ -271,3 +271,9 @@
     assert fleet.usable(alone) == set()
     said = {n for _, n, e in fleet.explained if e.reason == "silent"}
     assert alone not in said
+
+
+def test_groups_that_started_apart_meet() -> None:
+    fleet = Fleet(4, 6, 63, dict(list(SMALL.items())[1:3]))
+    fleet.run(12.0)
+    assert fleet.complete()
