--- a/testing/core/members/test_machine.py
+++ b/testing/core/members/test_machine.py
@@ -1,12 +1,12 @@
 """Random failures in any order, and what must hold whatever came."""
 
 from hypothesis import settings
-from hypothesis import strategies as st
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+import hypothesis.strategies as st
 
 from medlar_bench.members.fleet import Fleet
 from medlar_core.events import DrainAsked
