--- /dev/null
+++ b/packages/core/src/medlar_core/config/assembly.py
@@ -0,0 +1,129 @@
+"""Gathering the parts of a version from several peers."""
+
+import random
+
+import msgspec
+
+from ..effects import Send
+from ..ids import ChangeId
+from ..ids import NodeId
+from ..ids import Seconds
+from ..ids import Version
+from .codec import decode_as
+from .held import Candidate
+from .messages import Parts
+from .messages import Shards
+from .messages import WantShards
+from .parts import assemble
+from .parts import decode_shard
+from .parts import Digest
+from .parts import DIGEST_BYTES
+from .parts import EMPTY
+from .parts import expand
+from .parts import root_of
+from .parts import Shard
+from .parts import SHARDS
+from .parts import Tree
+from .problem import Problem
+
+BATCH = 8
+"""Shards asked of one peer at a time."""
+PACE_BYTES_PER_S = 3000.0
+HURRY_BYTES_PER_S = 12_000.0
+"""The pace while the whole fleet starts and little else is sent."""
+TEXT_SHARE = 4 / 3
+"""Bytes on the wire for each byte of a body, as base64."""
+AGAIN_S = 0.5
+GIVE_UP_S = 60.0
+
+
+class Target(msgspec.Struct, frozen=True):
+    """The version that is gathered."""
+
+    version: Version
+    root: Digest
+    change: ChangeId
+    digests: tuple[Digest, ...]
+
+
+def read_parts(msg: Parts) -> Target | Problem:
+    """Return the target in a message, or why it is refused."""
+    size = DIGEST_BYTES
+    raw = msg.digests
+    if len(raw) != size * SHARDS:
+        return Problem("digests", f"{len(raw)} bytes", str(size * SHARDS))
+    digests = tuple(raw[i : i + size] for i in range(0, len(raw), size))
+    if root_of(digests) != msg.root:
+        return Problem("digests", "digests of another root", msg.root.hex())
+    return Target(msg.version, msg.root, msg.change, digests)
+
+
+_Texts = tuple[str, ...]
+
+
+class Assembly:
+    """Shards of one target; whole only when every one is here."""
+
+    def __init__(self, now: Seconds, target: Target, known: Tree) -> None:
+        self.target = target
+        self.peers: list[NodeId] = []
+        self._heard_at = now
+        self._shards: dict[int, Shard] = {}
+        self._ask_at: float = now
+        for i, named in enumerate(target.digests):
+            for held in (known, EMPTY):
+                if held.digests[i] == named:
+                    self._shards[i] = held.shards[i]
+
+    def add_peer(self, peer: NodeId) -> None:
+        """Remember a peer that holds the target."""
+        if peer not in self.peers:
+            self.peers.append(peer)
+
+    def shard(self, index: int) -> Shard | None:
+        """Return a shard of the target that is here already."""
+        return self._shards.get(index)
+
+    def stale(self, now: Seconds) -> bool:
+        """Return whether nothing has come for long."""
+        return now - self._heard_at > GIVE_UP_S
+
+    def take(self, now: Seconds, msg: Shards, hurry: bool) -> Problem | None:
+        """Take shards of the target; others change nothing."""
+        if msg.root != self.target.root:
+            return None
+        raw = expand(msg.body)
+        texts = raw if isinstance(raw, Problem) else decode_as(raw, _Texts)
+        if isinstance(texts, Problem):
+            return texts
+        for i, text in zip(msg.indices, texts, strict=False):
+            if not 0 <= i < SHARDS:
+                return Problem("indices", str(i), f"under {SHARDS}")
+            shard = decode_shard(text, self.target.digests[i])
+            if isinstance(shard, Problem):
+                return shard
+            self._shards[i] = shard
+        pace = HURRY_BYTES_PER_S if hurry else PACE_BYTES_PER_S
+        came = len(msg.body) * TEXT_SHARE
+        self._ask_at = max(self._ask_at - AGAIN_S, now) + came / pace
+        self._heard_at = now
+        return None
+
+    def ask(self, now: Seconds, rng: random.Random) -> list[Send]:
+        """Ask a peer for shards that are missing, at a bounded pace."""
+        if now < self._ask_at:
+            return []
+        missing = [i for i in range(SHARDS) if i not in self._shards]
+        self._ask_at = now + AGAIN_S
+        peer = rng.choice(self.peers)
+        # Peers that gather too hold other shards than this process.
+        batch = tuple(rng.sample(missing, min(BATCH, len(missing))))
+        return [Send(peer, WantShards(self.target.root, batch))]
+
+    def whole(self) -> Candidate | None:
+        """Return the configuration once every shard is here."""
+        if len(self._shards) < SHARDS:
+            return None
+        shards = tuple(self._shards[i] for i in range(SHARDS))
+        tree = assemble(shards, self.target.digests)
+        return Candidate(tree, self.target.version, self.target.change)
--- /dev/null
+++ b/packages/core/src/medlar_core/limits.py
@@ -0,0 +1,44 @@
+"""Rate limits by token bucket."""
+
+from .ids import Seconds
+
+
+class TokenBucket:
+    """Allows ``per_s`` units a second on average and ``burst`` at once."""
+
+    def __init__(self, per_s: float, burst: float) -> None:
+        self._per_s = per_s
+        self._burst = burst
+        self._left = burst
+        self._at: Seconds | None = None
+
+    def take(self, now: Seconds, units: float = 1.0) -> bool:
+        """Take units if they are there; otherwise take nothing."""
+        if self._at is not None:
+            came = max(0.0, now - self._at) * self._per_s
+            self._left = min(self._burst, self._left + came)
+        self._at = now
+        if units > self._left:
+            return False
+        self._left -= units
+        return True
+
+
+class LogLimiter:
+    """Bounds log lines of one kind and counts those left out."""
+
+    def __init__(self, per_s: float, burst: float) -> None:
+        self._bucket = TokenBucket(per_s, burst)
+        self._left_out = 0
+
+    def allow(self, now: Seconds) -> int | None:
+        """Return how many lines were left out before this one.
+
+        None says that this line is left out too.
+        """
+        if not self._bucket.take(now):
+            self._left_out += 1
+            return None
+        before = self._left_out
+        self._left_out = 0
+        return before
