--- a/packages/bench/src/medlar_bench/members/fleet.py
+++ b/packages/bench/src/medlar_bench/members/fleet.py
@@ -163,6 +163,7 @@
         self.net.bytes_sent.clear()
         self.net.bytes_got.clear()
         self.net.messages.clear()
+        self.store.calls.clear()
 
     def _start(self) -> tuple[random.Random, Incarnation]:
         self._starts += 1
--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -123,6 +123,11 @@
         """What this balancer says of itself."""
         return self._reporter.record
 
+    @property
+    def holds_seeds(self) -> bool:
+        """Whether this balancer keeps the addresses of its place."""
+        return self._holder.holds
+
     def reduce(self, now: Seconds, event: Any) -> list[Effect]:
         """Take one event and return the effects to carry out."""
         effects = self._mind_pause(now)
--- a/packages/core/src/medlar_core/members/load.py
+++ b/packages/core/src/medlar_core/members/load.py
@@ -109,6 +109,11 @@
                 self._row[key] = load
         return changed
 
+    def messages_now(self, hop: int) -> list[Loads]:
+        """Return messages of all that was reported since the last."""
+        self._batch = {hop: self._fresh(self._reported, refresh=True)}
+        return self._messages(hop)
+
     def due(
         self,
         now: Seconds,
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -23,7 +23,7 @@
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
 """First pause before a change that was not answered is told again."""
-LOST_S = 5.0
+LOST_S = 4.5
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
@@ -209,11 +209,10 @@
         )
 
     def _search(self) -> list[Send]:
-        known = [*self.peers, *self._seeds]
-        if not known:
-            return []
         announce = Announce(self.record, self._make_beat(0, want=True))
-        return [Send(self._rng.choice(known), announce)]
+        groups = [group for group in (self.peers, self._seeds) if group]
+        chosen = dict.fromkeys(self._rng.choice(group) for group in groups)
+        return [Send(node, announce) for node in chosen]
 
     def _fallback(self, now: Seconds, src: NodeId) -> tuple[NodeId, ...]:
         """Return whom to beat to when the watchers known do not answer."""
--- a/packages/core/src/medlar_core/members/seeds.py
+++ b/packages/core/src/medlar_core/members/seeds.py
@@ -40,7 +40,11 @@
 SAFE_SHARE = 0.8
 """Share of a lease after which its holder no longer trusts it."""
 SPREAD_S = 3.0
-READ_AGAIN_S = 5.0
+READ_SPREAD_S = 10.0
+READ_AGAIN_S = 15.0
+"""All processes of the fleet may read at once: they do so spread."""
+PATIENCE_S = 2.0
+"""A process that starts gives the seeds of its settings so long."""
 
 
 def decode(value: str) -> tuple[NodeId, ...]:
@@ -57,14 +61,16 @@
     def __init__(self, access: StoreAccess) -> None:
         self._access = access
         self._call: StoreCallId | None = None
-        self._next = 0.0
+        self._next: float | None = None
 
     def due(self, now: Seconds) -> list[CallStore]:
         """Ask for the addresses, now and then, until told otherwise."""
+        if self._next is None:
+            self._next = now + PATIENCE_S
         if now >= self._next and not self._waits():
             self._next = now + READ_AGAIN_S
             ask = self._access.ask
-            self._call = ask(now, Part.MEMBERS, List(PREFIX), SPREAD_S)
+            self._call = ask(now, Part.MEMBERS, List(PREFIX), READ_SPREAD_S)
         return self._access.due(now)
 
     def take(
@@ -93,6 +99,11 @@
         self._next = 0.0
         self._writing: tuple[NodeId, ...] = ()
 
+    @property
+    def holds(self) -> bool:
+        """Whether this process holds the lease and wrote the key."""
+        return self._lease is not None and self._written is not None
+
     def fence(self) -> None:
         """Let go of all: this process was paused."""
         if self._call is not None:
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -10,8 +10,14 @@
 SUSPECT_S = 2.1
 """Silence after which a process is probed; its beats come each 2 s."""
 PROBE_S = 0.1
-JUDGE_S = 0.6
-"""Time in which a suspect may answer any probe."""
+HALF_TICK_S = 0.05
+JUDGE_S = 1.0
+"""Time in which a suspect may answer any probe.
+
+A process that pauses for less is never taken for dead.
+"""
+QUICK_ROUNDS = 3
+"""Rounds of probing in a row; then each other tick has one."""
 HELP_ROUNDS = (1, 3, 5)
 """Rounds of probing in which other balancers are asked to probe too."""
 GRACE_S = 0.5
@@ -37,6 +43,7 @@
 
     heard: float
     suspect_since: float = 0.0
+    next_round: float = 0.0
     rounds: int = 0
 
 
@@ -85,16 +92,20 @@
         found: list[Round | Silent] = []
         for node, watched in self._watched.items():
             if now - watched.heard >= SUSPECT_S:
-                found.append(self._suspect(now, node, watched))
+                step = self._suspect(now, node, watched)
+                found += [step] if step else []
         return found
 
     def _suspect(
         self, now: Seconds, node: NodeId, watched: _Watched
-    ) -> Round | Silent:
+    ) -> Round | Silent | None:
         if watched.rounds == 0:
             watched.suspect_since = now
         since = Seconds(watched.suspect_since)
         if now - since >= JUDGE_S and watched.rounds >= max(HELP_ROUNDS) + 1:
             return Silent(node, since)
+        if watched.rounds >= QUICK_ROUNDS and now < watched.next_round:
+            return None
+        watched.next_round = now + 2 * PROBE_S - HALF_TICK_S
         watched.rounds += 1
         return Round(node, watched.rounds - 1 in HELP_ROUNDS)
