--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -1,5 +1,6 @@
 """How a process tells the fleet that it lives and what it is."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 import random
 
@@ -22,10 +23,11 @@
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
 """First pause before a change that was not answered is told again."""
-LOST_S = 5.0
+LOST_S = 4.5
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
+SEEDS_LIMIT = 64
 FAREWELL_S = 1.0
 """A goodbye that is not answered is repeated for so long."""
 
@@ -116,7 +118,15 @@
         """Add balancers to turn to when none answers."""
         known = dict.fromkeys((*self._seeds, *seeds))
         known.pop(self.record.id, None)
-        self._seeds = tuple(known)
+        self._seeds = tuple(known)[-SEEDS_LIMIT:]
+
+    def meet(self, known: Container[NodeId]) -> list[Send]:
+        """Announce oneself to a seed that is not known as a member."""
+        strangers = [seed for seed in self._seeds if seed not in known]
+        if not strangers or not self.record.live:
+            return []
+        announce = Announce(self.record, self._make_beat(0, want=True))
+        return [Send(self._rng.choice(strangers), announce)]
 
     def watch_by(self, now: Seconds, watchers: tuple[NodeId, ...]) -> None:
         """Beat to these balancers from now on."""
@@ -199,11 +209,10 @@
         )
 
     def _search(self) -> list[Send]:
-        known = [*self.peers, *self._seeds]
-        if not known:
-            return []
         announce = Announce(self.record, self._make_beat(0, want=True))
-        return [Send(self._rng.choice(known), announce)]
+        groups = [group for group in (self.peers, self._seeds) if group]
+        chosen = dict.fromkeys(self._rng.choice(group) for group in groups)
+        return [Send(node, announce) for node in chosen]
 
     def _fallback(self, now: Seconds, src: NodeId) -> tuple[NodeId, ...]:
         """Return whom to beat to when the watchers known do not answer."""
