--- a/packages/bench/src/medlar_bench/requests/callers.py
+++ b/packages/bench/src/medlar_bench/requests/callers.py
@@ -76,6 +76,7 @@
     ) -> None:
         self.fleet = fleet
         self.jobs: dict[str, Job] = {}
+        self._seed = seed
         self._rng = random.Random(seed)
         self._repeating = repeating
         self._marked = marked
@@ -86,18 +87,24 @@
     def arrive(
         self, stream: Stream, rate: float, since: float, until: float
     ) -> None:
-        """Let jobs of a stream come between two times."""
+        """Let jobs of a stream come between two times.
+
+        Each call draws from its own generator, so that a flood leaves
+        the usual arrivals as they are.
+        """
         clock = self.fleet.clock
+        drawn = f"{self._seed} {stream.kind.name} {since}"
+        rng = random.Random(drawn)
 
         def next_one() -> None:
             if clock.now >= until:
                 return
             if clock.now >= since:
                 self._new(stream)
-            clock.after(self._rng.expovariate(rate), next_one)
+            clock.after(rng.expovariate(rate), next_one)
 
         if rate > 0.0:
-            clock.at(since + self._rng.expovariate(rate), next_one)
+            clock.at(since + rng.expovariate(rate), next_one)
 
     def within(self, since: float, until: float) -> Iterator[Job]:
         """Yield the jobs first sent between two times."""
--- a/packages/bench/src/medlar_bench/requests/fleet.py
+++ b/packages/bench/src/medlar_bench/requests/fleet.py
@@ -106,6 +106,7 @@
         self._seen: dict[AttemptId, StartAttempt] = {}
         self._make_balancer = make_balancer
         self._make_agent = make_agent
+        self._told: dict[Reducer, int] = {}
         self._version = 0
         self._incarnation = 0
         for number in range(balancers):
@@ -187,14 +188,17 @@
             self.clock.after(delay, tell)
 
     def _tell(self, node: NodeId, view: View) -> None:
+        """Tell a process a view, unless it knows a newer one."""
         host = self.net.hosts.get(node)
-        if host is not None:
-            self.net.give(node, ViewChanged(view))
+        if host is None or self._told.get(host, -1) > view.version:
+            return
+        self._told[host] = view.version
+        self.net.give(node, ViewChanged(view))
 
     def _configure(self, node: NodeId) -> None:
         self.net.give(node, ConfigurationChanged(self.load.cfg, Version(1)))
         view = View(self._version, tuple(self.members.values()), ())
-        self.net.give(node, ViewChanged(view))
+        self._tell(node, view)
 
     def drain(self, node: NodeId) -> None:
         """Ask an agent to leave."""
--- /dev/null
+++ b/packages/bench/src/medlar_bench/requests/floods.py
@@ -0,0 +1,116 @@
+"""Runs of a workload while one kind of work floods in."""
+
+from collections.abc import Callable
+import functools
+
+import hdrh.histogram
+import msgspec
+
+from medlar_core.ids import KindName
+
+from .callers import Callers
+from .callers import Job
+from .fleet import Fleet
+from .policies import Makers
+from .workloads import SLOTS
+from .workloads import Stream
+from .workloads import USUAL_LOAD
+from .workloads import Workload
+
+FLOOD = 10.0
+"""How many times its usual load the flooding kind brings."""
+WARM_S = 5.0
+SETTLE_S = 2.0
+"""Time into the flood before other work is measured."""
+SAMPLE_S = 0.02
+
+Prepare = Callable[[Fleet], None]
+
+
+class Flooded(msgspec.Struct, frozen=True):
+    """One run: its jobs and the slots busy while the flood lasted.
+
+    ``since`` and ``until`` bound the time that is measured.
+    """
+
+    load: Workload
+    callers: Callers
+    since: float
+    until: float
+    busy: list[list[int]]
+
+    @property
+    def used(self) -> float:
+        """Share of the slots that were busy, on average."""
+        total = sum(sum(sample) for sample in self.busy)
+        return total / sum(SLOTS * len(sample) for sample in self.busy)
+
+    def jobs(self, kind: KindName) -> list[Job]:
+        """Return the jobs of a kind sent in the time measured."""
+        found = self.callers.within(self.since, self.until)
+        return [job for job in found if job.stream.kind.name == kind]
+
+    def goodput(self, kind: KindName) -> int:
+        """Return how many jobs of a kind were answered in time."""
+        return sum(job.in_time for job in self.jobs(kind))
+
+    def in_time_share(self, kind: KindName) -> float:
+        """Return the share of a kind's jobs that were answered in time."""
+        jobs = self.jobs(kind)
+        return self.goodput(kind) / len(jobs) if jobs else 0.0
+
+    def p99_s(self, kind: KindName) -> float:
+        """Return the 99th percentile of the wait for an answer."""
+        found = hdrh.histogram.HdrHistogram(1, 60_000_000, 3)
+        for job in self.jobs(kind):
+            if job.in_time:
+                found.record_value(int(job.took_s * 1e6))
+        return float(found.get_value_at_percentile(99.0)) / 1e6
+
+
+def run(
+    load: Workload,
+    seed: int,
+    makers: Makers,
+    flooding: Stream | None,
+    length_s: float,
+    after_s: float = 0.0,
+    usual: float = USUAL_LOAD,
+    prepare: Prepare | None = None,
+    only: str = "",
+    times: float = FLOOD,
+) -> Flooded:
+    """Run a workload with a flood of one stream, or with none.
+
+    The flood lasts ``length_s`` from WARM_S on; the run goes on for
+    ``after_s``. ``only`` names the one service that gets any work.
+    """
+    fleet = Fleet(load, seed, makers.balancer, makers.agent)
+    if prepare is not None:
+        prepare(fleet)
+    callers = Callers(fleet, seed)
+    ends = WARM_S + length_s
+    for stream in load.streams:
+        if only and stream.service != only:
+            continue
+        rate = load.rate(stream, usual)
+        callers.arrive(stream, rate, 0.0, ends + after_s)
+        if stream == flooding:
+            callers.arrive(stream, rate * (times - 1.0), WARM_S, ends)
+    busy: list[list[int]] = []
+    name = flooding.service if flooding is not None else only
+    sample = functools.partial(_sample, fleet, name, ends, busy)
+    fleet.clock.at(WARM_S + SETTLE_S, lambda: _every(fleet, sample))
+    fleet.clock.run_until(ends + after_s + 15.0)
+    return Flooded(load, callers, WARM_S + SETTLE_S, ends, busy)
+
+
+def _every(fleet: Fleet, sample: Callable[[], bool]) -> None:
+    fleet.clock.every(SAMPLE_S, sample)
+
+
+def _sample(
+    fleet: Fleet, service: str, until: float, into: list[list[int]]
+) -> bool:
+    into.append(fleet.busy(service))
+    return fleet.clock.now < until
--- a/packages/core/src/medlar_core/requests/admission.py
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -1,5 +1,6 @@
 """Whether a server takes work, and which work it starts next."""
 
+import collections
 from collections.abc import Mapping
 import enum
 
@@ -37,16 +38,18 @@
 
     def load(self) -> ServerLoad:
         """Return the load to tell with an answer."""
-        slots = self.shares.slots
-        ahead = [w.kind.mean_s for w in self.queues]
-        wait = sum(ahead)
-        if len(self.running) >= slots:
-            wait += sum(w.kind.mean_s for w in self.running.values()) / 2
+        ranks = collections.Counter(w.kind.rank for w in self.queues)
+        most = max(ranks, default=-1)
+        wait = 0.0
+        if len(self.running) >= self._limit and self.running:
+            rate = sum(1.0 / w.kind.mean_s for w in self.running.values())
+            wait = 1.0 / rate
         return ServerLoad(
             busy=len(self.running),
-            queued=len(ahead),
-            slots=slots,
-            wait_s=round(wait / max(slots, 1), 4),
+            queued=len(self.queues),
+            slots=self.shares.slots,
+            wait_s=round(wait, 4),
+            by_rank=tuple(ranks[rank] for rank in range(most + 1)),
         )
 
     def refusal(self, now: float, kind: Kind, left_s: float) -> Reason | None:
@@ -68,7 +71,7 @@
         if not ahead and len(self.running) < self._limit:
             return 0.0
         open_to = self.shares.share_open_to(now, kind.name)
-        return (ahead + 1) * kind.mean_s / (self._limit * open_to)
+        return (ahead + 0.5) * kind.mean_s / (self._limit * open_to)
 
     def busy(self) -> bool:
         """Return whether new work would have to wait."""
--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -177,7 +177,7 @@
         if req.keyed:
             return self._try_home(now, req)
         service = req.came.service
-        server = self._choice.pick(now, service, req.tried)
+        server = self._choice.pick(now, service, req.kind.rank, req.tried)
         if server is None:
             return self._finish(now, req, NotRun(Reason.NO_SERVER))
         return self._start(now, req, as_go(server))
@@ -195,8 +195,8 @@
     def _spare(self, now: float, req: OpenRequest, home: Go) -> Go | None:
         """Return a process with a free slot that the home may cede to."""
         tried = {home.node, *req.tried}
-        server = self._choice.pick(now, req.came.service, tried)
-        if server is None or not self._choice.idle(now, server):
+        server = self._choice.pick(now, req.came.service, req.kind.rank, tried)
+        if server is None or not self._choice.idle(now, server, req.kind.rank):
             return None
         return as_go(server)
 
@@ -362,7 +362,9 @@
         if now - req.sent_at < wait:
             return []
         left = req.due - now
-        server = self._choice.pick(now, req.came.service, req.tried)
+        server = self._choice.pick(
+            now, req.came.service, req.kind.rank, req.tried
+        )
         if server is None or left < self._policy.finish_means * (
             req.kind.mean_s
         ):
--- a/packages/core/src/medlar_core/requests/choice.py
+++ b/packages/core/src/medlar_core/requests/choice.py
@@ -32,7 +32,8 @@
 class _Stat(msgspec.Struct):
     """What this balancer knows of a server."""
 
-    told: int = 0
+    busy: int = 0
+    by_rank: tuple[int, ...] = ()
     told_at: float = -1e9
     since: int = 0
     open: int = 0
@@ -73,9 +74,13 @@
         return self._by_id.get(node)
 
     def pick(
-        self, now: float, service: ServiceName, tried: Collection[NodeId]
+        self,
+        now: float,
+        service: ServiceName,
+        rank: int,
+        tried: Collection[NodeId],
     ) -> Server | None:
-        """Return the server that looks least loaded among a few."""
+        """Return the server, of a few, where work of a rank waits least."""
         known = self._servers.get(service, [])
         rest = [s for s in known if s.id not in tried]
         open_to = [s for s in rest if self.speaks(now, s.id)] or rest
@@ -84,11 +89,11 @@
         count = min(self._policy.choices, len(open_to))
         some = self._rng.sample(open_to, count)
         bad = self._outliers(service)
-        return min(some, key=lambda s: self._score(now, s, s.id in bad))
+        return min(some, key=lambda s: self._score(now, s, rank, s.id in bad))
 
-    def idle(self, now: float, server: Server) -> bool:
-        """Return whether a server seems to have a free slot."""
-        return self._score(now, server, False) < 1.0
+    def idle(self, now: float, server: Server, rank: int) -> bool:
+        """Return whether a server seems to have a slot for a rank."""
+        return self._score(now, server, rank, False) < 1.0
 
     def speaks(self, now: float, node: NodeId) -> bool:
         """Return whether a server answers, or is due to be probed."""
@@ -122,18 +127,22 @@
         gain = self._policy.outlier_gain
         stat.failures += gain * ((1.0 if failed else 0.0) - stat.failures)
         if load is not None:
-            stat.told = load.busy + load.queued
+            stat.busy = load.busy
+            stat.by_rank = load.by_rank
             stat.told_at = now
             stat.since = 0
             stat.heard_at = now
             stat.silent = False
 
-    def _score(self, now: float, server: Server, outlier: bool) -> float:
+    def _score(
+        self, now: float, server: Server, rank: int, outlier: bool
+    ) -> float:
         """Return the load of a server as a share of what it may take."""
         stat = self._stats[server.id]
         load = float(stat.open)
         if now - stat.told_at <= self._policy.load_fresh_s:
-            load = max(load, stat.told + stat.since)
+            ahead = sum(stat.by_rank[: rank + 1])
+            load = stat.busy + ahead + stat.since
         if outlier:
             load += PENALTY * stat.failures * server.slots
         room = server.slots * max(server.warmth, LEAST_WARMTH)
--- a/packages/core/src/medlar_core/requests/events.py
+++ b/packages/core/src/medlar_core/requests/events.py
@@ -22,14 +22,16 @@
 class ServerLoad(msgspec.Struct, frozen=True):
     """Load of a server, told with each answer of its agent.
 
-    ``busy`` counts slots in use, ``queued`` attempts that wait, and
-    ``wait_s`` is the wait that a new attempt would see, in seconds.
+    ``busy`` counts slots in use and ``queued`` attempts that wait, of
+    which ``by_rank`` tells how many have each rank. ``wait_s`` is the
+    time until a slot is likely to be free, in seconds.
     """
 
     busy: int
     queued: int
     slots: int
     wait_s: float = 0.0
+    by_rank: tuple[int, ...] = ()
 
 
 class Go(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/requests/shares.py
+++ b/packages/core/src/medlar_core/requests/shares.py
@@ -76,7 +76,8 @@
 
     def below_floor(self, now: float, kind: KindName) -> bool:
         """Return whether a kind had less than its floor lately."""
-        return self.used(now, kind) < self.kinds[kind].floor
+        floor = self._policy.floor_margin * self.kinds[kind].floor
+        return self.used(now, kind) < floor
 
     def share_open_to(self, now: float, kind: KindName) -> float:
         """Return the share of slots that a kind can count on now."""
