Search for flows in rounds and place new ones in few hops

Cause: agents with differing views passed a SYN round until its hop limit, and a search per packet could fill the control budget. Change: only the first agent passes a SYN to the bucket's owner; searches are batched, with a wait that grows with the members asked.

--- /dev/null
+++ b/packages/bench/src/medlar_bench/flows/world.py
@@ -0,0 +1,386 @@
+"""Processes, servers and a membership that spreads unevenly.
+
+No cluster is modelled: the real reducers of balancers and agents run on
+the fake net, and each process learns each member's state on its own, at
+its own time, as a real membership would tell it.
+"""
+
+from collections.abc import Callable
+import functools
+import random
+from typing import Any
+from typing import Protocol
+
+import msgspec
+
+from medlar_core.config.model import Address
+from medlar_core.config.model import Configuration
+from medlar_core.config.model import Place
+from medlar_core.config.model import Protocol as Carries
+from medlar_core.config.model import Service
+from medlar_core.effects import Deliver
+from medlar_core.effects import Publish
+from medlar_core.effects import Return
+from medlar_core.events import ConfigurationChanged
+from medlar_core.events import DrainAsked
+from medlar_core.events import PacketArrived
+from medlar_core.events import Reducer
+from medlar_core.events import ServerConnections
+from medlar_core.events import ServerSent
+from medlar_core.events import ViewChanged
+from medlar_core.flows.agent import AgentFlows
+from medlar_core.flows.balancer import BalancerFlows
+from medlar_core.ids import Incarnation
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import RegionName
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+from medlar_core.members.view import Balancer
+from medlar_core.members.view import Server
+from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
+from medlar_core.packets import Flag
+from medlar_core.packets import Packet
+from medlar_fakes.clock import Clock
+from medlar_fakes.net import Net
+
+REPORT_S = 1.0
+"""Time between two load reports of the membership, in seconds."""
+
+DRAIN_LIMIT_S = 12 * 3600.0
+PLACES = tuple(PlaceName(name) for name in ("a", "b", "c"))
+
+
+class Fleet(Protocol):
+    """Makes the reducers of a design, or of a baseline."""
+
+    def balancer(
+        self, node: NodeId, place: PlaceName, rng: random.Random
+    ) -> Reducer:
+        """Return a new balancer."""
+        ...
+
+    def agent(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        place: PlaceName,
+        incarnation: Incarnation,
+        rng: random.Random,
+    ) -> Reducer:
+        """Return a new agent."""
+        ...
+
+
+class Designed:
+    """The design under test."""
+
+    def balancer(
+        self, node: NodeId, place: PlaceName, rng: random.Random
+    ) -> Reducer:
+        """Return a balancer that keeps no flow state."""
+        return BalancerFlows(node, place, rng)
+
+    def agent(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        place: PlaceName,
+        incarnation: Incarnation,
+        rng: random.Random,
+    ) -> Reducer:
+        """Return an agent that knows its flows."""
+        return AgentFlows(node, service, place, incarnation, rng)
+
+
+def address_of(service: str) -> str:
+    """Return the address text of a service of a world."""
+    return f"192.0.2.{sum(service.encode()) % 250}:443"
+
+
+def make_service(name: str, address: str = "", buckets: int = 1024) -> Service:
+    """Return a service with one address for flows."""
+    ip, port = (address or address_of(name)).split(":")
+    carried = Address(ip=ip, port=int(port), protocol=Carries.FLOW)
+    return Service(
+        name=ServiceName(name),
+        addresses=(carried,),
+        places=PLACES,
+        buckets=buckets,
+        connections=20_000,
+    )
+
+
+def make_cfg(*services: Service) -> Configuration:
+    """Return a configuration of these services in three places."""
+    region = RegionName("r")
+    return Configuration(
+        places=tuple(Place(name=name, region=region) for name in PLACES),
+        services=services,
+    )
+
+
+class _Knowledge(msgspec.Struct):
+    """What one process knows of the members, by id."""
+
+    servers: dict[NodeId, tuple[int, Server | None]]
+    balancers: dict[NodeId, Balancer]
+    cfg_version: int = 0
+
+
+class World:
+    """Balancers and agents on a net, with servers beside the agents.
+
+    ``spread_s`` bounds how late a process learns of a change, ``doubled``
+    is the share of updates that come twice. ``to_caller`` gets packets
+    on their way back and ``delivered`` is told of each packet that
+    reaches a server.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        cfg: Configuration,
+        fleet: Fleet | None = None,
+        spread_s: float = 0.5,
+        metered: bool = False,
+    ) -> None:
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.net = Net(self.clock, seed, other=self._carry, metered=metered)
+        self.fleet = fleet or Designed()
+        self.spread_s = spread_s
+        self.doubled = 0.0
+        self.lag: dict[NodeId, float] = {}
+        self.servers: dict[NodeId, Server] = {}
+        self.balancers: dict[NodeId, Balancer] = {}
+        self.connections: dict[NodeId, set[tuple[str, str]]] = {}
+        self.dead: set[NodeId] = set()
+        self.to_caller: Callable[[Packet], None] = lambda packet: None
+        self.delivered: Callable[[NodeId, Packet], None] = lambda i, p: None
+        self.loads: dict[NodeId, int] = {}
+        self._cfgs: list[Configuration] = [cfg]
+        self._versions = 0
+        self._names = 0
+        self._known: dict[NodeId, _Knowledge] = {}
+        self.clock.every(REPORT_S, self._report)
+
+    @property
+    def cfg(self) -> Configuration:
+        """The configuration accepted last."""
+        return self._cfgs[-1]
+
+    # Processes
+
+    def add_balancer(self) -> NodeId:
+        """Start a balancer; it knows the members at once."""
+        node = self._name("10.1")
+        place = PLACES[len(self.balancers) % len(PLACES)]
+        self.balancers[node] = Balancer(node, Incarnation(1), place)
+        self._start(node, self.fleet.balancer(node, place, self._rng()))
+        self._tell_balancers()
+        return node
+
+    def kill_balancer(self, node: NodeId) -> None:
+        """End a balancer at once."""
+        del self.balancers[node]
+        del self._known[node]
+        self.net.kill(node)
+        self._tell_balancers()
+
+    def add_server(self, service: str, place: PlaceName = PLACES[0]) -> NodeId:
+        """Start a server with its agent and make it ready."""
+        node = self._name("10.2")
+        server = Server(
+            node,
+            Incarnation(1),
+            ServiceName(service),
+            place,
+            ServerState.READY,
+        )
+        self.connections[node] = set()
+        self._start_agent(server)
+        self.tell(server)
+        return node
+
+    def restart_agent(self, node: NodeId, down_s: float) -> None:
+        """End an agent and start it again; its server goes on."""
+        old = self.servers[node]
+        server = msgspec.structs.replace(
+            old, incarnation=Incarnation(old.incarnation + 1)
+        )
+        self.net.kill(node)
+        del self._known[node]
+
+        def start() -> None:
+            if node not in self.dead:
+                self._start_agent(server)
+                self.tell(server)
+
+        self.clock.after(down_s, start)
+
+    def drain(self, node: NodeId) -> None:
+        """Drain a server: its agent knows at once, others by and by."""
+        self.tell(self._in_state(node, ServerState.DRAINING))
+        self.net.give(node, DrainAsked(DRAIN_LIMIT_S))
+
+    def crash(self, node: NodeId) -> None:
+        """End a server and its agent at once."""
+        self.dead.add(node)
+        self.connections[node].clear()
+        self.remove(node)
+
+    def remove(self, node: NodeId) -> None:
+        """Take a server out of the fleet."""
+        self.net.kill(node)
+        self._known.pop(node, None)
+        gone = self.servers.pop(node)
+        self._spread(gone.id, None)
+
+    def _in_state(self, node: NodeId, state: ServerState) -> Server:
+        return msgspec.structs.replace(self.servers[node], state=state)
+
+    def _name(self, net: str) -> NodeId:
+        self._names += 1
+        return NodeId(f"{net}.{self._names // 250}.{self._names % 250}:9000")
+
+    def _rng(self) -> random.Random:
+        return random.Random(self.rng.random())
+
+    def _start_agent(self, server: Server) -> None:
+        agent = self.fleet.agent(
+            server.id,
+            server.service,
+            server.place,
+            server.incarnation,
+            self._rng(),
+        )
+        self._start(server.id, agent)
+        pairs = tuple(sorted(self.connections[server.id]))
+        self.net.give(server.id, ServerConnections(pairs))
+
+    def _start(self, node: NodeId, host: Reducer) -> None:
+        known: dict[NodeId, tuple[int, Server | None]] = {
+            i: (self._versions, s) for i, s in self.servers.items()
+        }
+        self._known[node] = _Knowledge(known, dict(self.balancers))
+        self.net.attach(node, host)
+        self._give_cfg(node, len(self._cfgs))
+        self._give_view(node)
+
+    # Membership and configuration
+
+    def tell(self, server: Server) -> None:
+        """Make a member's state known, late and unevenly."""
+        self.servers[server.id] = server
+        self._spread(server.id, server)
+
+    def configure(self, cfg: Configuration) -> None:
+        """Put a configuration in force, late and unevenly."""
+        self._cfgs.append(cfg)
+        version = len(self._cfgs)
+        for node in list(self._known):
+            self._later(node, functools.partial(self._give_cfg, node, version))
+
+    def _later(self, node: NodeId, call: Callable[[], None]) -> None:
+        delay = self.rng.random() * self.spread_s + self.lag.get(node, 0.0)
+        self.clock.after(delay, call)
+        if self.rng.random() < self.doubled:
+            self.clock.after(delay + self.rng.random() * 2.0, call)
+
+    def _spread(self, member: NodeId, server: Server | None) -> None:
+        self._versions += 1
+        version = self._versions
+        for node in list(self._known):
+            learn = functools.partial(
+                self._learn, node, member, version, server
+            )
+            self._later(node, learn)
+
+    def _learn(
+        self, node: NodeId, member: NodeId, version: int, server: Server | None
+    ) -> None:
+        known = self._known.get(node)
+        if known is None:
+            return
+        if known.servers.get(member, (0, None))[0] > version:
+            return
+        known.servers[member] = (version, server)
+        self._give_view(node)
+
+    def _give_cfg(self, node: NodeId, version: int) -> None:
+        known = self._known.get(node)
+        if known is None or known.cfg_version >= version:
+            return
+        known.cfg_version = version
+        cfg = self._cfgs[version - 1]
+        self.net.give(node, ConfigurationChanged(cfg, Version(version)))
+
+    def _tell_balancers(self) -> None:
+        for known in self._known.values():
+            known.balancers = dict(self.balancers)
+
+    def _give_view(self, node: NodeId) -> None:
+        known = self._known[node]
+        servers = tuple(s for _, s in known.servers.values() if s is not None)
+        balancers = tuple(known.balancers.values())
+        self._versions += 1
+        view = View(self._versions, servers, balancers)
+        self.net.give(node, ViewChanged(view))
+
+    def _report(self) -> None:
+        """Tell all processes the flows that agents reported."""
+        for known in self._known.values():
+            for member, (version, server) in known.servers.items():
+                flows = self.loads.get(member, 0)
+                if server is not None and server.flows != flows:
+                    told = msgspec.structs.replace(server, flows=flows)
+                    known.servers[member] = (version, told)
+        for node in list(self._known):
+            self._give_view(node)
+
+    # Packets
+
+    def send(self, packet: Packet) -> None:
+        """Have the fabric hand a packet to some balancer."""
+        if not self.balancers:
+            return
+        node = self.rng.choice(list(self.balancers))
+        self.clock.after(0.001, lambda: self._enter(node, packet))
+
+    def _enter(self, node: NodeId, packet: Packet) -> None:
+        self.net.give(node, PacketArrived(packet))
+
+    def _carry(self, node: NodeId, effect: Any) -> None:
+        match effect:
+            case Deliver(packet=packet):
+                self.delivered(node, packet)
+                self._serve(node, packet)
+            case Return(packet=packet):
+                self.clock.after(0.001, lambda: self.to_caller(packet))
+            case Publish(event=event):
+                self.loads[node] = event.flows
+
+    def _serve(self, node: NodeId, packet: Packet) -> None:
+        """Answer as a server does: each packet gets one back."""
+        pair = (packet.caller, packet.address)
+        held = self.connections[node]
+        flags = packet.flags
+        if flags & Flag.RST:
+            held.discard(pair)
+            return
+        if flags & Flag.SYN:
+            held.add(pair)
+            answer = Flag.SYN | Flag.ACK
+        elif pair not in held:
+            answer = Flag.RST
+        elif flags & Flag.FIN:
+            held.discard(pair)
+            answer = Flag.FIN | Flag.ACK
+        elif not packet.payload:
+            return
+        else:
+            answer = Flag.ACK
+        back = Packet(packet.caller, packet.address, int(answer))
+        self.net.give(node, ServerSent(back))
--- a/packages/core/src/medlar_core/flows/announce.py
+++ b/packages/core/src/medlar_core/flows/announce.py
@@ -1,9 +1,9 @@
 """Tells owners and balancers of flows that stay where they are."""
 
 import collections
+from collections.abc import Set
 
 import msgspec
-import numpy as np
 
 from ..effects import Send
 from ..ids import FlowKey
@@ -19,35 +19,9 @@
 from .messages import Hint
 from .messages import Located
 from .meter import Meter
-
-
-def pack_keys(keys: list[FlowKey]) -> bytes:
-    """Return keys as little-endian integers of 8 bytes."""
-    return np.array(keys, "<u8").tobytes()
-
-
-def unpack_keys(data: bytes) -> list[FlowKey]:
-    """Return the keys in a message; an incomplete last one is left out."""
-    whole = len(data) - len(data) % 8
-    found: list[FlowKey] = np.frombuffer(data[:whole], "<u8").tolist()
-    return found
-
-
-def mark(key: int) -> int:
-    """Return the 32 bits of a flow key that a hint carries."""
-    return key & 0xFFFFFFFF
-
-
-def pack_marks(marks: list[int]) -> bytes:
-    """Return marks as little-endian integers of 4 bytes."""
-    return np.array(marks, "<u4").tobytes()
-
-
-def unpack_marks(data: bytes) -> list[int]:
-    """Return the marks in a message; an incomplete last one is left out."""
-    whole = len(data) - len(data) % 4
-    found: list[int] = np.frombuffer(data[:whole], "<u4").tolist()
-    return found
+from .wire import mark
+from .wire import pack_keys
+from .wire import pack_marks
 
 
 class _Batch(msgspec.Struct):
@@ -106,7 +80,7 @@
     def due(
         self,
         now: Seconds,
-        owners: set[NodeId],
+        owners: Set[NodeId],
         balancers: tuple[NodeId, ...],
     ) -> list[Send]:
         """Return the messages to send now.
@@ -130,7 +104,7 @@
     def _next(
         self,
         now: Seconds,
-        owners: set[NodeId],
+        owners: Set[NodeId],
         balancers: tuple[NodeId, ...],
     ) -> Send | None:
         return (
@@ -143,7 +117,7 @@
     def _repeat(
         self,
         now: Seconds,
-        owners: set[NodeId],
+        owners: Set[NodeId],
         balancers: tuple[NodeId, ...],
     ) -> Send | None:
         for number, batch in list(self._waiting.items()):
--- a/packages/core/src/medlar_core/flows/balancer.py
+++ b/packages/core/src/medlar_core/flows/balancer.py
@@ -11,8 +11,6 @@
 
 from ..effects import Effect
 from ..effects import Forward
-from ..effects import Record
-from ..effects import Return
 from ..effects import Send
 from ..events import ConfigurationChanged
 from ..events import PacketArrived
@@ -28,18 +26,15 @@
 from ..packets import Flag
 from ..packets import flow_key
 from ..packets import Packet
-from ..timeline.events import TimelineEvent
-from ..timeline.events import Topic
 from ..verdict import Reason
 from .explain import BalancerAnswer
 from .hints import HintBook
-from .limits import RECORDS_PER_S
+from .journal import Journal
 from .limits import VIEW_GAP_S
 from .messages import Hint
 from .messages import HintAck
 from .messages import HintsAsked
 from .messages import HintSlice
-from .meter import Meter
 from .services import Services
 
 _NONE = NodeId("")
@@ -64,10 +59,9 @@
         self._services = Services()
         self._routes: dict[str, _Route] = {}
         self._hints = HintBook(node, rng)
-        self._records = Meter(RECORDS_PER_S, RECORDS_PER_S)
+        self._journal = Journal(node, ServiceName(""))
         self._view: View | None = None
         self._view_at = float("-inf")
-        self._version = Version(0)
 
     def reduce(self, now: Seconds, event: Any) -> list[Effect]:
         """Take one event and return the effects to carry out."""
@@ -105,7 +99,7 @@
             dst = self._hints.get(key)
         if dst is None:
             if not owners:
-                return self._drop(now, packet, Reason.NO_SERVER)
+                return self._journal.dropped(now, packet, Reason.NO_SERVER)
             dst = owners[key % len(owners)]
         routed = Packet(
             caller,
@@ -113,7 +107,7 @@
             flags,
             packet.payload,
             route.service,
-            self._version,
+            self._journal.version,
             0,
             (),
             self._node,
@@ -129,28 +123,12 @@
         known_gone = packet.address in self._services.withdrawn
         if packet.flags & Flag.SYN or known_gone:
             return self._refuse(now, packet, Reason.UNKNOWN_ADDRESS)
-        return self._drop(now, packet, Reason.UNKNOWN_ADDRESS)
+        return self._journal.dropped(now, packet, Reason.UNKNOWN_ADDRESS)
 
     def _refuse(
         self, now: Seconds, packet: Packet, why: Reason
     ) -> list[Effect]:
-        reset = Packet(packet.caller, packet.address, int(Flag.RST))
-        return [Return(reset), *self._drop(now, packet, why)]
-
-    def _drop(self, now: Seconds, packet: Packet, why: Reason) -> list[Effect]:
-        if not self._records.passes(now):
-            return []
-        return [
-            Record(
-                TimelineEvent(
-                    Topic.PACKET,
-                    "packet refused",
-                    flow=f"{packet.caller}>{packet.address}",
-                    reason=why.value,
-                    version=self._version,
-                )
-            )
-        ]
+        return self._journal.reset(now, packet.caller, packet.address, why)
 
     def _received(self, now: Seconds, src: NodeId, msg: Any) -> list[Effect]:
         match msg:
@@ -170,7 +148,7 @@
             return
         self._view = None
         self._view_at = now
-        self._version = Version(view.version)
+        self._journal.version = Version(view.version)
         changed = self._services.take_view(view)
         self._update_routes(changed)
         balancers = tuple(sorted(b.id for b in view.balancers))
@@ -217,7 +195,7 @@
             service=service,
             bucket=bucket,
             server=(hinted or owner) if route else _NONE,
-            version=self._version,
+            version=self._journal.version,
             configuration=self._services.version,
             candidates=tuple(candidates),
             hinted=hinted,
--- a/packages/core/src/medlar_core/flows/hints.py
+++ b/packages/core/src/medlar_core/flows/hints.py
@@ -9,9 +9,6 @@
 from ..ids import Incarnation
 from ..ids import NodeId
 from ..ids import Seconds
-from .announce import mark
-from .announce import pack_marks
-from .announce import unpack_marks
 from .limits import DIRECTORY_S
 from .limits import HINT_ASK_S
 from .limits import HINT_FANOUT
@@ -25,6 +22,9 @@
 from .messages import HintAck
 from .messages import HintsAsked
 from .messages import HintSlice
+from .wire import mark
+from .wire import pack_marks
+from .wire import unpack_marks
 
 
 class _Relay(msgspec.Struct):
--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -3,8 +3,8 @@
 MAX_HOPS = 5
 """Agents that a packet may pass."""
 
-MAX_SYN_HOPS = 3
-"""Agents that the first packet of a flow may pass."""
+SPILL_HOPS = 2
+"""Agents after which a new flow is passed on no more for balance."""
 
 RANKS = 6
 """Candidates kept per bucket, the best first."""
@@ -54,18 +54,21 @@
 SETTLE_S = 5.0
 """How long a view must stand, or a member be gone, before a reset."""
 
-LOCATES = 64
-"""Searches for a flow that an agent has open at a time."""
+SEARCHES = 256
+"""Searches for flows that an agent has open at a time."""
 
 LOCATE_S = 2.0
-"""Life of one search, in seconds."""
+"""Wait for the answers of one search, in seconds."""
+
+ASK_GAP_S = 0.1
+"""Wait before the next round of searches per member asked, in seconds."""
+
+MISSES_PER_S = 5.0
+"""Messages about packets that missed their flow, per second."""
 
 LOCATE_FANOUT = 32
 """Members asked in one search."""
 
-LOCATES_PER_S = 4.0
-"""Searches that an agent may start, per second."""
-
 HINT_FANOUT = 2
 """Balancers that a balancer passes a hint batch on to."""
 
--- a/packages/core/src/medlar_core/flows/locate.py
+++ b/packages/core/src/medlar_core/flows/locate.py
@@ -5,45 +5,47 @@
 from ..ids import FlowKey
 from ..ids import NodeId
 from ..ids import Seconds
+from .limits import ASK_GAP_S
+from .limits import KEYS_PER_BATCH
 from .limits import LOCATE_S
-from .limits import LOCATES
-from .limits import LOCATES_PER_S
-from .meter import Meter
+from .limits import SEARCHES
 
 
 class Search(msgspec.Struct):
     """A question to all members that may hold a flow.
 
     ``asked`` have not answered yet; ``sure`` stays true while every
-    answer came from a member that knows the same members.
+    answer came from a member that knows the same members. Before the
+    question is sent ``sent_at`` is None.
     """
 
     caller: str
     address: str
-    started: float
     asked: set[NodeId]
     sure: bool
+    sent_at: float | None = None
 
 
 class Searches:
-    """Open searches, few at a time and limited in rate."""
+    """Open searches: a limited number, asked together in rounds.
+
+    The wait between two rounds grows with the number of members asked,
+    so that packets of unknown flows cannot raise the control traffic.
+    """
 
     def __init__(self) -> None:
         self._open: dict[FlowKey, Search] = {}
-        self._meter = Meter(LOCATES_PER_S, LOCATES)
+        self._next_at = 0.0
 
     def __len__(self) -> int:
         return len(self._open)
 
-    def may_start(self, now: Seconds, key: FlowKey) -> bool:
-        """Return whether a search may start, and count it."""
-        self._expire(now)
-        if key in self._open or len(self._open) >= LOCATES:
-            return False
-        return self._meter.passes(now)
+    def wants(self, key: FlowKey) -> bool:
+        """Return whether a search for a flow may be opened."""
+        return key not in self._open and len(self._open) < SEARCHES
 
     def start(self, key: FlowKey, search: Search) -> None:
-        """Open a search."""
+        """Open a search; it is asked in the next round."""
         self._open[key] = search
 
     def found(self, key: FlowKey) -> None:
@@ -64,8 +66,22 @@
             return None
         return self._open.pop(key)
 
+    def due(self, now: Seconds) -> dict[NodeId, list[FlowKey]]:
+        """Return which members to ask now for which flows."""
+        self._expire(now)
+        if now < self._next_at:
+            return {}
+        asks: dict[NodeId, list[FlowKey]] = {}
+        waiting = [i for i in self._open.items() if i[1].sent_at is None]
+        for key, search in waiting[:KEYS_PER_BATCH]:
+            search.sent_at = now
+            for node in search.asked:
+                asks.setdefault(node, []).append(key)
+        self._next_at = now + ASK_GAP_S * len(asks)
+        return asks
+
     def _expire(self, now: Seconds) -> None:
         for key, search in list(self._open.items()):
-            if now - search.started <= LOCATE_S:
-                break
-            del self._open[key]
+            sent_at = search.sent_at
+            if sent_at is not None and now - sent_at > LOCATE_S:
+                del self._open[key]
--- a/packages/core/src/medlar_core/flows/messages.py
+++ b/packages/core/src/medlar_core/flows/messages.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from ..ids import FlowKey
 from ..ids import Incarnation
 from ..ids import NodeId
 
@@ -40,23 +39,23 @@
 
 
 class Locate(msgspec.Struct, frozen=True, tag="flows.locate"):
-    """Does the receiver hold this flow? The answer goes to ``origin``.
+    """Does the receiver hold these flows? Answers go to ``origin``.
 
     A receiver that sees another owner passes the question on once.
     """
 
-    key: FlowKey
+    keys: bytes
     origin: NodeId
     relayed: bool = False
 
 
 class NotHeld(msgspec.Struct, frozen=True, tag="flows.not-held"):
-    """The sender does not hold the flow.
+    """The sender does not hold these flows.
 
     ``members`` is the digest of the members that the sender knows.
     """
 
-    key: FlowKey
+    keys: bytes
     members: int
 
 
--- /dev/null
+++ b/packages/core/src/medlar_core/flows/opening.py
@@ -0,0 +1,72 @@
+"""Decides which agent takes a new flow."""
+
+from ..ids import FlowKey
+from ..ids import NodeId
+from ..ids import ServiceName
+from ..packets import Packet
+from .finder import Finder
+from .limits import SPILL_HOPS
+from .neighbours import Neighbours
+from .services import Services
+
+
+class Opening:
+    """Places new flows by bucket, room and load.
+
+    The owner of the bucket takes a flow unless it leaves, is full or has
+    far more flows than the mean; then a member with room does.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        services: Services,
+        neighbours: Neighbours,
+        finder: Finder,
+    ) -> None:
+        self._node = node
+        self._service = service
+        self._services = services
+        self._neighbours = neighbours
+        self._finder = finder
+
+    def place(
+        self, key: FlowKey, packet: Packet, flows: int, draining: bool
+    ) -> NodeId | None:
+        """Return the agent that is to take a new flow, if there is one.
+
+        A copy of an earlier SYN follows it. The first agent passes a SYN
+        to the bucket's owner, so that copies that come by different
+        ways find the same agent. Later ones take it where there is
+        room, also when their views differ. ``flows`` are open here.
+        """
+        earlier = self._finder.opened_at(key, packet.asked)
+        if earlier is not None and packet.hops < SPILL_HOPS:
+            return earlier
+        owner = self._services.owner_in(self._service, key)
+        if packet.hops == 0 and owner not in (None, self._node):
+            return owner
+        if flows >= self.limit or draining:
+            return self._other(key, packet)
+        overloaded = self._neighbours.overloaded(flows)
+        if overloaded and packet.hops < SPILL_HOPS:
+            return self._neighbours.roomy(key, packet.asked) or self._node
+        return self._node
+
+    @property
+    def limit(self) -> int:
+        """Flows that the server here may hold."""
+        return self._services.connections(self._service)
+
+    def _other(self, key: FlowKey, packet: Packet) -> NodeId | None:
+        near = self._neighbours
+        found = near.roomy(key, packet.asked)
+        if found is not None:
+            return found
+        for node in near.ranked(key):
+            if node == self._node or node in packet.asked:
+                continue
+            if near.accepting(node):
+                return node
+        return None
