Reset a flow only when all members denied it twice

Change: a new agent makes itself known before it takes new flows; a reset needs two denials 10 s apart from members that know the same.

--- a/packages/bench/src/medlar_bench/flows/broken.py
+++ b/packages/bench/src/medlar_bench/flows/broken.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from medlar_core.config.model import Configuration
 from medlar_core.ids import NodeId
 
 from ..rows import Measurement
@@ -119,8 +120,9 @@
 
 
 def balancer(stage: Stage) -> set[NodeId]:
-    """Kill and replace every balancer in turn, while a server drains."""
-    for _ in range(BALANCERS * 2):
+    """Kill and replace every balancer in turn, while servers drain."""
+    for service, node in _in_turn(stage):
+        stage.replace_server(service, node)
         stage.replace_balancer()
         stage.wait(stage.load.gap_s / 2)
     return set()
@@ -171,6 +173,41 @@
     return lost
 
 
+def move_address(stage: Stage) -> set[NodeId]:
+    """Move an address between the services while servers are replaced.
+
+    Feeds to the address stay open; short flows to it go on.
+    """
+    world = stage.world
+    world.spread_s = 8.0
+    world.net.faults.double = 0.05
+    for turn, (service, node) in enumerate(_in_turn(stage)):
+        mover = MANIFEST if turn % 2 == 0 else BERTH
+        world.configure(_moved_to(mover))
+        stage.replace_server(service, node)
+        for _ in range(stage.load.feeds):
+            stage.callers.open(MOVING_ADDRESS)
+        for _ in range(20):
+            stage.callers.open(MOVING_ADDRESS, packets=4)
+            stage.wait(0.5)
+        stage.replace_balancer()
+        stage.wait(stage.load.gap_s)
+    return set()
+
+
+def _moved_to(service: str) -> Configuration:
+    services = [make_service(name) for name in SERVERS]
+    moved = make_service(service, MOVING_ADDRESS).addresses
+    return make_cfg(
+        *(
+            msgspec.structs.replace(s, addresses=s.addresses + moved)
+            if s.name == service
+            else s
+            for s in services
+        )
+    )
+
+
 def _in_turn(stage: Stage) -> Iterator[tuple[str, NodeId]]:
     """Yield a server of each service to replace, one after another."""
     for _ in range(2 * stage.load.rounds):
@@ -220,6 +257,26 @@
     ]
 
 
+def measure_foreign(size: Size, seed: int) -> list[Row]:
+    """Measure packets that reach another service than their own."""
+    stage = Stage(size, seed, None)
+    move_address(stage)
+    stage.finish()
+    callers = stage.callers
+    note = f"{callers.delivered} packets, {callers.broken()} flows broken"
+    return [
+        Row(
+            name="flows.foreign",
+            value=callers.foreign,
+            unit="packets",
+            bound=0,
+            sense=Sense.MAX,
+            seed=seed,
+            note=note,
+        )
+    ]
+
+
 def _measurement(name: str) -> Measurement:
     return Measurement(
         (f"flows.broken.{name}",),
@@ -227,4 +284,7 @@
     )
 
 
-MEASUREMENTS = tuple(_measurement(name) for name in SCENARIOS)
+MEASUREMENTS = (
+    *(_measurement(name) for name in SCENARIOS),
+    Measurement(("flows.foreign",), measure_foreign),
+)
--- a/packages/bench/src/medlar_bench/flows/callers.py
+++ b/packages/bench/src/medlar_bench/flows/callers.py
@@ -142,14 +142,17 @@
         flow = self.flows.get((packet.caller, packet.address))
         if packet.flags & Flag.SYN:
             self.opened(node, packet)
+        service = self.world.servers[node].service
+        if flow is None or not flow.server:
+            allowed = self.world.services_of(packet.address)
+            self.foreign += service not in allowed
+        elif flow.service != service:
+            self.foreign += 1
         if flow is None:
             return
-        service = self.world.servers[node].service
         if not flow.server:
             flow.server = node
             flow.service = service
-        elif flow.service != service:
-            self.foreign += 1
         if flow.server != node and flow.fate is not Fate.OPENING:
             self._end(flow, Fate.MOVED)
 
--- a/packages/bench/src/medlar_bench/flows/world.py
+++ b/packages/bench/src/medlar_bench/flows/world.py
@@ -44,10 +44,14 @@
 from medlar_core.packets import Packet
 from medlar_fakes.clock import Clock
 from medlar_fakes.net import Net
+from medlar_fakes.net import TICK_S
 
 REPORT_S = 1.0
 """Time between two load reports of the membership, in seconds."""
 
+CFG_SPREAD_S = 10.0
+"""Time in which a configuration comes into force everywhere."""
+
 DRAIN_LIMIT_S = 12 * 3600.0
 PLACES = tuple(PlaceName(name) for name in ("a", "b", "c"))
 
@@ -135,7 +139,7 @@
     ``spread_s`` bounds how late a process learns of a change, ``doubled``
     is the share of updates that come twice. ``to_caller`` gets packets
     on their way back and ``delivered`` is told of each packet that
-    reaches a server.
+    reaches a server. While ``quiet`` no change of members is told.
     """
 
     def __init__(
@@ -145,12 +149,15 @@
         fleet: Fleet | None = None,
         spread_s: float = 0.5,
         metered: bool = False,
+        tick_s: float = TICK_S,
     ) -> None:
         self.clock = Clock()
         self.rng = random.Random(seed)
         self.net = Net(self.clock, seed, other=self._carry, metered=metered)
         self.fleet = fleet or Designed()
         self.spread_s = spread_s
+        self.quiet = False
+        self._tick_s = tick_s
         self.doubled = 0.0
         self.lag: dict[NodeId, float] = {}
         self.servers: dict[NodeId, Server] = {}
@@ -161,6 +168,7 @@
         self.delivered: Callable[[NodeId, Packet], None] = lambda i, p: None
         self.loads: dict[NodeId, int] = {}
         self._cfgs: list[Configuration] = [cfg]
+        self._cfg_at = 0.0
         self._versions = 0
         self._names = 0
         self._known: dict[NodeId, _Knowledge] = {}
@@ -265,7 +273,7 @@
             i: (self._versions, s) for i, s in self.servers.items()
         }
         self._known[node] = _Knowledge(known, dict(self.balancers))
-        self.net.attach(node, host)
+        self.net.attach(node, host, self._tick_s)
         self._give_cfg(node, len(self._cfgs))
         self._give_view(node)
 
@@ -276,13 +284,37 @@
         self.servers[server.id] = server
         self._spread(server.id, server)
 
+    def tell_all(self) -> None:
+        """Have every process know all members now."""
+        servers: dict[NodeId, tuple[int, Server | None]] = {
+            i: (self._versions, s) for i, s in self.servers.items()
+        }
+        for known in self._known.values():
+            known.servers = dict(servers)
+        self._report()
+
     def configure(self, cfg: Configuration) -> None:
         """Put a configuration in force, late and unevenly."""
         self._cfgs.append(cfg)
+        self._cfg_at = self.clock.now
         version = len(self._cfgs)
         for node in list(self._known):
             self._later(node, functools.partial(self._give_cfg, node, version))
 
+    def services_of(self, address: str) -> set[ServiceName]:
+        """Return the services that may have an address by now.
+
+        While a configuration spreads, that is the old one's as well.
+        """
+        spread = self.clock.now - self._cfg_at <= CFG_SPREAD_S
+        cfgs = self._cfgs[-2:] if spread else self._cfgs[-1:]
+        return {
+            service.name
+            for cfg in cfgs
+            for service in cfg.services
+            if any(a.text == address for a in service.addresses)
+        }
+
     def _later(self, node: NodeId, call: Callable[[], None]) -> None:
         delay = self.rng.random() * self.spread_s + self.lag.get(node, 0.0)
         self.clock.after(delay, call)
@@ -292,6 +324,8 @@
     def _spread(self, member: NodeId, server: Server | None) -> None:
         self._versions += 1
         version = self._versions
+        if self.quiet:
+            return
         for node in list(self._known):
             learn = functools.partial(
                 self._learn, node, member, version, server
--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -13,6 +13,7 @@
 from ..effects import Forward
 from ..effects import Publish
 from ..effects import Return
+from ..effects import Send
 from ..events import ConfigurationChanged
 from ..events import DrainAsked
 from ..events import LoadMeasured
@@ -42,13 +43,15 @@
 from .finder import Finder
 from .held import FlowTable
 from .held import Held
+from .introduction import Introduction
 from .journal import Journal
 from .limits import DEAD_PROBES
 from .limits import LOAD_S
 from .limits import MAX_HOPS
 from .limits import REFRESH_S
-from .limits import VIEW_GAP_S
 from .messages import HintAck
+from .messages import Introduced
+from .messages import IntroducedAck
 from .messages import LocatedAck
 from .neighbours import Neighbours
 from .opening import Opening
@@ -91,6 +94,7 @@
         self._opening = Opening(
             node, service, self._services, self._neighbours, self._finder
         )
+        self._introduction = Introduction(incarnation)
         self._view: View | None = None
         self._view_at = float("-inf")
         self._balancers: tuple[NodeId, ...] = ()
@@ -122,8 +126,7 @@
                 return self._tick(now)
             case ViewChanged(view=view):
                 self._view = view
-                if now - self._view_at >= VIEW_GAP_S:
-                    self._take_view(now)
+                self._take_view(now)
             case ConfigurationChanged(cfg=cfg, version=version):
                 if self._services.take_cfg(cfg, version):
                     self._update(now)
@@ -165,16 +168,15 @@
             return [Deliver(packet)]
         if self._flows.taken(key):
             return self._journal.dropped(now, packet, Reason.DUPLICATE)
-        found = self._opening.place(
-            key, packet, self.open_flows, self.draining
-        )
+        closed = self.draining or not self._introduction.done
+        found = self._opening.place(key, packet, self.open_flows, closed)
         if found == self._node:
             self._flows.open(now, key, Held(packet.caller, packet.address, 0))
             return [Deliver(packet)]
         if found is not None and packet.hops + 1 < MAX_HOPS:
             self._finder.note_spilled(key, found)
             return self._forward(found, packet)
-        if packet.hops:
+        if packet.hops or not self._introduction.done:
             return self._journal.dropped(now, packet, Reason.HOP_LIMIT)
         if self.draining:
             return self._reset(now, packet, Reason.DRAINING)
@@ -187,8 +189,8 @@
         finder = self._finder
         if finder.lost_with(now, key):
             return self._reset(now, packet, Reason.SERVER_DIED)
-        finder.search_if_owner(now, key, packet)
-        effects = finder.correct(now, key, packet)
+        effects = finder.search_if_owner(now, key, packet)
+        effects += finder.correct(now, key, packet)
         if packet.hops + 1 < MAX_HOPS:
             for node in finder.next_hops(key, packet.address):
                 if node not in packet.asked:
@@ -272,13 +274,19 @@
             case HintAck(batch=batch, incarnation=incarnation, holder=holder):
                 if holder == self._node:
                     self._announcer.acked(batch, incarnation)
+            case Introduced(incarnation=incarnation):
+                self._neighbours.introduce(now, src, incarnation)
+                return [Send(src, IntroducedAck(incarnation))]
+            case IntroducedAck():
+                self._introduction.acked(src)
             case _:
                 return self._finder.received(now, src, msg)
         return []
 
     def _take_view(self, now: Seconds) -> None:
         view = self._view
-        if view is None:
+        gap_s = self._services.view_gap_s
+        if view is None or now - self._view_at < gap_s:
             return
         self._view = None
         self._view_at = now
@@ -329,6 +337,9 @@
             effects += self._end_all(Reason.DRAINING, tell_server=True)
         self._displaced.refresh(now)
         effects += self._finder.due(now)
+        if self._neighbours.table is not None:
+            others = sorted(self._neighbours.ids - {self._node})
+            effects += self._introduction.due(now, others)
         effects += self._announcer.due(
             now, self._services.servers.keys(), self._balancers
         )
--- a/packages/core/src/medlar_core/flows/balancer.py
+++ b/packages/core/src/medlar_core/flows/balancer.py
@@ -30,7 +30,6 @@
 from .explain import BalancerAnswer
 from .hints import HintBook
 from .journal import Journal
-from .limits import VIEW_GAP_S
 from .messages import Hint
 from .messages import HintAck
 from .messages import HintsAsked
@@ -75,8 +74,7 @@
                 return self._hints.due(now)
             case ViewChanged(view=view):
                 self._view = view
-                if now - self._view_at >= VIEW_GAP_S:
-                    self._take_view(now)
+                self._take_view(now)
             case ConfigurationChanged(cfg=cfg, version=version):
                 if self._services.take_cfg(cfg, version):
                     self._update_routes(set(self._services.addresses.values()))
@@ -144,7 +142,8 @@
 
     def _take_view(self, now: Seconds) -> None:
         view = self._view
-        if view is None:
+        gap_s = self._services.view_gap_s
+        if view is None or now - self._view_at < gap_s:
             return
         self._view = None
         self._view_at = now
--- a/packages/core/src/medlar_core/flows/finder.py
+++ b/packages/core/src/medlar_core/flows/finder.py
@@ -19,6 +19,7 @@
 from .limits import LOCATE_FANOUT
 from .limits import MISSES_PER_S
 from .limits import SPILLED_LIMIT
+from .locate import Denials
 from .locate import Search
 from .locate import Searches
 from .messages import Ended
@@ -61,6 +62,7 @@
         self._journal = journal
         self._spilled: dict[FlowKey, NodeId] = {}
         self._searches = Searches()
+        self._denials = Denials()
         self._misses = Meter(MISSES_PER_S, MISSES_PER_S)
         self._corrections = Meter(MISSES_PER_S, MISSES_PER_S)
 
@@ -102,7 +104,8 @@
         guesses += near.ranked(key)
         found: dict[NodeId, None] = {}
         for node in guesses:
-            if node in services.servers and node != self._node:
+            known = node in services.servers or node in near.ids
+            if known and node is not None and node != self._node:
                 found[node] = None
         return list(found)
 
@@ -116,16 +119,14 @@
 
     def search_if_owner(
         self, now: Seconds, key: FlowKey, packet: Packet
-    ) -> None:
-        """Search for an unknown flow whose bucket is owned here.
-
-        While members change, holders are still telling their flows.
-        """
+    ) -> list[Effect]:
+        """Search for an unknown flow whose bucket is owned here."""
         if packet.flags & Flag.RST or self.directory.get(key):
-            return
+            return []
         owner = self._services.owner(packet.address, key)
-        if owner == self._node and self._neighbours.settled(now):
-            self._search(packet.caller, packet.address)
+        if owner != self._node:
+            return []
+        return self._search(now, packet.caller, packet.address)
 
     def missed(
         self, now: Seconds, key: FlowKey, packet: Packet
@@ -140,8 +141,7 @@
         if owner is None:
             return self._journal.dropped(now, packet, Reason.NO_FLOW)
         if owner == self._node:
-            self._search(packet.caller, packet.address)
-            return []
+            return self._search(now, packet.caller, packet.address)
         if not self._misses.passes(now):
             return []
         return [Send(owner, Missed(packet.caller, packet.address))]
@@ -155,9 +155,9 @@
                 for key in unpack_keys(keys):
                     self.directory.drop(key, src)
             case Missed(caller=caller, address=address):
-                self._search(caller, address)
+                return self._search(now, caller, address)
             case Locate():
-                return self._asked(src, msg)
+                return self._asked(msg)
             case NotHeld():
                 return self._denied(now, src, msg)
         return []
@@ -169,19 +169,41 @@
             for node, keys in self._searches.due(now).items()
         ]
 
-    def _search(self, caller: str, address: str) -> None:
+    @property
+    def _known(self) -> int:
+        """What members must agree on: the members and the version."""
+        return self._neighbours.digest ^ self._services.version
+
+    def _search(self, now: Seconds, caller: str, address: str) -> list[Effect]:
+        """Open a search for a flow, or judge it if there is none to ask."""
         key = flow_key(caller, address)
         if self._flows.taken(key) or not self._searches.wants(key):
-            return
+            return []
+        if self._denials.waits(now, key, self._known):
+            return []
         members = [i for i in self._neighbours.ids if i != self._node]
         asked = sorted(members)[:LOCATE_FANOUT]
         sure = len(asked) == len(members)
         for former in self._services.former.get(address, ()):
             asked += [s.id for s in self._services.members(former)]
             sure = False
-        if asked:
-            search = Search(caller, address, set(asked), sure)
-            self._searches.start(key, search)
+        search = Search(caller, address, set(asked), sure)
+        if not asked:
+            return self._judge(now, key, search)
+        self._searches.start(key, search)
+        return []
+
+    def _judge(
+        self, now: Seconds, key: FlowKey, search: Search
+    ) -> list[Effect]:
+        """Reset a flow that all members denied twice."""
+        if not (search.sure and self.recovered) or self._flows.taken(key):
+            return []
+        if not self._denials.confirm(now, key, self._known):
+            return []
+        return self._journal.reset(
+            now, search.caller, search.address, Reason.NO_FLOW
+        )
 
     def _located(
         self, now: Seconds, src: NodeId, msg: Located
@@ -195,7 +217,7 @@
             return []
         return [Send(src, LocatedAck(msg.batch, msg.incarnation))]
 
-    def _asked(self, src: NodeId, msg: Locate) -> list[Effect]:
+    def _asked(self, msg: Locate) -> list[Effect]:
         keys = unpack_keys(msg.keys)
         held = [key for key in keys if self._flows.taken(key)]
         missing = [key for key in keys if not self._flows.taken(key)]
@@ -205,35 +227,36 @@
             effects.append(Send(msg.origin, found))
         if not missing or msg.relayed:
             return effects
-        effects += self._relay(missing, msg.origin)
-        if self.recovered and src == msg.origin:
-            denial = NotHeld(pack_keys(missing), self._neighbours.digest)
+        asks = self._others_to_ask(missing, msg.origin)
+        for node, found_there in sorted(asks.items()):
+            passed = Locate(pack_keys(found_there), msg.origin, relayed=True)
+            effects.append(Send(node, passed))
+        passed_on = {
+            key for found_there in asks.values() for key in found_there
+        }
+        denied = [key for key in missing if key not in passed_on]
+        if self.recovered and denied:
+            denial = NotHeld(pack_keys(denied), self._known)
             effects.append(Send(msg.origin, denial))
         return effects
 
-    def _relay(self, keys: list[FlowKey], origin: NodeId) -> list[Effect]:
-        """Pass a question on to agents that its sender may not know."""
+    def _others_to_ask(
+        self, keys: list[FlowKey], origin: NodeId
+    ) -> dict[NodeId, list[FlowKey]]:
+        """Return agents that the asker may not know, and what to ask."""
         asks: dict[NodeId, list[FlowKey]] = {}
         for key in keys:
             owner = self._services.owner_in(self._service, key)
-            for node in {self.directory.get(key), owner}:
+            for node in dict.fromkeys((self.directory.get(key), owner)):
                 if node is not None and node not in (self._node, origin):
                     asks.setdefault(node, []).append(key)
-        return [
-            Send(node, Locate(pack_keys(found), origin, relayed=True))
-            for node, found in sorted(asks.items())
-        ]
+        return asks
 
     def _denied(self, now: Seconds, src: NodeId, msg: NotHeld) -> list[Effect]:
-        near = self._neighbours
-        agrees = msg.members == near.digest
+        known = self._known
         effects: list[Effect] = []
         for key in unpack_keys(msg.keys):
-            search = self._searches.denied(key, src, agrees)
-            if search is None or not search.sure or self._flows.taken(key):
-                continue
-            if self.recovered and near.settled(now):
-                effects += self._journal.reset(
-                    now, search.caller, search.address, Reason.NO_FLOW
-                )
+            search = self._searches.denied(key, src, msg.known == known)
+            if search is not None:
+                effects += self._judge(now, key, search)
         return effects
--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -12,9 +12,15 @@
 PAST_OWNERS = 4
 """Earlier owners kept per bucket."""
 
-VIEW_GAP_S = 0.25
+VIEW_GAP_S = 0.1
 """Shortest time between two views taken in, in seconds."""
 
+VIEW_GAP_PER_SERVER_S = 0.0002
+"""What each server in view adds to that time, in seconds."""
+
+TABLES_KEPT = 16
+"""Tables kept in case that members change back."""
+
 HALF_OPEN_LIMIT = 4096
 """Flows of one agent that no caller's packet has proved yet."""
 
@@ -27,7 +33,7 @@
 CLOSING_S = 10.0
 """How long an ended flow passes late packets, in seconds."""
 
-SPILL_SHARE = 1.05
+SPILL_SHARE = 1.1
 """Load over the mean above which new flows are passed on."""
 
 SPILL_SLACK = 4
@@ -122,3 +128,18 @@
 
 SPILL_PICKS = 4
 """Members among which a flow that is passed on finds the emptiest."""
+
+INTRODUCTION_S = 3.0
+"""Longest wait for members to know a new agent, in seconds."""
+
+INTRODUCED_S = 60.0
+"""How long a name counts that membership has not told, in seconds."""
+
+CONFIRM_S = 10.0
+"""Time between two denials by all members before a reset, in seconds.
+
+Within it any change of members or configuration is known everywhere.
+"""
+
+DENIALS_LIMIT = 1024
+"""First denials that an agent remembers."""
--- a/packages/core/src/medlar_core/flows/locate.py
+++ b/packages/core/src/medlar_core/flows/locate.py
@@ -6,6 +6,8 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from .limits import ASK_GAP_S
+from .limits import CONFIRM_S
+from .limits import DENIALS_LIMIT
 from .limits import KEYS_PER_BATCH
 from .limits import LOCATE_S
 from .limits import SEARCHES
@@ -26,6 +28,44 @@
     sent_at: float | None = None
 
 
+class _Denial(msgspec.Struct, frozen=True):
+    """All members denied a flow; ``known`` is what they agreed on."""
+
+    at: float
+    known: int
+
+
+class Denials:
+    """First denials of flows, to be confirmed by a second one.
+
+    A flow that was opened by members or by a configuration that some
+    process here has not heard of shows up in the time between.
+    """
+
+    def __init__(self) -> None:
+        self._first: dict[FlowKey, _Denial] = {}
+
+    def waits(self, now: Seconds, key: FlowKey, known: int) -> bool:
+        """Return whether it is too early to search for a flow again."""
+        first = self._first.get(key)
+        if first is None or first.known != known:
+            return False
+        return now - first.at < CONFIRM_S
+
+    def confirm(self, now: Seconds, key: FlowKey, known: int) -> bool:
+        """Note a denial; return whether it confirms an earlier one."""
+        first = self._first.pop(key, None)
+        if first is not None and first.known == known:
+            if now - first.at >= CONFIRM_S:
+                return True
+            self._first[key] = first
+            return False
+        if len(self._first) >= DENIALS_LIMIT:
+            del self._first[next(iter(self._first))]
+        self._first[key] = _Denial(now, known)
+        return False
+
+
 class Searches:
     """Open searches: a limited number, asked together in rounds.
 
@@ -75,7 +115,7 @@
         waiting = [i for i in self._open.items() if i[1].sent_at is None]
         for key, search in waiting[:KEYS_PER_BATCH]:
             search.sent_at = now
-            for node in search.asked:
+            for node in sorted(search.asked):
                 asks.setdefault(node, []).append(key)
         self._next_at = now + ASK_GAP_S * len(asks)
         return asks
--- a/packages/core/src/medlar_core/flows/messages.py
+++ b/packages/core/src/medlar_core/flows/messages.py
@@ -52,11 +52,24 @@
 class NotHeld(msgspec.Struct, frozen=True, tag="flows.not-held"):
     """The sender does not hold these flows.
 
-    ``members`` is the digest of the members that the sender knows.
+    ``known`` is a digest of the members and the configuration that the
+    sender knows.
     """
 
     keys: bytes
-    members: int
+    known: int
+
+
+class Introduced(msgspec.Struct, frozen=True, tag="flows.introduced"):
+    """The sender is a member, though membership may not say so yet."""
+
+    incarnation: Incarnation
+
+
+class IntroducedAck(msgspec.Struct, frozen=True, tag="flows.introduced-ack"):
+    """The sender counts the receiver as a member."""
+
+    incarnation: Incarnation
 
 
 class Hint(msgspec.Struct, frozen=True, tag="flows.hint"):
@@ -107,6 +120,8 @@
     Missed,
     Locate,
     NotHeld,
+    Introduced,
+    IntroducedAck,
     Hint,
     HintAck,
     HintsAsked,
--- a/packages/core/src/medlar_core/flows/neighbours.py
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -12,6 +12,7 @@
 from ..members.view import Server
 from ..members.view import ServerState
 from .limits import DEPARTED_S
+from .limits import INTRODUCED_S
 from .limits import PAST_OWNERS
 from .limits import SETTLE_S
 from .limits import SPILL_PICKS
@@ -48,7 +49,7 @@
         self.digest = 0
         self.me: Server | None = None
         self._incarnations: dict[NodeId, Incarnation] = {}
-        self._changed_at = 0.0
+        self._introduced: dict[NodeId, tuple[Incarnation, float]] = {}
         self._departed: dict[NodeId, float] = {}
         self._past: dict[int, tuple[NodeId, ...]] = {}
         self._room: dict[NodeId, float] = {}
@@ -70,10 +71,6 @@
         self._update_loads(members, own_flows)
         return Changes(moved, restarted)
 
-    def settled(self, now: Seconds) -> bool:
-        """Return whether the members have stood for a while."""
-        return now - self._changed_at >= SETTLE_S
-
     def departed(self, now: Seconds, node: NodeId) -> bool:
         """Return whether a member has been gone for a while."""
         at = self._departed.get(node)
@@ -118,11 +115,31 @@
     def _update_members(
         self, now: Seconds, members: list[Server]
     ) -> frozenset[NodeId]:
-        incarnations = {s.id: s.incarnation for s in members}
         self.me = next((s for s in members if s.id == self._node), None)
-        if incarnations == self._incarnations:
-            return frozenset()
+        incarnations = {s.id: s.incarnation for s in members}
+        for node, (incarnation, at) in list(self._introduced.items()):
+            if node in incarnations or now - at > INTRODUCED_S:
+                del self._introduced[node]
+            else:
+                incarnations[node] = incarnation
+        return self._set_members(now, incarnations)
+
+    def introduce(
+        self, now: Seconds, node: NodeId, incarnation: Incarnation
+    ) -> None:
+        """Count a new member that told its name itself."""
+        if self._incarnations.get(node, -1) < incarnation:
+            self._introduced[node] = (incarnation, now)
+            known = {**self._incarnations, node: incarnation}
+            self._set_members(now, known)
+
+    def _set_members(
+        self, now: Seconds, incarnations: dict[NodeId, Incarnation]
+    ) -> frozenset[NodeId]:
+        """Note the members; return those that run a new incarnation."""
         before = self._incarnations
+        if incarnations == before:
+            return frozenset()
         for node in before.keys() - incarnations.keys():
             self._departed[node] = now
         for node in incarnations:
@@ -131,7 +148,6 @@
             if now - at > DEPARTED_S:
                 del self._departed[node]
         self._incarnations = incarnations
-        self._changed_at = now
         self.ids = set(incarnations)
         text = ",".join(f"{i}/{n}" for i, n in sorted(incarnations.items()))
         self.digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
--- a/packages/core/src/medlar_core/flows/opening.py
+++ b/packages/core/src/medlar_core/flows/opening.py
@@ -32,14 +32,15 @@
         self._finder = finder
 
     def place(
-        self, key: FlowKey, packet: Packet, flows: int, draining: bool
+        self, key: FlowKey, packet: Packet, flows: int, closed: bool
     ) -> NodeId | None:
         """Return the agent that is to take a new flow, if there is one.
 
         A copy of an earlier SYN follows it. The first agent passes a SYN
         to the bucket's owner, so that copies that come by different
         ways find the same agent. Later ones take it where there is
-        room, also when their views differ. ``flows`` are open here.
+        room, also when their views differ. ``flows`` are
+        open here; ``closed`` tells that this agent takes no new one.
         """
         earlier = self._finder.opened_at(key, packet.asked)
         if earlier is not None and packet.hops < SPILL_HOPS:
@@ -47,7 +48,7 @@
         owner = self._services.owner_in(self._service, key)
         if packet.hops == 0 and owner not in (None, self._node):
             return owner
-        if flows >= self.limit or draining:
+        if flows >= self.limit or closed:
             return self._other(key, packet)
         overloaded = self._neighbours.overloaded(flows)
         if overloaded and packet.hops < SPILL_HOPS:
--- a/packages/core/src/medlar_core/flows/services.py
+++ b/packages/core/src/medlar_core/flows/services.py
@@ -8,6 +8,8 @@
 from ..members.view import Server
 from ..members.view import View
 from .limits import FORMER_SERVICES
+from .limits import VIEW_GAP_PER_SERVER_S
+from .limits import VIEW_GAP_S
 from .table import build
 from .table import choose
 from .table import share
@@ -83,6 +85,14 @@
             self._tables.pop(service, None)
         return changed
 
+    @property
+    def view_gap_s(self) -> float:
+        """Shortest time between two views taken in, in seconds.
+
+        It grows with the fleet, so that the cost per second does not.
+        """
+        return VIEW_GAP_S + len(self.servers) * VIEW_GAP_PER_SERVER_S
+
     def members(self, service: ServiceName) -> list[Server]:
         """Return the live servers of a service."""
         return self._members.get(service, [])
--- a/packages/core/src/medlar_core/flows/table.py
+++ b/packages/core/src/medlar_core/flows/table.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import functools
 
 import msgspec
 import numpy as np
@@ -20,6 +21,7 @@
 from ..members.view import Server
 from ..members.view import ServerState
 from .limits import RANKS
+from .limits import TABLES_KEPT
 from .limits import WARMTH_STEPS
 
 ACCEPTING = (ServerState.READY, ServerState.WARMING)
@@ -88,7 +90,8 @@
     return tuple(Candidate(s.id, 0.0) for s in members)
 
 
-def build(candidates: Sequence[Candidate], buckets: int) -> Table:
+@functools.lru_cache(maxsize=TABLES_KEPT)
+def build(candidates: tuple[Candidate, ...], buckets: int) -> Table:
     """Return the table of a service.
 
     :raises ValueError: if there is no candidate.
