--- /dev/null
+++ b/packages/bench/src/medlar_bench/world/fleet.py
@@ -0,0 +1,238 @@
+"""The words of the scenario language, over a world.
+
+A scenario speaks of services by name and of servers and balancers by
+their number, from 1. Each word is a method here; the step files only
+bind sentences to them.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import msgspec
+
+from medlar_core.config.model import Address
+from medlar_core.config.model import Configuration
+from medlar_core.config.model import Kind
+from medlar_core.config.model import Place
+from medlar_core.config.model import Protocol
+from medlar_core.config.model import Service
+from medlar_core.ids import KindName
+from medlar_core.ids import PlaceName
+from medlar_core.ids import RegionName
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+
+from .operators import Applied
+from .processes import Process
+from .processes import ready_in
+from .world import World
+
+REGION = RegionName("one")
+READY_LIMIT_S = 60.0
+STEP_S = 1.0
+LOAD = 0.7
+FIRST_LIMIT_S = 3600.0
+FLOW_PORT = 4000
+REQUEST_PORT = 8080
+
+
+class Fleet:
+    """A fleet as a scenario describes it."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.world = World(seed)
+        self.services: dict[str, Service] = {}
+        self.places: list[PlaceName] = []
+        self.died: list[Process] = []
+        self.left: list[Process] = []
+
+    # What there is
+
+    def add_places(self, names: Sequence[str]) -> None:
+        """Name the places; servers and balancers are dealt over them."""
+        self.places += [PlaceName(name) for name in names]
+
+    def add_service(
+        self, name: str, servers: int, kinds: Sequence[Kind] = ()
+    ) -> None:
+        """Declare a service and how many servers it has."""
+        number = len(self.services) + 1
+        ip = f"10.9.0.{number}"
+        addresses = (
+            Address(ip=ip, port=FLOW_PORT, protocol=Protocol.FLOW),
+            Address(ip=ip, port=REQUEST_PORT, protocol=Protocol.REQUEST),
+        )
+        self.services[name] = Service(
+            name=ServiceName(name),
+            addresses=addresses,
+            places=tuple(self.places),
+            kinds=tuple(kinds),
+        )
+        for n in range(servers):
+            self.world.start_server(ServiceName(name), self._place(n))
+
+    def add_balancers(self, count: int) -> None:
+        """Start balancers, dealt over the places."""
+        for n in range(count):
+            self.world.start_balancer(self._place(n))
+
+    def configuration(self) -> Configuration:
+        """Return the document that declares all this."""
+        places = tuple(Place(name=p, region=REGION) for p in self.places)
+        services = tuple(self.services.values())
+        return Configuration(places=places, services=services)
+
+    def become_ready(self) -> None:
+        """Apply the configuration and wait until all are in service.
+
+        :raises AssertionError: if the fleet is not ready in time.
+        """
+        applied = self.apply()
+        self.wait(lambda: applied.outcome is not None, READY_LIMIT_S)
+        assert applied.version is not None, f"got {applied.outcome}"
+        self.wait(self._ready, READY_LIMIT_S)
+
+    # What callers do
+
+    def open_feeds(self, service: str, count: int) -> None:
+        """Open long-lived flows."""
+        address = self.services[service].addresses[0].text
+        self.world.feeds.open(address, ServiceName(service), count)
+
+    def offer(
+        self, service: str, kind: str, rate: float, seconds: float
+    ) -> None:
+        """Send requests of a kind for a while."""
+        until = self.world.clock.now + seconds
+        found = self.kind(service, kind)
+        self.world.work.offer(ServiceName(service), found, rate, until)
+
+    def usual_rate(self, service: str, kind: str, share: float) -> float:
+        """Return requests a second of a kind that has a share of the load.
+
+        The whole load takes LOAD of the slots of the live servers.
+        """
+        found = self.services[service]
+        slots = len(self.world.live(found.name)) * found.slots
+        return LOAD * share * slots / self.kind(service, kind).mean_s
+
+    def kind(self, service: str, name: str) -> Kind:
+        """Return a kind of work of a service."""
+        kinds = self.services[service].kinds
+        return next(k for k in kinds if k.name == KindName(name))
+
+    # What operators do
+
+    def apply(self, base: Version | None = None) -> Applied:
+        """Apply what the scenario declared so far."""
+        world = self.world
+        balancers = tuple(p.node for p in world.live(None))
+        base = self.newest() if base is None else base
+        return world.operators.apply(
+            self.configuration(), base, "operator", balancers
+        )
+
+    def change_drain_limit(self, service: str, limit_s: float) -> None:
+        """Declare another drain limit of a service."""
+        found = self.services[service]
+        self.services[service] = msgspec.structs.replace(
+            found, drain_limit_s=limit_s
+        )
+
+    def move_address(self, one: str, other: str) -> None:
+        """Declare that the flow address of one service is another's."""
+        moved = self.services[one].addresses[0]
+        self._set_addresses(one, self.services[one].addresses[1:])
+        self._set_addresses(other, (*self.services[other].addresses, moved))
+
+    def race(self, service: str, count: int) -> None:
+        """Apply documents that differ in one field, all at once."""
+        base = self.newest()
+        for n in range(count):
+            self.change_drain_limit(service, FIRST_LIMIT_S + n)
+            self.apply(base)
+
+    def newest(self) -> Version:
+        """Return the newest version in force in any live process."""
+        live = [p.version for p in self.world.processes if p.lives]
+        return max(live, default=Version(0))
+
+    def _set_addresses(
+        self, service: str, addresses: tuple[Address, ...]
+    ) -> None:
+        self.services[service] = msgspec.structs.replace(
+            self.services[service], addresses=addresses
+        )
+
+    def server(self, service: str, number: int) -> Process:
+        """Return a live server of a service by its number from 1."""
+        return self.world.live(ServiceName(service))[number - 1]
+
+    def balancer(self, number: int) -> Process:
+        """Return a live balancer by its number from 1."""
+        return self.world.live(None)[number - 1]
+
+    def drain(self, found: Process) -> None:
+        """Ask a server to leave."""
+        self.left.append(found)
+        self.world.drain(found)
+
+    def stop(self, found: Process) -> None:
+        """Ask a process to stop gracefully."""
+        self.left.append(found)
+        self.world.stop(found)
+
+    def replace(self, found: Process, seconds: float) -> Process:
+        """Start another in its place, ask it to leave and wait."""
+        if found.service is None:
+            new = self.world.start_balancer(found.place)
+            self.stop(found)
+        else:
+            new = self.world.start_server(found.service, found.place)
+            self.drain(found)
+        self.world.run(seconds)
+        return new
+
+    # What fails
+
+    def kill(self, found: Process) -> None:
+        """End a process at once, with its server."""
+        self.died.append(found)
+        self.world.kill(found)
+
+    def pause(self, found: Process, seconds: float) -> None:
+        """Let a process stand still for a while."""
+        node = found.node
+        self.world.net.pause(node)
+        self.world.clock.after(seconds, lambda: self.world.net.resume(node))
+
+    def lose_place(self, name: str) -> None:
+        """End everything in a place at once."""
+        for found in self.world.processes:
+            if found.lives and found.place == name:
+                self.kill(found)
+
+    # Waiting
+
+    def wait(self, done: Callable[[], bool], limit_s: float) -> None:
+        """Let time pass until something is so.
+
+        :raises AssertionError: if it is not within the limit.
+        """
+        ends = self.world.clock.now + limit_s
+        while not done():
+            assert self.world.clock.now < ends, f"not within {limit_s} s"
+            self.world.run(STEP_S)
+
+    def _ready(self) -> bool:
+        """Whether all have the configuration and know the ready servers."""
+        live = [p for p in self.world.processes if p.lives]
+        serving = {p.node for p in live if p.service and p.serves}
+        return all(
+            p.version > 0 and (p.service or serving <= ready_in(p.view))
+            for p in live
+        )
+
+    def _place(self, number: int) -> PlaceName:
+        return self.places[number % len(self.places)]
--- /dev/null
+++ b/packages/bench/src/medlar_bench/world/processes.py
@@ -0,0 +1,77 @@
+"""What the world knows of the processes that it started."""
+
+import msgspec
+
+from medlar_core.ids import Incarnation
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
+
+
+class Process(msgspec.Struct):
+    """One start of a balancer or, with a service, of an agent.
+
+    Times are virtual seconds. ``versions`` are those that came into
+    force here, in order, each with its time; ``view`` is the latest and
+    ``removed`` tells which servers ceased to be ready here.
+    """
+
+    node: NodeId
+    place: PlaceName
+    service: ServiceName | None
+    incarnation: Incarnation
+    started_at: float
+    drained_at: float | None = None
+    ended_at: float | None = None
+    killed: bool = False
+    versions: list["InForce"] = msgspec.field(default_factory=list)
+    view: View | None = None
+    removed: list["Removed"] = msgspec.field(default_factory=list)
+
+    @property
+    def lives(self) -> bool:
+        """Whether it was neither killed nor stopped."""
+        return self.ended_at is None
+
+    @property
+    def serves(self) -> bool:
+        """Whether it lives and was not asked to leave."""
+        return self.lives and self.drained_at is None
+
+    def sees(self, view: View, at: float) -> None:
+        """Take a new view and note which servers it takes out."""
+        before = ready_in(self.view)
+        self.removed += [
+            Removed(server, at) for server in sorted(before - ready_in(view))
+        ]
+        self.view = view
+
+    @property
+    def version(self) -> Version:
+        """The version in force here, 0 before the first."""
+        return self.versions[-1].version if self.versions else Version(0)
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """A version came into force."""
+
+    version: Version
+    at: float
+
+
+class Removed(msgspec.Struct, frozen=True):
+    """A server that was ready is so no more."""
+
+    server: NodeId
+    at: float
+
+
+def ready_in(view: View | None) -> frozenset[NodeId]:
+    """Return the servers that a view shows as ready."""
+    if view is None:
+        return frozenset()
+    ready = ServerState.READY
+    return frozenset(s.id for s in view.servers if s.state is ready)
--- a/packages/fakes/src/medlar_fakes/net.py
+++ b/packages/fakes/src/medlar_fakes/net.py
@@ -50,7 +50,8 @@
     """Carries effects of attached reducers to one another.
 
     ``other`` is called with (node, effect) for effects that the net does
-    not carry itself. ``bytes_sent`` counts control bytes per node and
+    not carry itself; ``late`` tells by how many seconds an event comes
+    later than others. ``bytes_sent`` counts control bytes per node and
     ``messages`` counts them by type name.
     """
 
@@ -68,6 +69,7 @@
         self.faults = Faults()
         self.hosts: dict[NodeId, Reducer] = {}
         self.cut: Callable[[NodeId, NodeId], bool] = lambda a, b: False
+        self.late: Callable[[Any], float] = lambda event: 0.0
         self.other = other or (lambda node, effect: None)
         self.metered = metered
         self.bytes_sent: collections.Counter[NodeId] = collections.Counter()
@@ -144,7 +146,7 @@
             self._later(dst, event)
 
     def _later(self, node: NodeId, event: Any) -> None:
-        jitter = self.rng.random() * self.faults.jitter_s
+        jitter = self.rng.random() * self.faults.jitter_s + self.late(event)
         host = self.hosts.get(node)
 
         def arrive() -> None:
