Find processes by their status and ask them how they route a flow

The time line went on to processes that events name only, so that a balancer that nobody wrote of was left out; it now also asks each process whom it knows. Flows are too many to record, so the way of one is asked of the processes themselves.

--- a/packages/ops/src/medlar_ops/timeline.py
+++ b/packages/ops/src/medlar_ops/timeline.py
@@ -17,6 +17,7 @@
 from medlar_core.timeline.wire import decode_list
 
 PATH = "/v1/timeline"
+STATUS_PATH = "/v1/status"
 TIMEOUT_S = 3.0
 AT_ONCE = 64
 """Processes asked at the same time."""
@@ -31,6 +32,20 @@
     node: NodeId
     events: tuple[Stamped, ...] = ()
     why: str = ""
+    members: tuple[NodeId, ...] = ()
+
+
+class _Member(msgspec.Struct, frozen=True):
+    """A process that another one knows."""
+
+    id: NodeId
+
+
+class _Status(msgspec.Struct, frozen=True):
+    """The part of a process's status that tells whom it knows."""
+
+    servers: tuple[_Member, ...] = ()
+    balancers: tuple[_Member, ...] = ()
 
 
 class Gatherer:
@@ -69,13 +84,27 @@
         try:
             async with self._slots:
                 events = await self._read(node)
+                members = await self._members(node)
         except (aiohttp.ClientError, msgspec.MsgspecError) as exc:
             return Heard(node, why=str(exc) or type(exc).__name__)
         except TimeoutError:
             return Heard(node, why="no answer in time")
         if events:
             self._last[node] = events[-1].stamp
-        return Heard(node, tuple(events))
+        return Heard(node, tuple(events), members=members)
+
+    async def _members(self, node: NodeId) -> tuple[NodeId, ...]:
+        """Ask a process whom it knows.
+
+        :raises aiohttp.ClientError: if the process cannot be asked.
+        :raises msgspec.MsgspecError: if its answer is no status.
+        """
+        async with self._session.get(
+            f"http://{node}{STATUS_PATH}", timeout=self._timeout
+        ) as resp:
+            resp.raise_for_status()
+            status = msgspec.json.decode(await resp.read(), type=_Status)
+        return tuple(m.id for m in (*status.servers, *status.balancers))
 
     async def _read(self, node: NodeId) -> list[Stamped]:
         """Read the events of a process that are new to this tool.
@@ -86,7 +115,7 @@
         params: dict[str, str] = {}
         after = self._last.get(node)
         if after is not None:
-            params["after"] = f"{after.ms}.{after.counter}"
+            params["since"] = f"{after.ms}.{after.counter}"
         async with self._session.get(
             f"http://{node}{PATH}", params=params, timeout=self._timeout
         ) as resp:
@@ -117,10 +146,11 @@
 
 
 def _named(answers: Iterable[Heard]) -> set[NodeId]:
-    """Return the processes that events are about."""
-    return {
+    """Return the processes that members or events name."""
+    told = {
         NodeId(item.event.server)
         for answer in answers
         for item in answer.events
         if item.event.server
     }
+    return told.union(*(answer.members for answer in answers))
--- /dev/null
+++ b/testing/ops/test_explain_flow.py
@@ -0,0 +1,55 @@
+import asyncio
+
+from aiohttp import web
+import msgspec
+
+from medlar_core.flows.explain import AgentAnswer
+from medlar_core.flows.explain import BalancerAnswer
+from medlar_core.ids import NodeId
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+from medlar_ops.explain_flow import ask_all
+from medlar_ops.explain_flow import lines
+from medlar_ops.explain_flow import PATH
+from medlar_ops.explain_flow import Routed
+
+DESK = ServiceName("berth-desk")
+SERVER = NodeId("10.1.0.4:7000")
+BALANCER = BalancerAnswer(
+    DESK, 7, SERVER, Version(3), Version(2), (SERVER,), NodeId(""), "owner"
+)
+
+
+async def asked_over_http() -> list[Routed]:
+    async def answer(req: web.Request) -> web.Response:
+        assert req.query["caller"] == "10.9.0.1:4000"
+        told = Routed(NodeId("b"), BALANCER)
+        return web.Response(body=msgspec.json.encode(told))
+
+    app = web.Application()
+    app.router.add_get(PATH, answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    nodes = [NodeId(f"{host}:{port}"), NodeId("127.0.0.1:1")]
+    try:
+        return await ask_all(nodes, "10.9.0.1:4000", "10.9.0.2:4000")
+    finally:
+        await runner.cleanup()
+
+
+def test_processes_that_answer_are_told() -> None:
+    answers = asyncio.run(asked_over_http())
+    assert answers == [Routed(NodeId("b"), BALANCER)]
+
+
+def test_only_processes_with_part_in_the_flow_have_a_line() -> None:
+    unknown = AgentAnswer(
+        DESK, 7, "unknown", SERVER, NodeId(""), (), Version(3), "none"
+    )
+    text = lines([Routed(NodeId("b"), BALANCER), Routed(SERVER, unknown)])
+    assert text == (
+        "b: sends it to 10.1.0.4:7000, bucket 7 of berth-desk, view 3, "
+        "configuration 2: owner"
+    )
--- a/testing/ops/test_timeline.py
+++ b/testing/ops/test_timeline.py
@@ -12,24 +12,30 @@
 from medlar_core.timeline.wire import encode_list
 from medlar_ops.timeline import gatherer
 from medlar_ops.timeline import PATH
+from medlar_ops.timeline import STATUS_PATH
 from medlar_ops.timeline_cli import About
 from medlar_ops.timeline_cli import question
 from medlar_ops.timeline_html import page
 from medlar_ops.timeline_text import lines
 
 DEAD = NodeId("127.0.0.1:1")
+KNOWN = NodeId("127.0.0.1:2")
 
 
 def served(recorder: Recorder) -> web.Application:
     async def answer(req: web.Request) -> web.Response:
         after = None
-        if "after" in req.query:
-            ms, counter = req.query["after"].split(".")
+        if "since" in req.query:
+            ms, counter = req.query["since"].split(".")
             after = Stamp(int(ms), int(counter))
         return web.Response(body=encode_list(recorder.since(after)))
 
+    async def status(req: web.Request) -> web.Response:
+        return web.json_response({"balancers": [{"id": KNOWN}]})
+
     app = web.Application()
     app.router.add_get(PATH, answer)
+    app.router.add_get(STATUS_PATH, status)
     return app
 
 
@@ -56,7 +62,7 @@
 def test_gathering_finds_named_processes_and_tells_who_is_silent() -> None:
     first, second = asyncio.run(gathered_twice())
     assert [item.event.text for item in first.events] == ["<lease> lapsed"]
-    assert [entry.node for entry in first.silent] == [DEAD]
+    assert {entry.node for entry in first.silent} == {DEAD, KNOWN}
     assert [item.event.text for item in second.events] == ["store back"]
 
 
