Add medlarctl check, diff, apply, show, status and drain

Cause: operators need one tool that changes nothing when it refuses and tells the truth when the store does not answer. Change: one module a command, exit codes 0 ok, 1 refused, 2 usage, 3 unknown. apply needs the version that the document was written against (the demo gives it now). The store client moves here from the daemon, which depends on this package for it. timeline and explain take their processes as the other commands do. Trial on loopback with a store, two balancers and an agent: each command against the daemon, with a wrong key, a conflict and a store outage.

--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -406,9 +406,8 @@
             text += f"; {self._join.answers} peers told their version"
         event = TimelineEvent(
             Topic.CONFIGURATION,
-            text,
+            f"{text}; change {new.change}",
             version=new.version,
-            request=new.change,
         )
         changed = ConfigurationChanged(new.tree.cfg, new.version)
         self._forget_older()
--- a/packages/core/src/medlar_core/config/writer.py
+++ b/packages/core/src/medlar_core/config/writer.py
@@ -150,7 +150,11 @@
         return [*effects, Finished(outcome)]
 
     def _unknown(self) -> Unknown:
-        how = f"apply the same document again with --change {self._change.id}"
+        change = self._change
+        how = (
+            "apply the same document again with"
+            f" --change {change.id} --base {change.base}"
+        )
         return Unknown(self._change.id, self._written, how)
 
     # The steps, in order
--- a/packages/node/src/medlar_node/daemon.py
+++ b/packages/node/src/medlar_node/daemon.py
@@ -16,6 +16,7 @@
 from medlar_core.timeline.events import TimelineEvent
 from medlar_core.timeline.events import Topic
 from medlar_core.timeline.recorder import Recorder
+from medlar_ops.store_client import StoreClient
 
 from .datagrams import split
 from .logs import part_logger
@@ -23,7 +24,6 @@
 from .process import Process
 from .settings import CommonSettings
 from .settings import read_key_file
-from .store_client import StoreClient
 
 POLL_S = 0.1
 NEWS_S = 0.5
--- /dev/null
+++ b/packages/ops/src/medlar_ops/cli.py
@@ -0,0 +1,67 @@
+"""Command line of medlarctl."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import sys
+from typing import Any
+
+import defopt
+
+from .commands.apply import apply
+from .commands.check import check
+from .commands.diff import diff
+from .commands.drain import drain
+from .commands.show import show
+from .commands.status import status
+from .current import NoAnswer
+from .current import Refused
+from .documents import DocumentError
+from .output import Exit
+from .output import warn
+from .settings import UsageError
+from .timeline_cli import explain
+from .timeline_cli import timeline
+
+COMMANDS: tuple[Callable[..., Any], ...] = (
+    check,
+    diff,
+    apply,
+    show,
+    status,
+    drain,
+    timeline,
+    explain,
+)
+
+
+def run(args: Sequence[str]) -> int:
+    """Run the command that the arguments name; return its exit code."""
+    try:
+        return int(
+            defopt.run(list(COMMANDS), argv=list(args), no_negated_flags=True)
+            or Exit.OK
+        )
+    except UsageError as exc:
+        warn(str(exc))
+        return Exit.USAGE
+    except (DocumentError, ValueError) as exc:
+        warn(str(exc))
+        return Exit.USAGE
+    except Refused as exc:
+        warn(str(exc))
+        return Exit.REFUSED
+    except NoAnswer as exc:
+        warn(str(exc))
+        return Exit.UNKNOWN
+    except KeyboardInterrupt:
+        warn("interrupted; ask with show what became of a change")
+        return Exit.UNKNOWN
+
+
+def main() -> None:
+    """Run medlarctl and end the process with its code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/ops/src/medlar_ops/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of medlarctl, one a module."""
--- a/packages/node/src/medlar_node/store_client.py
+++ b/packages/ops/src/medlar_ops/store_client.py
@@ -1,5 +1,8 @@
 """The platform's key-value service over HTTP and JSON."""
 
+from collections.abc import AsyncIterator
+import contextlib
+
 from aiohttp import ClientError
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
@@ -42,3 +45,13 @@
         """Close the connections."""
         if self._session is not None:
             await self._session.close()
+
+
+@contextlib.asynccontextmanager
+async def store_client(store: str) -> AsyncIterator[StoreClient]:
+    """Open a client of the store and close it at the end."""
+    client = StoreClient(store)
+    try:
+        yield client
+    finally:
+        await client.close()
--- a/packages/ops/src/medlar_ops/timeline_cli.py
+++ b/packages/ops/src/medlar_ops/timeline_cli.py
@@ -25,6 +25,7 @@
 from . import timeline as gathering
 from . import timeline_html
 from . import timeline_text
+from .settings import some_nodes
 
 MS_PER_S = 1_000
 
@@ -40,7 +41,7 @@
 
 def timeline(
     *,
-    nodes: list[str],
+    nodes: str = "",
     topic: Topic | None = None,
     service: str = "",
     server: str = "",
@@ -54,7 +55,8 @@
 ) -> None:
     """Show what happened in the fleet, in order of cause and effect.
 
-    :param nodes: processes to ask, as ip:port; others are found there.
+    :param nodes: ip:port of processes to ask, with commas, or
+        MEDLARSTAGE_NODES; others are found there.
     :param topic: only events of this topic.
     :param service: only events of this service.
     :param server: only events by or about this server.
@@ -76,7 +78,7 @@
         kind=kind,
         since_ms=since_ms,
     )
-    asked = _nodes(nodes)
+    asked = some_nodes(nodes)
     if follow:
         asyncio.run(_follow(asked, wanted, json))
         return
@@ -90,7 +92,7 @@
 
 
 def explain(
-    about: About, what: list[str] | None = None, *, nodes: list[str]
+    about: About, what: list[str] | None = None, *, nodes: str = ""
 ) -> None:
     """Tell why a flow, request or server is where it is.
 
@@ -98,10 +100,11 @@
         the configuration in force.
     :param what: the flow's caller and address as ip:port, the request's
         id, or the server's ip:port; nothing for version.
-    :param nodes: processes to ask, as ip:port; others are found there.
+    :param nodes: ip:port of processes to ask, with commas, or
+        MEDLARSTAGE_NODES; others are found there.
     """
     asked = question(about, what or [])
-    gathered = asyncio.run(gathering.gather_once(_nodes(nodes)))
+    gathered = asyncio.run(gathering.gather_once(some_nodes(nodes)))
     answer = answer_to(asked, gathered)
     print(answer.sentence)
     print(timeline_text.lines(answer.events))
@@ -157,7 +160,3 @@
     """Name the processes that did not answer, beside the output."""
     if found.silent:
         print(timeline_text.silent_lines(found.silent), file=sys.stderr)
-
-
-def _nodes(texts: Iterable[str]) -> tuple[NodeId, ...]:
-    return tuple(NodeId(text) for text in texts)
--- a/packages/standins/src/medlar_standins/demo/scenario.py
+++ b/packages/standins/src/medlar_standins/demo/scenario.py
@@ -138,7 +138,7 @@
             await self._fleet.start(agent_command(pair, place))
         await self._until_all_answer()
         self._say("applying the Authority's configuration")
-        await self._apply(cfg_path)
+        await self._apply(cfg_path, base=0)
         await self._until_ready()
 
     async def _usual(self) -> Span:
@@ -178,7 +178,7 @@
         changed = msgspec.structs.replace(self._cfg, services=services)
         path = self._folder / "changed.json"
         path.write_bytes(msgspec.json.encode(changed))
-        await self._apply(str(path))
+        await self._apply(str(path), base=1)
         began = time.monotonic()
         await self._until(self._all_have_2, EVERYWHERE_LIMIT_S, "version 2")
         return time.monotonic() - began
@@ -194,8 +194,10 @@
         """Return the time line of the fleet as text."""
         return await self._medlarctl("timeline")
 
-    async def _apply(self, path: str) -> None:
-        said = await self._medlarctl("apply", path, "--by", "demo")
+    async def _apply(self, path: str, base: int) -> None:
+        said = await self._medlarctl(
+            "apply", path, "--by", "demo", "--base", str(base)
+        )
         self._say(said.strip().splitlines()[-1])
 
     async def _medlarctl(self, *args: str) -> str:
--- /dev/null
+++ b/testing/ops/test_cli.py
@@ -0,0 +1,211 @@
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from medlar_bench.config.documents import document
+from medlar_bench.config.racing import with_slots
+from medlar_core.config.codec import encode
+from medlar_ops.cli import COMMANDS
+from medlar_ops.cli import run
+from medlar_ops.output import Exit
+
+from .conftest import Served
+
+DOC = document(3)
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+Capture = pytest.CaptureFixture[str]
+
+
+@pytest.fixture
+def path(tmp_path: pathlib.Path) -> str:
+    return written(tmp_path, "first.json", encode(DOC))
+
+
+def written(folder: pathlib.Path, name: str, text: str) -> str:
+    (folder / name).write_text(text)
+    return str(folder / name)
+
+
+def changed(folder: pathlib.Path, service: int, slots: int) -> str:
+    text = encode(with_slots(DOC, service, slots))
+    return written(folder, f"{service}-{slots}.json", text)
+
+
+def test_check_of_a_good_document_ends_with_0(
+    path: str, capsys: Capture
+) -> None:
+    assert run(["check", path]) == Exit.OK
+    assert "good: 3 services at 3 addresses" in capsys.readouterr().out
+
+
+def test_check_names_the_field_of_a_fault(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    bad = changed(tmp_path, 0, 0)
+    assert run(["check", bad, "--json"]) == Exit.REFUSED
+    said = json.loads(capsys.readouterr().out)
+    assert said["problems"][0]["path"] == "services.service-00000.slots"
+
+
+@pytest.mark.parametrize("name", ["authority", "saryarka"])
+def test_the_examples_print_good_documents(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    args = [sys.executable, str(EXAMPLES / f"{name}.py")]
+    found = subprocess.run(args, capture_output=True, text=True, check=True)
+    assert run(["check", written(tmp_path, name, found.stdout)]) == Exit.OK
+
+
+def test_a_refused_apply_changes_nothing(
+    served: Served, tmp_path: pathlib.Path
+) -> None:
+    assert run(["apply", changed(tmp_path, 0, 0)]) == Exit.REFUSED
+    assert served.store_fake.revision == 0
+
+
+def test_apply_then_show_gives_the_document_back(
+    served: Served, path: str, capsys: Capture
+) -> None:
+    assert run(["apply", path, "--change", "c1"]) == Exit.OK
+    assert "accepted as version 1" in capsys.readouterr().out
+    assert run(["show"]) == Exit.OK
+    assert json.loads(capsys.readouterr().out) == json.loads(encode(DOC))
+    assert run(["apply", path, "--change", "c1"]) == Exit.OK
+    assert "accepted before as version 1" in capsys.readouterr().out
+
+
+def test_a_second_document_needs_its_base(
+    served: Served, path: str, tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    run(["apply", path])
+    second = changed(tmp_path, 0, 9)
+    assert run(["apply", second]) == Exit.USAGE
+    assert "the newest is 1" in capsys.readouterr().err
+    assert run(["apply", second, "--base", "1"]) == Exit.OK
+
+
+def test_a_conflict_is_told_by_field_and_operator(
+    served: Served, path: str, tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    run(["apply", path])
+    first, second = changed(tmp_path, 0, 8), changed(tmp_path, 0, 9)
+    run(["apply", first, "--base", "1", "--by", "aster"])
+    assert run(["apply", second, "--base", "1"]) == Exit.REFUSED
+    out = capsys.readouterr().out
+    assert "services.service-00000.slots  9      8       aster   2" in out
+
+
+def test_diff_tells_the_fields_and_the_base(
+    served: Served, path: str, tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    run(["apply", path])
+    capsys.readouterr()
+    assert run(["diff", changed(tmp_path, 1, 99), "--json"]) == Exit.OK
+    said = json.loads(capsys.readouterr().out)
+    assert said["version"] == 1
+    (found,) = said["differences"]
+    assert found["field"] == "services.service-00001.slots"
+    assert found["then"] == "99"
+
+
+def test_an_outage_ends_with_3_and_tells_how_to_ask_again(
+    served: Served, path: str, capsys: Capture
+) -> None:
+    served.store_fake.down = True
+    args = ["apply", path, "--change", "c1", "--base", "0", "--limit-s", "0.3"]
+    assert run(args) == Exit.UNKNOWN
+    assert "--change c1 --base 0" in capsys.readouterr().err
+    assert run(["show"]) == Exit.UNKNOWN
+
+
+def test_show_of_a_change_that_was_not_accepted_ends_with_1(
+    served: Served, path: str, capsys: Capture
+) -> None:
+    run(["apply", path, "--change", "c1", "--by", "aster"])
+    assert run(["show", "--change", "c1"]) == Exit.OK
+    assert "aster" in capsys.readouterr().out
+    assert run(["show", "--change", "c2"]) == Exit.REFUSED
+    assert "versions 1 to 1" in capsys.readouterr().err
+
+
+def test_a_damaged_store_is_told_without_a_traceback(
+    served: Served, path: str, capsys: Capture
+) -> None:
+    run(["apply", path])
+    for key in list(served.store_fake.items):
+        if key.startswith("config/shard/"):
+            del served.store_fake.items[key]
+    assert run(["show"]) == Exit.REFUSED
+    assert "got nothing; expected a value" in capsys.readouterr().err
+
+
+def test_apply_tells_processes_and_waits_for_them(
+    served: Served, path: str, capsys: Capture
+) -> None:
+    served.version = 1
+    args = ["apply", path, "--nodes", served.node, "--confirm-s", "5"]
+    assert run(args) == Exit.OK
+    said = capsys.readouterr().out
+    # The fleet already knew a version 1, which the store had lost.
+    assert "accepted as version 2" in said
+    assert "in force on 0 of 1 processes asked" in said
+
+
+def test_status_names_who_does_not_answer(
+    served: Served, capsys: Capture
+) -> None:
+    assert run(["status", "--nodes", served.node]) == Exit.UNKNOWN
+    out = capsys.readouterr().out
+    assert f"{served.node}  agent  almaty-a" in out
+    assert "no answer: 127.0.0.1:1" in out
+
+
+def test_drain_is_sealed(served: Served, capsys: Capture) -> None:
+    args = ["drain", served.node, "--limit-s", "5"]
+    assert run(args) == Exit.OK
+    assert served.drained == [5.0]
+    assert run([*args, "--keys", "ab" * 16]) == Exit.REFUSED
+    assert "unknown-key" in capsys.readouterr().err
+    assert served.drained == [5.0]
+
+
+@pytest.mark.parametrize(
+    ("args", "said"),
+    [
+        (["diff", "x.json", "--store", "nope"], "--store (or MEDLARSTAGE_ST"),
+        (["status"], "--nodes (or MEDLARSTAGE_NODES): got nothing"),
+        (["status", "--nodes", "1.2.3:4"], "got '1.2.3:4', expected ip:port"),
+        (["check", "missing.json"], "missing.json: No such file"),
+        (["drain", "x", "--limit-s", "5"], "agent: got 'x', expected ip:port"),
+        (["drain", "127.0.0.1:9", "--limit-s", "-1"], "--limit-s: got '-1.0'"),
+        (
+            ["drain", "127.0.0.1:9", "--limit-s", "1", "--keys", "zz"],
+            "got 'text that is not hexadecimal'",
+        ),
+        (
+            ["apply", "x", "--store", "127.0.0.1:9", "--by", "a b"],
+            "--by: got 'a b'",
+        ),
+    ],
+)
+def test_a_wrong_argument_ends_with_2(
+    args: list[str],
+    said: str,
+    capsys: Capture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for name in ("STORE", "NODES", "KEYS", "KEY_FILE"):
+        monkeypatch.delenv(f"MEDLARSTAGE_{name}", raising=False)
+    assert run(args) == Exit.USAGE
+    assert said in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("command", [c.__name__ for c in COMMANDS])
+def test_each_command_has_help(command: str, capsys: Capture) -> None:
+    with pytest.raises(SystemExit) as end:
+        run([command, "--help"])
+    assert end.value.code == 0
+    assert "--json" in capsys.readouterr().out or command == "explain"
--- /dev/null
+++ b/testing/ops/test_library.py
@@ -0,0 +1,46 @@
+import pytest
+
+from medlar_core.config.codec import decode
+from medlar_core.config.codec import encode
+from medlar_ops import deployment
+from medlar_ops import DeploymentError
+from medlar_ops import flows
+from medlar_ops import kind
+from medlar_ops import place
+from medlar_ops import requests
+from medlar_ops import service
+
+A = place("almaty-a", region="almaty")
+ORDER = kind("order", rank=0, floor=0.4, mean_s=0.12)
+
+
+def test_a_deployment_is_printed_as_it_is_read() -> None:
+    shop = service(
+        "giftshop",
+        addresses=[flows("10.0.0.1:9000"), requests("10.0.0.1:80")],
+        places=[A],
+        kinds=[ORDER],
+    )
+    cfg = deployment(places=[A], services=[shop])
+    assert decode(encode(cfg)) == cfg
+
+
+def test_work_that_is_not_declared_idempotent_is_not() -> None:
+    assert not ORDER.idempotent
+    assert ORDER.deadline_s == pytest.approx(1.2)
+
+
+def test_faults_of_a_deployment_name_their_fields() -> None:
+    shop = service("giftshop", addresses=[], places=[A], kinds=[ORDER, ORDER])
+    with pytest.raises(DeploymentError) as found:
+        deployment(places=[], services=[shop])
+    paths = {problem.path for problem in found.value.problems}
+    assert "services.giftshop.addresses" in paths
+    assert "services.giftshop.kinds" in paths
+    assert "services.giftshop.places[0]" in paths
+
+
+@pytest.mark.parametrize("text", ["10.0.0.1", ":80", "10.0.0.1:http", ""])
+def test_an_endpoint_that_is_no_endpoint_is_told(text: str) -> None:
+    with pytest.raises(ValueError, match="expected ip:port"):
+        requests(text)
