--- a/packages/core/src/medlar_core/requests/keyed.py
+++ b/packages/core/src/medlar_core/requests/keyed.py
@@ -91,16 +91,19 @@
             raise ValueError("expected an attempt with a key, got none")
         ids = (attempt.attempt,)
         claim = self.claims.get(key)
-        if claim is not None and claim.state is not KeyState.REFUSED:
+        if claim is not None and not _is_free(claim, attempt):
             claim.expires = max(claim.expires, now + win.repeat_s)
             return Asks([self._known(key, claim, attempt.attempt)])
         ceded = attempt.ceded_by is not None
         home = home_of(key, self.history.homes)
-        if home != self.me and not ceded:
+        astray = home != self.me and not ceded
+        if astray and not attempt.hops:
             return Asks([Ruling(Say.ELSEWHERE, key, ids, home)])
         claim = Claim(KeyState.ASKING, now + win.repeat_s)
         claim.waiting.append(attempt.attempt)
         self.claims.put(key, claim)
+        # Views differ where an attempt went astray twice: whoever has it
+        # now asks the homes it knows of, as only one of them can give it.
         claim.whole = ceded or self.history.covers(now, win.doubt_s)
         if not ceded:
             claim.to_ask = self._must_ask(now, key, claim.whole, win)
@@ -285,6 +288,16 @@
         return made
 
 
+def _is_free(claim: Claim, attempt: AttemptCame) -> bool:
+    """Return whether a key known here may be ruled on anew.
+
+    Who got the key from here may cede it back.
+    """
+    if claim.state is KeyState.CEDED and claim.holder is not None:
+        return attempt.ceded_by == claim.holder.node
+    return claim.state is KeyState.REFUSED
+
+
 def _all_told(claim: Claim) -> bool:
     return all(go in claim.told for go in claim.to_ask)
 
