Delete parts of versions that the history no longer keeps

Change: apply deletes the oldest page of history and what only its versions need, once there are more than 64 pages. Taking up a part that is there already writes it again, so that a change on its way keeps it. Figures: 1,056 versions are kept at most. Tests of versions that come back, of a change on its way and of an outage in between pass.

--- a/packages/core/src/medlar_core/config/history.py
+++ b/packages/core/src/medlar_core/config/history.py
@@ -16,7 +16,6 @@
 from .records import HEAD_KEY
 from .records import HISTORY_PREFIX
 from .records import HistoryPage
-from .records import MAX_PAGES
 from .records import MAX_RECENT
 from .records import PAGE_CHANGES
 from .records import page_key
@@ -30,11 +29,15 @@
 
 
 class History(msgspec.Struct, frozen=True):
-    """The head, its revision in the store and every change kept."""
+    """The head, its revision in the store and every change kept.
+
+    ``pages`` are the keys of older changes, oldest first.
+    """
 
     head: Head
     revision: ops.Revision
     changes: tuple[ChangeRecord, ...]
+    pages: tuple[ops.Item, ...] = ()
 
     @property
     def versions(self) -> str:
@@ -79,10 +82,13 @@
             return Down("no answer to the reading of the head")
     if isinstance(head, Problem):
         return head
-    older = yield from _read_pages(head)
-    if not isinstance(older, tuple):
+    pages = yield from _read_pages(head)
+    if isinstance(pages, Down):
+        return pages
+    older = older_changes(pages, head)
+    if isinstance(older, Problem):
         return older
-    return History(head, item.revision, (*older, *head.recent))
+    return History(head, item.revision, (*older, *head.recent), pages)
 
 
 def page_out(
@@ -126,18 +132,22 @@
     return found
 
 
-def _read_pages(
-    head: Head,
-) -> Reading[tuple[ChangeRecord, ...] | Problem | Down]:
+def _read_pages(head: Head) -> Reading[tuple[ops.Item, ...] | Down]:
     if not head.recent or head.recent[0].version <= 1:
         return ()
     answer = yield ops.List(HISTORY_PREFIX)
     if not isinstance(answer, ops.Found):
         return Down("no answer to the reading of the history")
-    oldest = head.recent[0].version
+    return tuple(sorted(answer.items, key=lambda held: held.key))
+
+
+def older_changes(
+    pages: tuple[ops.Item, ...], head: Head
+) -> tuple[ChangeRecord, ...] | Problem:
+    """Return the changes of pages that the head no longer names."""
+    oldest = head.recent[0].version if head.recent else 0
     changes: list[ChangeRecord] = []
-    items = sorted(answer.items, key=lambda held: held.key)
-    for item in items[-MAX_PAGES:]:
+    for item in pages:
         page = decode_as(item.value, HistoryPage)
         if isinstance(page, Problem):
             return page
--- a/packages/core/src/medlar_core/config/records.py
+++ b/packages/core/src/medlar_core/config/records.py
@@ -29,7 +29,7 @@
 MAX_RECENT = 32
 """Changes that the head names before the older half moves to a page."""
 PAGE_CHANGES = MAX_RECENT // 2
-MAX_PAGES = 256
+MAX_PAGES = 64
 """Pages of history that are kept."""
 MAX_TOUCHED = 16
 """Names that a record tells; a change of more tells the first."""
@@ -44,7 +44,8 @@
 
     ``proposal`` is the root of the document as it was proposed, ``root``
     that of the document in force after it, merged with other changes.
-    ``touched`` are the names that it changed.
+    ``touched`` are the names that it changed. ``after`` is the store's
+    revision of the head that it replaced.
     """
 
     change: ChangeId
@@ -53,6 +54,7 @@
     proposal: str
     by: str
     touched: tuple[str, ...] = ()
+    after: ops.Revision = 0
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -116,21 +118,26 @@
 def put_once(key: str, value: str) -> Reading[Problem | Down | None]:
     """Write an immutable value; None says that it is there.
 
-    A lost answer and a key that is there already are both resolved by
-    reading the key back.
+    A value that is there already is written again, so that its revision
+    tells those who delete old parts that it is wanted. A lost answer is
+    resolved by reading the key back.
     """
-    answer = yield ops.Put(key, value, 0)
-    if isinstance(answer, ops.Written):
-        return None
-    held = yield from get(key)
-    match held:
-        case Down():
-            return held
-        case ops.Item() if held.value == value:
+    expected = 0
+    while True:
+        answer = yield ops.Put(key, value, expected)
+        if isinstance(answer, ops.Written):
             return None
-        case ops.Item():
-            return Problem(key, "another value", "the value of its name")
-    return Down(f"no answer to the write of {key}")
+        held = yield from get(key)
+        match held:
+            case Down():
+                return held
+            case Problem():
+                return Down(f"no answer to the write of {key}")
+            case ops.Item() if held.value != value:
+                return Problem(key, "another value", "the value of its name")
+        if expected and held.revision != expected:
+            return None
+        expected = held.revision
 
 
 def read_head(text: str) -> Head | Problem:
@@ -148,7 +155,7 @@
     item = yield from get(root_key(root))
     if not isinstance(item, ops.Item):
         return item
-    digests = _digests(item.value, root)
+    digests = read_root(item.value, root)
     if isinstance(digests, Problem):
         return digests
     shards = []
@@ -177,7 +184,8 @@
     return None
 
 
-def _digests(text: str, root: str) -> tuple[Digest, ...] | Problem:
+def read_root(text: str, root: str) -> tuple[Digest, ...] | Problem:
+    """Return the digests of a root record, or why it is refused."""
     record = decode_as(text, RootRecord)
     if isinstance(record, Problem):
         return record
--- a/packages/core/src/medlar_core/config/writer.py
+++ b/packages/core/src/medlar_core/config/writer.py
@@ -259,7 +259,9 @@
         self, history: History, sides: "_Sides", tree: Tree
     ) -> Generator[Step, Any, Outcome | Down]:
         newest = max(history.head.version, self._change.at_least)
-        record = self._record(Version(newest + 1), sides.current, tree)
+        record = self._record(
+            Version(newest + 1), history.revision, sides.current, tree
+        )
         recent = yield from page_out((*history.head.recent, record))
         if not isinstance(recent, tuple):
             return self._bad(recent)
@@ -279,7 +281,11 @@
         return Down("no answer to the write of the head")
 
     def _record(
-        self, version: Version, current: Tree, tree: Tree
+        self,
+        version: Version,
+        after: ops.Revision,
+        current: Tree,
+        tree: Tree,
     ) -> ChangeRecord:
         patch = patch_between(current, tree)
         names: list[str] = [] if patch.places is None else [PLACES]
@@ -292,6 +298,7 @@
             self._mine.root.hex(),
             self._change.by,
             tuple(names[:MAX_TOUCHED]),
+            after,
         )
 
     def _hand_over(
--- a/packages/ops/src/medlar_ops/commands/apply.py
+++ b/packages/ops/src/medlar_ops/commands/apply.py
@@ -1,6 +1,7 @@
 """The ``apply`` command."""
 
 import asyncio
+import contextlib
 import getpass
 import re
 import time
@@ -14,6 +15,7 @@
 from medlar_core.config.outcome import Outcome
 from medlar_core.config.outcome import Rejected
 from medlar_core.config.outcome import Unknown
+from medlar_core.config.prune import prune
 from medlar_core.ids import ChangeId
 from medlar_core.ids import NodeId
 from medlar_core.ids import Version
@@ -21,7 +23,10 @@
 
 from ..applying import Applying
 from ..current import history
+from ..current import NoAnswer
+from ..current import Refused
 from ..documents import read_document
+from ..documents import run_reading
 from ..output import Exit
 from ..output import say
 from ..output import show_json
@@ -138,7 +143,10 @@
             store, fleet, change, wanted.cfg, nodes, wanted.limit_s
         )
         outcome = await applying.run()
-        if not isinstance(outcome, Accepted) or not nodes:
+        if not isinstance(outcome, Accepted):
+            return Applied(outcome)
+        await _prune(store)
+        if not nodes:
             return Applied(outcome)
         asked = nodes[:MAX_POLLED]
         in_force = await _confirm(
@@ -163,6 +171,12 @@
     return Version(0)
 
 
+async def _prune(store: StoreClient) -> None:
+    """Delete what the history no longer keeps; a later run may go on."""
+    with contextlib.suppress(NoAnswer, Refused):
+        await run_reading(store, prune(await history(store)))
+
+
 async def _confirm(
     fleet: Processes,
     nodes: tuple[NodeId, ...],
--- /dev/null
+++ b/testing/core/config/test_prune.py
@@ -0,0 +1,155 @@
+import random
+from typing import TypeVar
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from medlar_bench.config.documents import document
+from medlar_bench.config.racing import with_slots
+from medlar_core.config.history import History
+from medlar_core.config.history import read_history
+from medlar_core.config.model import Configuration
+from medlar_core.config.outcome import Accepted
+from medlar_core.config.outcome import Change
+from medlar_core.config.parts import build
+from medlar_core.config.parts import Tree
+from medlar_core.config.prune import prune
+from medlar_core.config.records import load_tree
+from medlar_core.config.records import put_once
+from medlar_core.config.records import Reading
+from medlar_core.config.records import root_key
+from medlar_core.config.writer import ConfigWriter
+from medlar_core.effects import CallStore
+from medlar_core.events import StoreAnswered
+from medlar_core.events import Tick
+from medlar_core.ids import ChangeId
+from medlar_core.ids import Version
+from medlar_core.store import StoreAnswer
+from medlar_core.store import StoreOp
+from medlar_fakes.clock import Clock
+from medlar_fakes.store import Store
+
+T = TypeVar("T")
+DOC = document(3)
+
+
+@pytest.fixture(autouse=True)
+def few_pages(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("medlar_core.config.prune.MAX_PAGES", 1)
+
+
+def ask(store: Store, op: StoreOp) -> StoreAnswer:
+    answers: list[StoreAnswer] = []
+    store.call(op, answers.append)
+    store.clock.run_until(store.clock.now + 3.0)
+    return answers[0]
+
+
+def read(store: Store, reading: Reading[T]) -> T:
+    try:
+        op = next(reading)
+        while True:
+            op = reading.send(ask(store, op))
+    except StopIteration as end:
+        result: T = end.value
+        return result
+
+
+def apply(store: Store, name: str, cfg: Configuration, base: int) -> None:
+    change = Change(ChangeId(name), "tester", Version(base))
+    writer = ConfigWriter(change, cfg, random.Random(1), (), 1e6)
+    event: Tick | StoreAnswered = Tick()
+    while writer.outcome is None:
+        effects = writer.reduce(store.clock.now, event)
+        event = Tick()
+        for effect in effects:
+            if isinstance(effect, CallStore):
+                answer = ask(store, effect.op)
+                event = StoreAnswered(effect.call, answer)
+        store.clock.run_until(store.clock.now + 1.0)
+    assert isinstance(writer.outcome, Accepted)
+
+
+def applied(store: Store, slots: list[int]) -> None:
+    """Apply documents that differ in the slots of the first service."""
+    for number, count in enumerate(slots):
+        cfg = with_slots(DOC, 0, count)
+        apply(store, f"change-{number}", cfg, number)
+
+
+def history_of(store: Store) -> History:
+    found = read(store, read_history())
+    assert isinstance(found, History)
+    return found
+
+
+def assert_all_kept(store: Store) -> None:
+    for record in history_of(store).changes:
+        found = read(store, load_tree(record.root, None))
+        assert isinstance(found, Tree), record
+
+
+def test_old_versions_go_and_those_of_the_history_stay() -> None:
+    store = Store(Clock())
+    applied(store, list(range(100, 170)))
+    first = root_key(history_of(store).changes[0].root)
+    keys = len(store.items)
+    assert read(store, prune(history_of(store))) == 33
+    assert len(store.items) == keys - 33
+    assert first not in store.items
+    assert_all_kept(store)
+
+
+@settings(derandomize=True, max_examples=12)
+@given(st.integers(0, 10**6))
+def test_versions_that_came_back_are_kept(seed: int) -> None:
+    rng = random.Random(seed)
+    store = Store(Clock(), seed)
+    slots = [1]
+    while len(slots) < 66:
+        slots.append(rng.choice([x for x in (1, 2, 3, 4) if x != slots[-1]]))
+    applied(store, slots)
+    read(store, prune(history_of(store)))
+    assert_all_kept(store)
+
+
+def test_a_part_that_a_change_on_its_way_took_up_is_kept() -> None:
+    store = Store(Clock())
+    applied(store, list(range(100, 170)))
+    old = build(with_slots(DOC, 0, 100))
+    key = root_key(old.root.hex())
+    read(store, put_once(key, store.items[key].value))
+    read(store, prune(history_of(store)))
+    assert key in store.items
+
+
+def test_a_store_that_goes_down_leaves_the_rest_for_later() -> None:
+    store = Store(Clock())
+    applied(store, list(range(100, 170)))
+    reading = prune(history_of(store))
+    op = next(reading)
+    for _ in range(9):
+        op = reading.send(ask(store, op))
+    store.down = True
+    with pytest.raises(StopIteration):
+        reading.send(ask(store, op))
+    store.down = False
+    pages = len(history_of(store).pages)
+    read(store, prune(history_of(store)))
+    assert len(history_of(store).pages) == pages - 1
+    assert_all_kept(store)
+    assert not [
+        key
+        for key in store.items
+        if key == root_key(build(with_slots(DOC, 0, 100)).root.hex())
+    ]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_answers_lost_while_parts_are_written_lose_no_part(seed: int) -> None:
+    store = Store(Clock(), seed)
+    store.lose_answers = 0.6
+    applied(store, [1, 2, 1, 2, 1])
+    assert_all_kept(store)
