--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -24,12 +24,10 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import Version
-from ..limits import TokenBucket
 from ..members.view import View
 from ..timeline.events import TimelineEvent
 from ..timeline.events import Topic
 from .assembly import Assembly
-from .assembly import BATCH
 from .assembly import read_parts
 from .codec import decode_as
 from .gossip import Gossip
@@ -45,15 +43,11 @@
 from .messages import Want
 from .messages import WantShards
 from .model import Configuration
-from .parts import Digest
-from .parts import encode_shard
 from .parts import expand
 from .parts import Patch
 from .parts import patched
-from .parts import Shard
-from .parts import SHARDS
-from .parts import squeeze
 from .problem import Problem
+from .serving import Serving
 from .watch import Duty
 from .watch import Refusal
 from .watch import StoreDown
@@ -62,26 +56,12 @@
 
 ASK_AGAIN_S = 0.5
 ASK_TIMES = 3
-SERVE_BYTES_PER_S = 2000.0
-SERVE_BURST_BYTES = 30_000.0
-MAX_DELTA_BYTES = 16_000
 VIEW_PERIOD_S = 1.0
-ALERTS_PER_S = 0.1
-ALERT_BURST = 5
 
 Effect = Send | CallStore | Publish | Record
 WatcherRule = Callable[[View, NodeId], bool]
 
 
-class Counts(msgspec.Struct):
-    """What the daemon exports as metrics."""
-
-    refused: int = 0
-    store_down: int = 0
-    changes: int = 0
-    throttled: int = 0
-
-
 class _News(msgspec.Struct, frozen=True):
     """A newer version that a peer told of, and how often to ask on."""
 
@@ -95,6 +75,7 @@
 
     Balancers and agents run it alike. ``seeds`` are asked until a view
     of the members is known; ``watcher_rule`` says who watches the store.
+    ``refused`` counts documents that were not taken in force.
     """
 
     def __init__(
@@ -104,7 +85,7 @@
         rng: random.Random,
         watcher_rule: WatcherRule = is_watcher,
     ) -> None:
-        self.counts = Counts()
+        self.refused = 0
         self._node = node
         self._rng = rng
         self._rule = watcher_rule
@@ -121,8 +102,7 @@
         self._view: View | None = None
         self._view_at = 0.0
         self._ask_at = 0.0
-        self._serve = TokenBucket(SERVE_BYTES_PER_S, SERVE_BURST_BYTES)
-        self._alerts = TokenBucket(ALERTS_PER_S, ALERT_BURST)
+        self._serving = Serving(self._held)
 
     @property
     def version(self) -> Version:
@@ -195,7 +175,7 @@
             case Have():
                 return self._told(now, src, msg)
             case Want():
-                return self._serve_change(now, src, msg)
+                return [*self._serving.change(now, src, msg)]
             case Delta():
                 return self._take_delta(now, src, msg)
             case Parts():
@@ -231,7 +211,7 @@
                 f"root {have.root.hex()}",
                 self._held.root.hex(),
             )
-            return self._refuse(now, why)
+            return self._refuse(why)
         return []
 
     def _ask(self, now: Seconds, src: NodeId, want: Want) -> list[Effect]:
@@ -240,51 +220,13 @@
         self._ask_at = now + ASK_AGAIN_S
         return [Send(src, want)]
 
-    def _serve_change(
-        self, now: Seconds, src: NodeId, want: Want
-    ) -> list[Effect]:
-        if want.version >= self.version:
-            return []
-        held = self._held
-        patch = None if want.whole else held.patch_from(want.version)
-        body = squeeze(patch) if patch is not None else b""
-        if patch is None or len(body) > MAX_DELTA_BYTES:
-            digests = b"".join(held.tree.digests)
-            parts = Parts(held.version, held.root, held.change, digests)
-            return self._answer(now, src, parts, len(digests))
-        delta = Delta(want.version, held.version, held.root, held.change, body)
-        return self._answer(now, src, delta, len(body))
-
     def _serve_shards(
         self, now: Seconds, src: NodeId, want: WantShards
     ) -> list[Effect]:
-        asked = sorted(set(want.indices))[:BATCH]
-        held = [(i, self._shard(want.root, i)) for i in asked]
-        found = {i: shard for i, shard in held if shard is not None}
-        if not found:
-            return [Send(src, self._have())] if self.version else []
-        body = squeeze([encode_shard(x).decode() for x in found.values()])
-        msg = Shards(want.root, tuple(found), body)
-        return self._answer(now, src, msg, len(body))
-
-    def _shard(self, root: Digest, index: int) -> Shard | None:
-        """Return a shard of a root, also of one that is not whole yet."""
-        if not 0 <= index < SHARDS:
-            return None
-        if root == self._held.root:
-            return self._held.tree.shards[index]
-        gathered = self._assembly
-        if gathered is not None and gathered.target.root == root:
-            return gathered.shard(index)
-        return None
-
-    def _answer(
-        self, now: Seconds, dst: NodeId, msg: Any, size: int
-    ) -> list[Effect]:
-        if not self._serve.take(now, size):
-            self.counts.throttled += 1
-            return []
-        return [Send(dst, msg)]
+        found = self._serving.shards_of(want, self._assembly)
+        if found:
+            return [*self._serving.shards(now, src, want, found)]
+        return [Send(src, self._have())] if self.version else []
 
     # What peers send
 
@@ -299,7 +241,7 @@
         raw = expand(msg.body)
         patch = raw if isinstance(raw, Problem) else decode_as(raw, Patch)
         if isinstance(patch, Problem):
-            return self._refuse(now, patch)
+            return self._refuse(patch)
         tree = patched(self._held.tree, patch)
         if tree.root != msg.root:
             # The base differs in what lies between: take the parts.
@@ -331,7 +273,7 @@
             return []
         target = read_parts(msg)
         if isinstance(target, Problem):
-            return self._refuse(now, target)
+            return self._refuse(target)
         current = self._assembly
         if current is None or current.target.version < msg.version:
             current = Assembly(now, target, self._held.tree)
@@ -345,7 +287,7 @@
             return []
         problem = self._assembly.take(now, msg, self._join.hurry)
         if problem is not None:
-            return self._refuse(now, problem)
+            return self._refuse(problem)
         return self._gather(now, self._assembly)
 
     def _gather(self, now: Seconds, assembly: Assembly) -> list[Effect]:
@@ -383,11 +325,10 @@
                 case Candidate():
                     effects += self._offer(now, found, "the store")
                 case Refusal(why=why):
-                    effects += self._refuse(now, why)
+                    effects += self._refuse(why)
                 case StoreDown(why=why):
-                    self.counts.store_down += 1
                     text = f"store does not answer: {why}"
-                    effects += self._alert(now, text, "store-down")
+                    effects.append(self._alert(text, "store-down"))
         return effects
 
     def _offer(
@@ -396,10 +337,9 @@
         first = not self.version
         problem = self._held.offer(new)
         if problem is not None:
-            return self._refuse(now, problem)
+            return self._refuse(problem)
         if self._held.tree is not new.tree:
             return []
-        self.counts.changes += 1
         self._gossip.heat(now)
         text = f"version {new.version} in force, from {source}"
         if first:
@@ -418,15 +358,14 @@
         if gathered and gathered.target.version <= self.version:
             self._assembly = None
 
-    def _refuse(self, now: Seconds, why: Problem) -> list[Effect]:
-        self.counts.refused += 1
+    def _refuse(self, why: Problem) -> list[Effect]:
+        self.refused += 1
         text = f"document refused, the last good stays: {why.text}"
-        return self._alert(now, text, "document-refused")
+        return [self._alert(text, "document-refused")]
 
-    def _alert(self, now: Seconds, text: str, reason: str) -> list[Effect]:
-        if not self._alerts.take(now):
-            return []
-        event = TimelineEvent(
-            Topic.CONFIGURATION, text, reason=reason, version=self.version
+    def _alert(self, text: str, reason: str) -> Record:
+        return Record(
+            TimelineEvent(
+                Topic.CONFIGURATION, text, reason=reason, version=self.version
+            )
         )
-        return [Record(event)]
--- a/packages/core/src/medlar_core/limits.py
+++ b/packages/core/src/medlar_core/limits.py
@@ -22,23 +22,3 @@
             return False
         self._left -= units
         return True
-
-
-class LogLimiter:
-    """Bounds log lines of one kind and counts those left out."""
-
-    def __init__(self, per_s: float, burst: float) -> None:
-        self._bucket = TokenBucket(per_s, burst)
-        self._left_out = 0
-
-    def allow(self, now: Seconds) -> int | None:
-        """Return how many lines were left out before this one.
-
-        None says that this line is left out too.
-        """
-        if not self._bucket.take(now):
-            self._left_out += 1
-            return None
-        before = self._left_out
-        self._left_out = 0
-        return before
