--- a/packages/standins/src/medlar_standins/demo/__main__.py
+++ b/packages/standins/src/medlar_standins/demo/__main__.py
@@ -22,10 +22,10 @@
 LAST_LINES = 12
 
 
-async def _demo(cfg: Configuration, folder: pathlib.Path) -> bool:
+async def _demo(cfg: Configuration, folder: pathlib.Path, kill: str) -> bool:
     """Run the demo; return whether all promises were kept."""
     async with fleet(folder, secrets.token_hex(32)) as found_fleet:
-        demo = Demo(found_fleet, cfg, folder)
+        demo = Demo(found_fleet, cfg, folder, kill)
         found = await demo.run()
         timeline = await demo.timeline()
     bad = (*found.bad_ends, *found_fleet.ended_badly)
@@ -50,18 +50,20 @@
     return msgspec.json.decode(out, type=Configuration)
 
 
-async def _main(folder: pathlib.Path) -> bool:
+async def _main(folder: pathlib.Path, kill: str) -> bool:
     folder.mkdir(parents=True, exist_ok=True)
-    return await _demo(await _configuration(folder), folder)
+    return await _demo(await _configuration(folder), folder, kill)
 
 
-def demo(*, folder: pathlib.Path = FOLDER) -> None:
+def demo(*, folder: pathlib.Path = FOLDER, kill: str = "") -> None:
     """Run the Authority's deployment on loopback and judge it.
 
     :param folder: where logs and the time line are written.
+    :param kill: process to kill half-way, such as balancer-2, agent-3,
+        server-3, store or fabric.
     """
     try:
-        kept = asyncio.run(_main(folder))
+        kept = asyncio.run(_main(folder, kill))
     except (NotReady, RuntimeError) as exc:
         print(f"demo: {exc}", file=sys.stderr)
         sys.exit(1)
--- a/packages/standins/src/medlar_standins/demo/layout.py
+++ b/packages/standins/src/medlar_standins/demo/layout.py
@@ -18,6 +18,7 @@
 SERVER_PORT = 17500
 SERVERS = {"berth-desk": 7, "manifest-office": 3}
 BALANCERS = 3
+STORE_NAME = "store"
 SPARE = 9
 """Number of the balancer that takes over from the first."""
 
@@ -45,6 +46,21 @@
     return NodeId(f"{HOST}:{BALANCER_PORT + number}")
 
 
+def balancer_name(number: int) -> str:
+    """Return the name of a balancer's process."""
+    return f"balancer-{number}"
+
+
+def agent_name(number: int) -> str:
+    """Return the name of an agent's process."""
+    return f"agent-{number}"
+
+
+def server_name(number: int) -> str:
+    """Return the name of a server's process."""
+    return f"server-{number}"
+
+
 def balancer_numbers() -> tuple[int, ...]:
     """Return the numbers of all balancers that ever run."""
     return (*range(1, BALANCERS + 1), SPARE)
@@ -71,7 +87,7 @@
 
 def store_command() -> Command:
     """Return the command of the store."""
-    return _standin("store", "store", "--port", str(STORE_PORT))
+    return _standin(STORE_NAME, "store", "--port", str(STORE_PORT))
 
 
 def fabric_command(config_path: str) -> Command:
@@ -96,7 +112,7 @@
     kinds = ",".join(f"{kind.name}={kind.mean_s}" for kind in service.kinds)
     port = pair.server.rsplit(":", 1)[1]
     return _standin(
-        f"server-{port}",
+        server_name(int(port) - SERVER_PORT),
         "server",
         "--port",
         port,
@@ -110,7 +126,7 @@
 def balancer_command(number: int, place: PlaceName) -> Command:
     """Return the command of a balancer."""
     return _daemon(
-        f"balancer-{number}",
+        balancer_name(number),
         "balancer",
         "--listen",
         balancer_node(number),
@@ -124,7 +140,7 @@
 def agent_command(pair: Pair, place: PlaceName) -> Command:
     """Return the command of an agent."""
     return _daemon(
-        f"agent-{pair.agent.rsplit(':', 1)[1]}",
+        agent_name(int(pair.agent.rsplit(":", 1)[1]) - AGENT_PORT),
         "agent",
         "--listen",
         pair.agent,
--- a/packages/standins/src/medlar_standins/demo/processes.py
+++ b/packages/standins/src/medlar_standins/demo/processes.py
@@ -52,6 +52,20 @@
             self.ended_badly.append(f"{name} ended with {code}")
         return code
 
+    async def kill(self, name: str) -> None:
+        """Kill a process without warning.
+
+        :raises RuntimeError: if no such process runs.
+        """
+        process = self._running.pop(name, None)
+        if process is None:
+            names = ", ".join(sorted(self._running))
+            raise RuntimeError(
+                f"--kill: got {name!r}, expected one of {names}"
+            )
+        process.kill()
+        await process.wait()
+
     async def run(self, *args: str) -> str:
         """Run a command to its end and return what it printed.
 
--- a/packages/standins/src/medlar_standins/demo/workload.py
+++ b/packages/standins/src/medlar_standins/demo/workload.py
@@ -9,6 +9,8 @@
 
 LOAD = 0.7
 """Share of a service's slots that the usual load takes."""
+DRAINED = {"berth-desk": 1}
+"""Servers that are drained before the load is judged."""
 SHARES = {
     "slot-confirmation": 0.3,
     "berth-query": 0.5,
@@ -55,7 +57,8 @@
 
 def _work(service: Service, number: int) -> Work:
     kind = service.kinds[number]
-    slots = SERVERS[service.name] * service.slots
+    servers = SERVERS[service.name] - DRAINED.get(service.name, 0)
+    slots = servers * service.slots
     address = next(
         a for a in service.addresses if a.protocol is Protocol.REQUEST
     )
--- a/packages/standins/src/medlar_standins/fabric.py
+++ b/packages/standins/src/medlar_standins/fabric.py
@@ -35,6 +35,8 @@
 PROBE_TIMEOUT_S = 1.0
 COPY_BYTES = 64 * 1024
 
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
 
 class Entry(msgspec.Struct, frozen=True):
     """A balancer that the fabric may use: its node and request port."""
@@ -126,23 +128,25 @@
     def _pick(self) -> Entry | None:
         return self._rng.choice(self.ready) if self.ready else None
 
+    async def _connect(self) -> Streams | None:
+        """Connect to a random balancer, to another where one is gone."""
+        while (entry := self._pick()) is not None:
+            host = entry.node.rsplit(":", 1)[0]
+            try:
+                return await asyncio.open_connection(host, entry.request_port)
+            except OSError:
+                self.ready = [known for known in self.ready if known != entry]
+        return None
+
     async def _splice(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        entry = self._pick()
-        if entry is None:
-            self.count.nowhere += 1
-            writer.close()
-            return
-        host = entry.node.rsplit(":", 1)[0]
-        try:
-            inner, outer = await asyncio.open_connection(
-                host, entry.request_port
-            )
-        except OSError:
+        opened = await self._connect()
+        if opened is None:
             self.count.nowhere += 1
             writer.close()
             return
+        inner, outer = opened
         self.count.connections += 1
         outer.write(_preamble(writer))
         await asyncio.gather(_copy(reader, outer), _copy(inner, writer))
