Spend fewer bytes on loads and on a place loss

Suspects of a place that is looked at as a whole are not probed one by one, new watchers are told of the service by a hash, and loads are told as means of a cycle.

--- a/packages/bench/src/medlar_bench/members/design.py
+++ b/packages/bench/src/medlar_bench/members/design.py
@@ -20,7 +20,6 @@
 from medlar_core.members.balancer import BalancerMembers
 from medlar_core.members.load import cycle_s
 from medlar_core.members.load import Grid
-from medlar_core.members.load import Load
 from medlar_core.members.load import neighbours
 from medlar_core.members.messages import Ack
 from medlar_core.members.messages import Announce
@@ -155,7 +154,7 @@
         grid = Grid()
         for node in self._rng.sample(self._servers, count):
             flows = self._rng.randrange(FLOWS - 50, FLOWS + 50)
-            grid.set(node, Load.of(flows, self._rng.randrange(3)))
+            grid.reported(node, flows, self._rng.randrange(3))
         return grid.messages_now(hop)
 
     def _receive(self, src: NodeId, msg: Any) -> None:
--- a/packages/core/src/medlar_core/members/agent.py
+++ b/packages/core/src/medlar_core/members/agent.py
@@ -150,6 +150,7 @@
             self._peers.learn(now, ack)
         except BadPack:
             return []
+        self._reporter.holds = self._peers.digest(self.record.service)
         return self._publish(now)
 
     def _publish(self, now: Seconds) -> list[Effect]:
--- a/packages/core/src/medlar_core/members/answer.py
+++ b/packages/core/src/medlar_core/members/answer.py
@@ -45,8 +45,10 @@
         moved = bool(watchers) and check(watchers) != beat.watchers
         news = None
         if record.role is Role.SERVER:
-            news = self._table.service_since(record.service, beat.seen)
-        quiet = not (beat.want or moved or news)
+            news = self._table.service_since(
+                record.service, beat.seen, beat.holds
+            )
+        quiet = beat.seen and not (beat.want or moved or news)
         if quiet and self.agrees(src, beat):
             return []
         whole, changed = news or (False, [])
--- a/packages/core/src/medlar_core/members/liveness.py
+++ b/packages/core/src/medlar_core/members/liveness.py
@@ -15,6 +15,8 @@
 from .reach import Reach
 from .record import Record
 from .table import Table
+from .watch import CHECK_ROUND
+from .watch import HELP_ROUNDS
 from .watch import Round
 from .watch import Silent
 from .watch import Watch
@@ -141,11 +143,11 @@
         dead: list[Record] = []
         for found in self._watch.tick(now):
             record = self._table.live.get(found.node)
-            if record is None or self.reach.cut(record.place):
-                continue
+            if record is None or not self.reach.open(record.place):
+                continue  # its place is looked at first
             match found:
-                case Round(help=asks):
-                    effects += self._probe(now, record, asks)
+                case Round(number=number):
+                    effects += self._probe(now, record, number)
                 case Silent(since=since) if self._proven(record, since):
                     dead.append(record)
         return effects, dead
@@ -167,14 +169,17 @@
     def _others_in(self, place: PlaceName) -> list[NodeId]:
         return [n for n in self._table.in_place(place) if n != self._me]
 
-    def _probe(self, now: Seconds, record: Record, asks: bool) -> list[Effect]:
+    def _probe(
+        self, now: Seconds, record: Record, number: int
+    ) -> list[Effect]:
         node = record.id
         watchers = self.watchers.get(node, ())
-        effects: list[Effect] = [Send(node, Probe(watchers))]
-        if not asks:
-            return effects
-        if self._others_in(record.place) != [node]:
+        tells = number % 3 == 0
+        effects: list[Effect] = [Send(node, Probe(watchers if tells else ()))]
+        if number == CHECK_ROUND and self._others_in(record.place) != [node]:
             self.reach.check(now, record.place)
+        if number not in HELP_ROUNDS:
+            return effects
         partners = [n for n in watchers if n != self._me]
         others = [n for n in self.others() if n not in (node, *partners)]
         chosen = self._rng.sample(others, min(HELPERS, len(others)))
--- a/packages/core/src/medlar_core/members/load.py
+++ b/packages/core/src/medlar_core/members/load.py
@@ -19,14 +19,14 @@
 BYTES_S = 500.0
 """Bytes per second to which the cycle is stretched, each way."""
 SHORTEST_CYCLE_S = 1.0
-REFRESH_CYCLES = 4
-"""Loads that stay the same are told again after so many cycles."""
+REFRESH_CYCLES = 8
+"""A load that stays the same is told again after so many cycles."""
+CHANGED_SHARE = 0.3
+"""Share of the loads that a cycle is planned to tell."""
 MESSAGE_BYTES = 130.0
 ENTRY_BYTES = 8.0
 ENTRIES_PER_MESSAGE = 120
 FLOW_STEP = 1.125
-BUSY_STEPS = 4
-"""Busy slots are told in quarters."""
 _ENTRY = struct.Struct("<IBB")
 _BYTE = 255
 _ID_MASK = 0xFFFFFFFF
@@ -59,12 +59,33 @@
         return self[1]
 
 
+class _Sum:
+    """Reports of one server in a cycle."""
+
+    def __init__(self) -> None:
+        self._flows = 0
+        self._busy = 0
+        self._count = 0
+
+    def add(self, flows: int, busy: int) -> None:
+        """Take a report."""
+        self._flows += flows
+        self._busy += busy
+        self._count += 1
+
+    def mean(self) -> Load:
+        """Return the mean load."""
+        count = max(1, self._count)
+        flows = round(self._flows / count)
+        return Load.of(flows, round(self._busy / count))
+
+
 class Grid:
     """Loads known here and the messages that spread them."""
 
     def __init__(self) -> None:
         self.loads: dict[int, Load] = {}
-        self._reported: dict[int, Load] = {}
+        self._reported: dict[int, _Sum] = {}
         self._told: dict[int, Load] = {}
         self._row: dict[int, Load] = {}
         self._plan: list[tuple[int, NodeId]] = []
@@ -81,17 +102,15 @@
     def forget(self, node: NodeId) -> None:
         """Drop the load of a server that is gone."""
         key = load_key(node)
-        for held in (self.loads, self._reported, self._told, self._row):
+        self._reported.pop(key, None)
+        for held in (self.loads, self._told, self._row):
             held.pop(key, None)
 
     def reported(self, node: NodeId, flows: int, busy: int) -> bool:
         """Take what an agent reports; return whether it changed."""
-        return self.set(node, Load.of(flows, busy))
-
-    def set(self, node: NodeId, load: Load) -> bool:
-        """Take a load at first hand; return whether it changed."""
         key = load_key(node)
-        self._reported[key] = load
+        self._reported.setdefault(key, _Sum()).add(flows, busy)
+        load = Load.of(flows, busy)
         changed = self.loads.get(key) != load
         self.loads[key] = load
         return changed
@@ -111,7 +130,7 @@
 
     def messages_now(self, hop: int) -> list[Loads]:
         """Return messages of all that was reported since the last."""
-        self._batch = {hop: self._fresh(self._reported, refresh=True)}
+        self._batch = {hop: self._fresh(turn=None)}
         return self._messages(hop)
 
     def due(
@@ -146,15 +165,23 @@
         self._sent = 0
         self._plan = [(1, node) for node in row]
         self._plan += [(2, node) for node in column]
-        refresh = self._count % REFRESH_CYCLES == 0
+        turn = self._count % REFRESH_CYCLES
         self._count += 1
-        own = self._fresh(self._reported, refresh)
+        own = self._fresh(turn)
         self._batch = {1: own, 2: own + self._pack(self._row)}
         self._row = {}
 
-    def _fresh(self, loads: dict[int, Load], refresh: bool) -> bytes:
-        told = {} if refresh else self._told
-        fresh = {k: v for k, v in loads.items() if told.get(k) != v}
+    def _fresh(self, turn: int | None) -> bytes:
+        """Return the loads to tell: new ones and those whose turn it is.
+
+        A load is the mean over the cycle: at D that leaves little to tell.
+        """
+        loads = {k: v.mean() for k, v in self._reported.items()}
+        fresh = {
+            k: v
+            for k, v in loads.items()
+            if self._told.get(k) != v or k % REFRESH_CYCLES == turn
+        }
         self._told.update(loads)
         self._reported = {}
         return self._pack(fresh)
@@ -173,7 +200,8 @@
     """Return the time in which all loads go over the grid once."""
     side = math.sqrt(max(1, balancers))
     entries = (side + 1) * servers / max(1.0, side)
-    cost = 2 * side * MESSAGE_BYTES + entries * ENTRY_BYTES
+    told = entries * CHANGED_SHARE
+    cost = 2 * side * MESSAGE_BYTES + told * ENTRY_BYTES
     return max(SHORTEST_CYCLE_S, cost / BYTES_S)
 
 
--- a/packages/core/src/medlar_core/members/messages.py
+++ b/packages/core/src/medlar_core/members/messages.py
@@ -20,8 +20,9 @@
     """A process tells a balancer that watches it that it lives.
 
     ``seen`` is the version of that balancer's table up to which this
-    process was told of its service; ``watchers`` is a 16-bit check of the
-    balancers that it beats to; ``want`` asks for an answer.
+    process was told of its service; while that is 0, ``holds`` is a
+    32-bit hash of what it knows of the service. ``watchers`` is a 16-bit
+    check of the balancers that it beats to; ``want`` asks for an answer.
     """
 
     incarnation: Start
@@ -31,6 +32,7 @@
     want: Count
     flows: Count = 0
     busy: Count = 0
+    holds: Count = 0
 
 
 class Announce(
--- a/packages/core/src/medlar_core/members/peers.py
+++ b/packages/core/src/medlar_core/members/peers.py
@@ -6,6 +6,7 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import Seconds
+from ..ids import ServiceName
 from .load import Grid
 from .load import Load
 from .load import load_key
@@ -61,6 +62,10 @@
         if ack.whole:
             self._drop_others(now, {record.id for record in records})
 
+    def digest(self, service: ServiceName) -> int:
+        """Return the hash of what is known of the service."""
+        return self._table.service_digest(service)
+
     def due(
         self,
         now: Seconds,
--- a/packages/core/src/medlar_core/members/reach.py
+++ b/packages/core/src/medlar_core/members/reach.py
@@ -16,6 +16,7 @@
 from ..ids import Seconds
 
 CHECK_S = 0.5
+PROBE_S = 0.15
 TARGETS = 3
 """Processes of a place that are probed in each round of a check."""
 RETRY_S = 2.0
@@ -94,6 +95,11 @@
         """Return whether a place is silent."""
         return place in self.cut_places
 
+    def open(self, place: PlaceName) -> bool:
+        """Return whether a place is neither silent nor being looked at."""
+        held = self._places.get(place)
+        return held is None or held.reached is Reached.YES
+
     def awaited(self) -> list[PlaceName]:
         """Return the places that are back but not reconciled, sorted."""
         return sorted(
@@ -131,7 +137,8 @@
                     held.reached = Reached.NO
                     held.reconciled = False
                     silent.append(place)
-                case Reached.CHECKING:
+                case Reached.CHECKING if now - held.probed >= PROBE_S:
+                    held.probed = now
                     probe.append(place)
                 case Reached.NO if now - held.probed >= RETRY_S:
                     held.probed = now
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -27,6 +27,7 @@
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
+UNTOLD = -1
 SEEDS_LIMIT = 64
 FAREWELL_S = 1.0
 """A goodbye that is not answered is repeated for so long."""
@@ -38,7 +39,7 @@
     next_beat: float
     acked_at: float
     next_tell: float = 0.0
-    told: int = -1
+    told: int = UNTOLD
     seen: int = 0
     again: float = AGAIN_S
 
@@ -57,6 +58,7 @@
         self.record = record
         self.flows = 0
         self.busy = 0
+        self.holds = 0
         self.peers: tuple[NodeId, ...] = ()
         self.watchers: dict[NodeId, _Watcher] = {}
         self._seeds = tuple(seed for seed in seeds if seed != record.id)
@@ -132,9 +134,11 @@
         """Beat to these balancers from now on."""
         if not watchers or set(watchers) == set(self.watchers):
             return
+        # Who is known to some is known to all soon: a beat will do.
+        told = self.record.seq if self.known else UNTOLD
         kept: dict[NodeId, _Watcher] = {}
         for number, node in enumerate(watchers):
-            held = self.watchers.get(node) or _Watcher(now, now)
+            held = self.watchers.get(node) or _Watcher(now, now, told=told)
             held.next_beat = now + number * BEAT_S / len(watchers)
             kept[node] = held
         self.watchers = kept
@@ -206,6 +210,7 @@
             int(want),
             self.flows,
             self.busy,
+            0 if seen else self.holds,
         )
 
     def _search(self) -> list[Send]:
--- a/packages/core/src/medlar_core/members/table.py
+++ b/packages/core/src/medlar_core/members/table.py
@@ -90,17 +90,29 @@
         """Return the places that have live processes, sorted."""
         return sorted(place for place, held in self._places.items() if held)
 
+    def service_digest(self, service: ServiceName) -> int:
+        """Return a 32-bit hash of the live records of a service."""
+        digest = 0
+        for node in self._services.get(service, ()):
+            if node in self.live:
+                bucket = self._buckets[id_hash(node) % BUCKETS]
+                digest ^= bucket[node]
+        return digest & 0xFFFFFFFF
+
     def service_since(
-        self, service: ServiceName, seen: int
+        self, service: ServiceName, seen: int, digest: int
     ) -> tuple[bool, list[Record]] | None:
         """Return what changed in a service after a version.
 
         The first field is True if the records are all live ones, since
-        the version is not one of this table. None if nothing changed.
+        the version is not one of this table. None if nothing changed, or
+        if the reader holds just what ``digest`` stands for.
         """
         known = self.start < seen <= self.version
         if known and self._changed.get(service, 0) <= seen:
             return None
+        if not known and digest == self.service_digest(service):
+            return None
         held = self._services.get(service, {})
         if known:
             nodes = sorted(n for n, at in held.items() if at > seen)
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -18,17 +18,19 @@
 """
 QUICK_ROUNDS = 3
 """Rounds of probing in a row; then each other tick has one."""
-HELP_ROUNDS = (1, 3, 5)
+CHECK_ROUND = 1
+"""Round in which the whole place is looked at."""
+HELP_ROUNDS = (2, 4, 6)
 """Rounds of probing in which other balancers are asked to probe too."""
 GRACE_S = 0.5
 """A process is given so long to beat to a balancer new to it."""
 
 
 class Round(msgspec.Struct, frozen=True):
-    """Probe a suspect; ``help`` if others shall probe it as well."""
+    """Probe a suspect in round ``number``, from 0."""
 
     node: NodeId
-    help: bool
+    number: int
 
 
 class Silent(msgspec.Struct, frozen=True):
@@ -108,4 +110,4 @@
             return None
         watched.next_round = now + 2 * PROBE_S - HALF_TICK_S
         watched.rounds += 1
-        return Round(node, watched.rounds - 1 in HELP_ROUNDS)
+        return Round(node, watched.rounds - 1)
