--- a/packages/core/src/medlar_core/members/assign.py
+++ b/packages/core/src/medlar_core/members/assign.py
@@ -18,7 +18,7 @@
 from .record import Record
 
 POINTS = 8
-SLACK = 1.15
+SLACK = 1.05
 """Most processes that a balancer watches, beside the mean."""
 
 
--- a/packages/core/src/medlar_core/members/load.py
+++ b/packages/core/src/medlar_core/members/load.py
@@ -16,7 +16,7 @@
 from .record import id_hash
 from .record import Record
 
-BYTES_S = 500.0
+BYTES_S = 350.0
 """Bytes per second to which the cycle is stretched, each way."""
 SHORTEST_CYCLE_S = 1.0
 REFRESH_CYCLES = 8
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -19,11 +19,11 @@
 
 BEAT_S = 2.0
 """Period of beats to one watcher; those to two are half of it apart."""
-ASK_S = 3.5
+ASK_S = 5.5
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
 """First pause before a change that was not answered is told again."""
-LOST_S = 4.5
+LOST_S = 6.5
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
