--- a/packages/bench/src/medlar_bench/members/design.py
+++ b/packages/bench/src/medlar_bench/members/design.py
@@ -41,6 +41,7 @@
 from medlar_core.storeaccess.access import StoreAccess
 import medlar_core.wire as wire
 from medlar_fakes.net import TICK_S
+from medlar_fakes.net import wire_bytes
 
 from .fleet import REGIONS
 from .fleet import SERVERS_PER_SERVICE
@@ -85,6 +86,7 @@
         self.now = Seconds(0.0)
         self.spent_s = 0.0
         self.messages = 0
+        self.wire_bytes = 0
         self._join()
 
     def run(self, seconds: float) -> None:
@@ -96,10 +98,16 @@
             for src, msg in self._due(step):
                 self._receive(src, msg)
 
+    def settled(self) -> "DesignNode":
+        """Run for a second and return this node."""
+        self.run(1.0)
+        return self
+
     def timed(self, seconds: float) -> float:
         """Let virtual time pass; return the processor time in seconds."""
         self.spent_s = 0.0
         self.messages = 0
+        self.wire_bytes = 0
         self.run(seconds)
         return self.spent_s
 
@@ -168,6 +176,7 @@
         event = Received(opened.src, wire.decode(opened.body))
         self.spent_s += time.process_time() - start
         self.messages += 1
+        self.wire_bytes += wire_bytes(msg)
         self._take([src], event)
 
     def _take(self, froms: list[NodeId], event: Any) -> None:
@@ -179,6 +188,7 @@
         self.spent_s += time.process_time() - start
         self.messages += len(sent)
         for effect in sent:
+            self.wire_bytes += wire_bytes(effect.msg)
             self._answer(effect.dst, effect.msg)
 
     def _answer(self, dst: NodeId, msg: Any) -> None:
