--- a/packages/bench/src/medlar_bench/members/design.py
+++ b/packages/bench/src/medlar_bench/members/design.py
@@ -38,6 +38,7 @@
 from medlar_core.members.reporter import BEAT_S
 from medlar_core.members.reporter import check
 from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
 from medlar_core.storeaccess.access import StoreAccess
 import medlar_core.wire as wire
 from medlar_fakes.net import TICK_S
@@ -98,6 +99,11 @@
             for src, msg in self._due(step):
                 self._receive(src, msg)
 
+    @property
+    def view(self) -> View:
+        """What the balancer knows."""
+        return self._host.view
+
     def settled(self) -> "DesignNode":
         """Run for a second and return this node."""
         self.run(1.0)
--- a/packages/core/src/medlar_core/members/balancer.py
+++ b/packages/core/src/medlar_core/members/balancer.py
@@ -253,10 +253,10 @@
             self._next_sync = now + HASTY_SYNC_S * self._rng.random()
         match msg:
             case Beat():
-                return self._beaten(src, msg)
+                return self._beaten(now, src, msg)
             case Announce(record=record, beat=beat) if record.id == src:
                 effects = self._apply(now, [record], spread=True)
-                return effects + self._beaten(src, beat)
+                return effects + self._beaten(now, src, beat)
             case Ack():
                 return self._acked(now, src, msg)
             case Probe():
@@ -285,7 +285,8 @@
                 return self._mended(now, src, msg)
         return []
 
-    def _beaten(self, src: NodeId, beat: Beat) -> list[Effect]:
+    def _beaten(self, now: Seconds, src: NodeId, beat: Beat) -> list[Effect]:
+        self._live.beaten(now, src)
         watchers = self._live.watchers.get(src, ())
         first = watchers[:1] == (self._me,)
         if first and self._answers.agrees(src, beat):
--- a/packages/core/src/medlar_core/members/liveness.py
+++ b/packages/core/src/medlar_core/members/liveness.py
@@ -101,6 +101,10 @@
         self._watch.excuse(now, self._table.in_place(record.place))
         return True
 
+    def beaten(self, now: Seconds, src: NodeId) -> None:
+        """Note a beat of a process."""
+        self._watch.beaten(now, src)
+
     def heard_for(self, now: Seconds, msg: Heard) -> None:
         """Note that a helper heard of a process."""
         age = min(max(msg.age, 0.0), RECENT_S)
@@ -146,10 +150,12 @@
             if record is None or not self.reach.open(record.place):
                 continue  # its place is looked at first
             match found:
-                case Round(number=number):
-                    effects += self._probe(now, record, number)
+                case Round():
+                    effects += self._probe(now, record, found)
                 case Silent(since=since) if self._proven(record, since):
                     dead.append(record)
+                case Silent(since=since):
+                    self._check_others(now, record, since)
         return effects, dead
 
     def look(self, now: Seconds) -> tuple[list[Effect], list[PlaceName]]:
@@ -170,15 +176,15 @@
         return [n for n in self._table.in_place(place) if n != self._me]
 
     def _probe(
-        self, now: Seconds, record: Record, number: int
+        self, now: Seconds, record: Record, step: Round
     ) -> list[Effect]:
         node = record.id
         watchers = self.watchers.get(node, ())
-        tells = number % 3 == 0
+        tells = step.number % 3 == 0
         effects: list[Effect] = [Send(node, Probe(watchers if tells else ()))]
-        if number == CHECK_ROUND and self._others_in(record.place) != [node]:
-            self.reach.check(now, record.place)
-        if number not in HELP_ROUNDS:
+        if step.number >= CHECK_ROUND:
+            self._check_others(now, record, step.since)
+        if step.number not in HELP_ROUNDS:
             return effects
         partners = [n for n in watchers if n != self._me]
         others = [n for n in self.others() if n not in (node, *partners)]
@@ -187,6 +193,13 @@
             effects.append(Send(helper, ProbeFor(node)))
         return effects
 
+    def _check_others(
+        self, now: Seconds, record: Record, since: Seconds
+    ) -> None:
+        """Look whether others of the place of a suspect answer."""
+        if self._others_in(record.place) != [record.id]:
+            self.reach.check(now, record.place, since)
+
     def _proven(self, record: Record, since: Seconds) -> bool:
         if self._others_in(record.place) != [record.id]:
             return self.reach.heard_since(record.place, since)
--- a/packages/core/src/medlar_core/members/news.py
+++ b/packages/core/src/medlar_core/members/news.py
@@ -62,9 +62,9 @@
         records = [waiting.record for waiting in batch]
         msg = News(pack(records), tuple(sorted(self._hints)))
         for waiting in batch:
-            waiting.copies -= FAN
+            waiting.copies -= len(chosen)
             if waiting.copies <= 0:
                 del self._waiting[waiting.record.id]
-        left = {p: n - FAN for p, n in self._hints.items() if n > FAN}
-        self._hints = left
+        left = {p: n - len(chosen) for p, n in self._hints.items()}
+        self._hints = {p: n for p, n in left.items() if n > 0}
         return [Send(node, msg) for node in chosen]
--- a/packages/core/src/medlar_core/members/reach.py
+++ b/packages/core/src/medlar_core/members/reach.py
@@ -78,11 +78,17 @@
         held = self._places.get(place)
         return held is not None and held.heard >= since
 
-    def check(self, now: Seconds, place: PlaceName) -> None:
-        """Find out whether a place can be reached."""
-        held = self._places.setdefault(place, _Place(now - FRESH_S))
-        fresh = now - held.heard < FRESH_S
-        if held.reached is Reached.YES and not fresh:
+    def check(
+        self, now: Seconds, place: PlaceName, since: Seconds | None = None
+    ) -> None:
+        """Find out whether a place can be reached.
+
+        It need not be probed if it was heard of after ``since``, or just
+        now.
+        """
+        start = Seconds(now - FRESH_S) if since is None else since
+        held = self._places.setdefault(place, _Place(start - FRESH_S))
+        if held.reached is Reached.YES and held.heard < start:
             held.reached = Reached.CHECKING
             held.since = now
 
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -49,6 +49,11 @@
     return id_hash(",".join(sorted(watchers))) & 0xFFFF
 
 
+def _between(now: Seconds, beat: float) -> float:
+    """Return the first time of a rhythm that is not past."""
+    return beat - BEAT_S if beat - BEAT_S >= now else beat
+
+
 class Reporter:
     """Beats to its watchers, announces changes, and finds new watchers."""
 
@@ -137,9 +142,15 @@
         # Who is known to some is known to all soon: a beat will do.
         told = self.record.seq if self.known else UNTOLD
         kept: dict[NodeId, _Watcher] = {}
-        for number, node in enumerate(watchers):
-            held = self.watchers.get(node) or _Watcher(now, now, told=told)
-            held.next_beat = now + number * BEAT_S / len(watchers)
+        rhythm = [
+            w.next_beat for n, w in self.watchers.items() if n in watchers
+        ]
+        beat = max(now, *rhythm) if rhythm else now - BEAT_S / len(watchers)
+        for node in watchers:
+            held = self.watchers.get(node)
+            if held is None:
+                beat = _between(now, beat + BEAT_S / len(watchers))
+                held = _Watcher(beat, now, told=told)
             kept[node] = held
         self.watchers = kept
 
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -6,9 +6,10 @@
 
 from ..ids import NodeId
 from ..ids import Seconds
+from .reporter import BEAT_S
 
-SUSPECT_S = 2.1
-"""Silence after which a process is probed; its beats come each 2 s."""
+SUSPECT_S = BEAT_S + 0.1
+"""Time after a beat when the next one is missing."""
 PROBE_S = 0.1
 HALF_TICK_S = 0.05
 JUDGE_S = 1.0
@@ -19,7 +20,7 @@
 QUICK_ROUNDS = 3
 """Rounds of probing in a row; then each other tick has one."""
 CHECK_ROUND = 1
-"""Round in which the whole place is looked at."""
+"""Round from which on others of its place must be heard of too."""
 HELP_ROUNDS = (2, 4, 6)
 """Rounds of probing in which other balancers are asked to probe too."""
 GRACE_S = 0.5
@@ -30,6 +31,7 @@
     """Probe a suspect in round ``number``, from 0."""
 
     node: NodeId
+    since: Seconds
     number: int
 
 
@@ -41,25 +43,31 @@
 
 
 class _Watched(msgspec.Struct):
-    """What is known of one process."""
+    """What is known of one process; times are monotonic seconds."""
 
     heard: float
+    due: float
+    beats: bool = False
     suspect_since: float = 0.0
     next_round: float = 0.0
     rounds: int = 0
 
 
 class Watch:
-    """Silence of the processes that this balancer is to watch."""
+    """Silence of the processes that this balancer is to watch.
+
+    A beat that is missing makes a suspect, whatever else was heard just
+    before: the rhythms of the two watchers are apart, so one of them
+    misses a beat within a second of a death.
+    """
 
     def __init__(self) -> None:
         self._watched: dict[NodeId, _Watched] = {}
 
     def assign(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
         """Watch these processes and no others."""
-        fresh = now - SUSPECT_S + GRACE_S
         self._watched = {
-            node: self._watched.get(node) or _Watched(fresh)
+            node: self._watched.get(node) or _Watched(now, now + GRACE_S)
             for node in sorted(nodes)
         }
 
@@ -67,13 +75,27 @@
         """Return the processes watched, sorted."""
         return list(self._watched)
 
+    def beaten(self, now: Seconds, node: NodeId) -> None:
+        """Note a beat: the next one is due after its period."""
+        watched = self._watched.get(node)
+        if watched is not None:
+            watched.heard = now
+            watched.due = now + SUSPECT_S
+            watched.beats = True
+            watched.rounds = 0
+
     def heard(self, now: Seconds, node: NodeId, age: float = 0.0) -> None:
         """Note that a process lived ``age`` seconds ago."""
         watched = self._watched.get(node)
         if watched is None or now - age < watched.heard:
             return
         watched.heard = now - age
-        watched.rounds = 0
+        if watched.rounds and watched.heard >= watched.suspect_since:
+            watched.rounds = 0
+            # One whose rhythm is not known yet may fall silent any time.
+            period = BEAT_S if watched.beats else BEAT_S / 2
+            while watched.due <= now:
+                watched.due += period
 
     def age(self, now: Seconds, node: NodeId) -> float:
         """Return how long ago a watched process was heard of, in seconds."""
@@ -83,7 +105,7 @@
     def excuse(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
         """Start anew with processes that could not be heard."""
         for node in nodes:
-            self.heard(now, node)
+            self.beaten(now, node)
 
     def paused(self, now: Seconds) -> None:
         """Start anew with all: this process itself did not listen."""
@@ -93,7 +115,7 @@
         """Return the probes to send and the processes found silent."""
         found: list[Round | Silent] = []
         for node, watched in self._watched.items():
-            if now - watched.heard >= SUSPECT_S:
+            if now >= watched.due:
                 step = self._suspect(now, node, watched)
                 found += [step] if step else []
         return found
@@ -110,4 +132,4 @@
             return None
         watched.next_round = now + 2 * PROBE_S - HALF_TICK_S
         watched.rounds += 1
-        return Round(node, watched.rounds - 1)
+        return Round(node, since, watched.rounds - 1)
