--- a/packages/core/src/medlar_core/members/liveness.py
+++ b/packages/core/src/medlar_core/members/liveness.py
@@ -147,7 +147,10 @@
         dead: list[Record] = []
         for found in self._watch.tick(now):
             record = self._table.live.get(found.node)
-            if record is None or not self.reach.open(record.place):
+            if record is None:
+                self._watch.drop(found.node)
+                continue
+            if not self.reach.open(record.place):
                 continue  # its place is looked at first
             match found:
                 case Round():
--- a/packages/core/src/medlar_core/members/watch.py
+++ b/packages/core/src/medlar_core/members/watch.py
@@ -10,6 +10,7 @@
 
 SUSPECT_S = BEAT_S + 0.1
 """Time after a beat when the next one is missing."""
+NEVER = float("-inf")
 PROBE_S = 0.1
 HALF_TICK_S = 0.05
 JUDGE_S = 1.0
@@ -48,6 +49,7 @@
     heard: float
     due: float
     beats: bool = False
+    leaving: bool = False
     suspect_since: float = 0.0
     next_round: float = 0.0
     rounds: int = 0
@@ -65,12 +67,20 @@
         self._watched: dict[NodeId, _Watched] = {}
 
     def assign(self, now: Seconds, nodes: Iterable[NodeId]) -> None:
-        """Watch these processes and no others."""
+        """Watch these processes, and suspects until they are judged."""
+        wanted = set(nodes)
+        for node, watched in self._watched.items():
+            watched.leaving = node not in wanted
+        suspects = {n for n, w in self._watched.items() if w.rounds}
         self._watched = {
-            node: self._watched.get(node) or _Watched(now, now + GRACE_S)
-            for node in sorted(nodes)
+            node: self._watched.get(node) or _Watched(NEVER, now + GRACE_S)
+            for node in sorted(wanted | suspects)
         }
 
+    def drop(self, node: NodeId) -> None:
+        """No longer watch a process: it was judged."""
+        self._watched.pop(node, None)
+
     def nodes(self) -> list[NodeId]:
         """Return the processes watched, sorted."""
         return list(self._watched)
@@ -96,6 +106,8 @@
             period = BEAT_S if watched.beats else BEAT_S / 2
             while watched.due <= now:
                 watched.due += period
+            if watched.leaving:
+                self.drop(node)
 
     def age(self, now: Seconds, node: NodeId) -> float:
         """Return how long ago a watched process was heard of, in seconds."""
