--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -193,12 +193,13 @@
         return Have(self._held.version, self._held.root, gathers)
 
     def _told(self, now: Seconds, src: NodeId, have: Have) -> list[Effect]:
+        if not self.version:
+            self._join.heard(src, have)
         gathered = self._assembly
         if gathered and gathered.target.root in (have.root, have.gathers):
             gathered.add_peer(src)
             return []
         if not self.version:
-            self._join.heard(src, have)
             return self._choose(now)
         if have.version > self.version:
             self._news = _News(src, have.version, ASK_TIMES)
