--- a/packages/ops/src/medlar_ops/cli.py
+++ b/packages/ops/src/medlar_ops/cli.py
@@ -7,6 +7,8 @@
 
 import defopt
 
+from medlar_core.timeline.events import Topic
+
 from .commands.apply import apply
 from .commands.check import check
 from .commands.diff import diff
@@ -19,6 +21,7 @@
 from .output import Exit
 from .output import warn
 from .settings import UsageError
+from .timeline_cli import About
 from .timeline_cli import explain
 from .timeline_cli import timeline
 
@@ -34,13 +37,28 @@
 )
 
 
+def _about(text: str) -> About:
+    return About(text.lower())
+
+
+def _topic(text: str) -> Topic:
+    return Topic(text.lower())
+
+
+PARSERS = {About: _about, Topic: _topic}
+"""Enumerations that are written by their values, in any case."""
+
+
 def run(args: Sequence[str]) -> int:
     """Run the command that the arguments name; return its exit code."""
     try:
-        return int(
-            defopt.run(list(COMMANDS), argv=list(args), no_negated_flags=True)
-            or Exit.OK
+        code = defopt.run(
+            list(COMMANDS),
+            argv=list(args),
+            parsers=PARSERS,
+            no_negated_flags=True,
         )
+        return int(code or Exit.OK)
     except UsageError as exc:
         warn(str(exc))
         return Exit.USAGE
--- a/packages/ops/src/medlar_ops/timeline_cli.py
+++ b/packages/ops/src/medlar_ops/timeline_cli.py
@@ -91,9 +91,7 @@
     _show_silent(found)
 
 
-def explain(
-    about: About, what: list[str] | None = None, *, nodes: str = ""
-) -> None:
+def explain(about: About, *what: str, nodes: str = "") -> None:
     """Tell why a flow, request or server is where it is.
 
     :param about: flow, request, server, or version for the versions of
@@ -103,7 +101,7 @@
     :param nodes: ip:port of processes to ask, with commas, or
         MEDLARSTAGE_NODES; others are found there.
     """
-    asked = question(about, what or [])
+    asked = question(about, what)
     gathered = asyncio.run(gathering.gather_once(some_nodes(nodes)))
     answer = answer_to(asked, gathered)
     print(answer.sentence)
--- a/testing/ops/test_cli.py
+++ b/testing/ops/test_cli.py
@@ -209,3 +209,24 @@
         run([command, "--help"])
     assert end.value.code == 0
     assert "--json" in capsys.readouterr().out or command == "explain"
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ["timeline", "--topic", "drain"],
+        ["explain", "version"],
+        ["explain", "VERSION"],
+        ["explain", "server", "127.0.0.1:1"],
+        ["explain", "flow", "127.0.0.1:2", "127.0.0.1:3"],
+    ],
+)
+def test_topics_and_questions_are_written_in_either_case(
+    args: list[str], capsys: Capture
+) -> None:
+    try:
+        code = run([*args, "--nodes", "127.0.0.1:1"])
+    except SystemExit as end:
+        code = int(str(end.code))
+    assert code != Exit.USAGE
+    assert "no answer: 127.0.0.1:1" in capsys.readouterr().err
