--- a/packages/core/src/medlar_core/config/watch.py
+++ b/packages/core/src/medlar_core/config/watch.py
@@ -136,9 +136,9 @@
             if down is not None:
                 self._learned.append(StoreDown(down.why))
                 return
-            self._back_off = BACK_OFF_S
             if duty is Duty.READ:
                 return
+            self._back_off = BACK_OFF_S
 
     def _look(self, items: tuple[ops.Item, ...]) -> Reading[Down | None]:
         for item in items:
--- a/testing/core/config/test_spread.py
+++ b/testing/core/config/test_spread.py
@@ -90,7 +90,9 @@
 
 
 def test_few_processes_wait_at_the_store() -> None:
-    made = fleet()
+    made = Fleet(12, 10, 1)
+    made.apply("first", DOC, 0)
+    made.settle(lambda: made.everywhere(1), 20.0)
     made.store.calls.clear()
     made.clock.run_until(made.clock.now + 2 * WAIT_S)
     assert sum(made.store.calls.values()) <= 3 * 3
@@ -128,6 +130,15 @@
     assert made.settle(lambda: made.newest(lone) == 1, 10.0)
 
 
+def test_a_process_alone_asks_an_empty_store_less_and_less() -> None:
+    made = Fleet(1, 0, 1)
+    lone = NodeId("10.9.9.9:7000")
+    made.kill(next(iter(made.alive)))
+    made.net.attach(lone, ConfigSpread(lone, (), random.Random(1)))
+    made.clock.run_until(300.0)
+    assert 5 < sum(made.store.calls.values()) < 25
+
+
 @pytest.mark.parametrize(
     "text",
     [
@@ -236,6 +247,26 @@
     assert spread.version == 3
 
 
+def test_the_newest_change_that_waits_is_the_one_kept() -> None:
+    spread = spread_at(1)
+    trees = [build(DOC)]
+    for number in range(3):
+        trees.append(build(changed(trees[-1].cfg, number)))
+    deltas = [
+        Delta(
+            Version(i),
+            Version(i + 1),
+            trees[i].root,
+            ChangeId(f"c{i}"),
+            squeeze(patch_between(trees[i - 1], trees[i])),
+        )
+        for i in (1, 2, 3)
+    ]
+    for delta in (deltas[1], deltas[2], deltas[0], deltas[1]):
+        spread.reduce(1.0, Received(PEER, delta))
+    assert spread.version == 4
+
+
 def test_a_change_that_gives_another_root_is_not_taken() -> None:
     spread = spread_at(1)
     delta = Delta(
@@ -306,7 +337,7 @@
 
 def holding(services: int) -> Fleet:
     """Return a fleet that has a large document in force everywhere."""
-    made = Fleet(4, 24, 1)
+    made = Fleet(4, 36, 1)
     made.apply("first", document(services), 0)
     assert made.settle(lambda: made.everywhere(1), 90.0)
     made.net.faults.loss = 0.1
@@ -327,7 +358,7 @@
 
 
 def test_all_balancers_at_once_get_a_large_document_from_agents() -> None:
-    made = holding(services=600)
+    made = holding(services=1000)
     old = [node for node, is_balancer in made.alive.items() if is_balancer]
     for node in old:
         made.kill(node)
