--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -169,7 +169,7 @@
         if self._flows.taken(key):
             return self._journal.dropped(now, packet, Reason.DUPLICATE)
         closed = self.draining or not self._introduction.done
-        found = self._opening.place(key, packet, self.open_flows, closed)
+        found = self._opening.place(now, key, packet, self.open_flows, closed)
         if found == self._node:
             self._flows.open(now, key, Held(packet.caller, packet.address, 0))
             return [Deliver(packet)]
--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -143,3 +143,6 @@
 
 DENIALS_LIMIT = 1024
 """First denials that an agent remembers."""
+
+GROWTH_S = 2.0
+"""How far the growth of the mean load is carried on, in seconds."""
--- a/packages/core/src/medlar_core/flows/neighbours.py
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -12,6 +12,7 @@
 from ..members.view import Server
 from ..members.view import ServerState
 from .limits import DEPARTED_S
+from .limits import GROWTH_S
 from .limits import INTRODUCED_S
 from .limits import PAST_OWNERS
 from .limits import SETTLE_S
@@ -55,7 +56,10 @@
         self._room: dict[NodeId, float] = {}
         self._near: list[NodeId] = []
         self._far: list[NodeId] = []
-        self._limit = float("inf")
+        self._mine = 1.0
+        self._mean = 0.0
+        self._mean_at = 0.0
+        self._growth = 0.0
 
     def update(
         self, now: Seconds, services: Services, own_flows: int
@@ -68,7 +72,7 @@
         moved = old is not self.table
         if moved:
             self._keep_past(old, self.table)
-        self._update_loads(members, own_flows)
+        self._update_loads(now, members, own_flows)
         return Changes(moved, restarted)
 
     def departed(self, now: Seconds, node: NodeId) -> bool:
@@ -88,9 +92,14 @@
             return []
         return self.table.candidates(key % len(self.table.owners))
 
-    def overloaded(self, flows: int) -> bool:
-        """Return whether this many flows here are far over the mean."""
-        return flows > self._limit
+    def overloaded(self, now: Seconds, flows: int) -> bool:
+        """Return whether this many flows here are far over the mean.
+
+        The mean is as old as the reports, so its growth is carried on.
+        """
+        since = min(now - self._mean_at, GROWTH_S)
+        mean = self._mean + self._growth * since
+        return flows > mean * self._mine * SPILL_SHARE + SPILL_SLACK
 
     def roomy(self, key: FlowKey, asked: tuple[NodeId, ...]) -> NodeId | None:
         """Return a member under the mean load, near ones first.
@@ -171,7 +180,9 @@
             kept = tuple(i for i in earlier if i not in (before, after))
             self._past[bucket] = (before, *kept)[:PAST_OWNERS]
 
-    def _update_loads(self, members: list[Server], own_flows: int) -> None:
+    def _update_loads(
+        self, now: Seconds, members: list[Server], own_flows: int
+    ) -> None:
         takers = [s for s in members if accepting(s)]
         total = sum(s.flows for s in takers)
         shares = sum(share(s) for s in takers)
@@ -183,8 +194,12 @@
         free = [s for s in others if self._room[s.id] >= 1.0]
         self._near = [s.id for s in free if s.place == self._place]
         self._far = [s.id for s in free if s.place != self._place]
-        mine = share(self.me) if self.me is not None else 1.0
-        self._limit = mean * mine * SPILL_SHARE + SPILL_SLACK
+        self._mine = share(self.me) if self.me is not None else 1.0
+        if now - self._mean_at >= GROWTH_S / 2:
+            grown = (mean - self._mean) / (now - self._mean_at)
+            self._growth = max(0.0, grown)
+            self._mean = mean
+            self._mean_at = now
 
     @property
     def draining(self) -> bool:
--- a/packages/core/src/medlar_core/flows/opening.py
+++ b/packages/core/src/medlar_core/flows/opening.py
@@ -2,6 +2,7 @@
 
 from ..ids import FlowKey
 from ..ids import NodeId
+from ..ids import Seconds
 from ..ids import ServiceName
 from ..packets import Packet
 from .finder import Finder
@@ -32,7 +33,12 @@
         self._finder = finder
 
     def place(
-        self, key: FlowKey, packet: Packet, flows: int, closed: bool
+        self,
+        now: Seconds,
+        key: FlowKey,
+        packet: Packet,
+        flows: int,
+        closed: bool,
     ) -> NodeId | None:
         """Return the agent that is to take a new flow, if there is one.
 
@@ -50,7 +56,7 @@
             return owner
         if flows >= self.limit or closed:
             return self._other(key, packet)
-        overloaded = self._neighbours.overloaded(flows)
+        overloaded = self._neighbours.overloaded(now, flows)
         if overloaded and packet.hops < SPILL_HOPS:
             return self._neighbours.roomy(key, packet.asked) or self._node
         return self._node
