Count only open flows and measure hops under the whole load

Change: closed flows leave the open table; the slack before a new flow is passed on follows chance arrivals.

--- a/packages/bench/src/medlar_bench/flows/broken.py
+++ b/packages/bench/src/medlar_bench/flows/broken.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import math
 
 import msgspec
 
@@ -50,8 +51,14 @@
 class Stage:
     """The Authority's fleet under feeds and short flows."""
 
-    def __init__(self, size: Size, seed: int, fleet: Fleet | None) -> None:
-        self.load = LOADS[size]
+    def __init__(
+        self,
+        size: Size,
+        seed: int,
+        fleet: Fleet | None,
+        load: Load | None = None,
+    ) -> None:
+        self.load = load or LOADS[size]
         services = [make_service(name) for name in SERVERS]
         self.world = World(seed, make_cfg(*services), fleet)
         self.callers = Callers(self.world)
@@ -63,13 +70,19 @@
         for name, count in SERVERS.items():
             for _ in range(count * self.load.feeds):
                 self.callers.open(address_of(name))
-        self.world.clock.every(1.0 / self.load.short_per_s, self._short)
+        self.run_short(self.load.short_per_s)
         self.wait(FILL_S)
 
-    def _short(self) -> None:
-        rng = self.world.rng
-        name = BERTH if rng.random() < 0.7 else MANIFEST
-        self.callers.open(address_of(name), packets=rng.randint(2, 6))
+    def run_short(self, per_s: int, until: float = math.inf) -> None:
+        """Open short flows at a rate until a time."""
+        rng, clock = self.world.rng, self.world.clock
+
+        def open_one() -> bool:
+            name = BERTH if rng.random() < 0.7 else MANIFEST
+            self.callers.open(address_of(name), packets=rng.randint(2, 6))
+            return clock.now < until
+
+        clock.every(1.0 / per_s, open_one)
 
     def join(self, service: str) -> NodeId:
         """Add a server in some place."""
--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -156,7 +156,7 @@
                 self._flows.remove(key)
                 return self._reset(now, packet, Reason.CONNECTION_LIMIT)
             self._displaced.update(key, held)
-        self._flows.note(now, key, held, packet.flags, inward=True)
+        self._note(now, key, held, packet.flags, inward=True)
         return [Deliver(packet)]
 
     def _opened(
@@ -164,9 +164,9 @@
     ) -> list[Effect]:
         if self._services.addresses.get(packet.address) != self._service:
             return self._journal.dropped(now, packet, Reason.UNKNOWN_ADDRESS)
-        if held is not None:
-            return [Deliver(packet)]
         if self._flows.taken(key):
+            if held is not None:
+                return [Deliver(packet)]
             return self._journal.dropped(now, packet, Reason.DUPLICATE)
         closed = self.draining or not self._introduction.done
         found = self._opening.place(now, key, packet, self.open_flows, closed)
@@ -227,7 +227,7 @@
         if held is None:
             held = self._adopt_sent(now, key, packet)
         if held is not None:
-            self._flows.note(now, key, held, packet.flags, inward=False)
+            self._note(now, key, held, packet.flags, inward=False)
         return [Return(packet)]
 
     def _adopt_sent(
@@ -261,6 +261,12 @@
             return []
         return self._end_all(Reason.SERVER_DIED, tell_server=False)
 
+    def _note(
+        self, now: Seconds, key: FlowKey, held: Held, flags: int, inward: bool
+    ) -> None:
+        if self._flows.note(now, key, held, flags, inward):
+            self._displaced.ended(key, held)
+
     def _forget(self, key: FlowKey | None) -> None:
         if key is not None:
             self._displaced.ended(key, self._flows.remove(key))
--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -36,8 +36,8 @@
 SPILL_SHARE = 1.1
 """Load over the mean above which new flows are passed on."""
 
-SPILL_SLACK = 4
-"""Flows over the mean that never count as overload."""
+SPILL_SLACK = 0.5
+"""Standard deviations of chance arrivals that are no overload."""
 
 BYTES_PER_S = 2000
 """Control bytes that the flow part of an agent may send, per second."""
@@ -146,3 +146,6 @@
 
 GROWTH_S = 2.0
 """How far the growth of the mean load is carried on, in seconds."""
+
+CLOSING_LIMIT = 8192
+"""Closed flows that an agent keeps for late packets."""
--- a/packages/core/src/medlar_core/flows/neighbours.py
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -1,5 +1,7 @@
 """What an agent knows of the members of its service."""
 
+import math
+
 import msgspec
 import xxhash
 
@@ -98,8 +100,9 @@
         The mean is as old as the reports, so its growth is carried on.
         """
         since = min(now - self._mean_at, GROWTH_S)
-        mean = self._mean + self._growth * since
-        return flows > mean * self._mine * SPILL_SHARE + SPILL_SLACK
+        mean = (self._mean + self._growth * since) * self._mine
+        slack = SPILL_SLACK * math.sqrt(max(1.0, mean))
+        return flows > mean * SPILL_SHARE + slack
 
     def roomy(self, key: FlowKey, asked: tuple[NodeId, ...]) -> NodeId | None:
         """Return a member under the mean load, near ones first.
