--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import sys
 from typing import Any
 
 from ..effects import Deliver
@@ -57,6 +58,10 @@
 from .opening import Opening
 from .services import Services
 
+_SYN = int(Flag.SYN)
+_RST = int(Flag.RST)
+_NO_DATA = int(Flag.SYN | Flag.FIN)
+
 
 class AgentFlows:
     """Reducer of an agent's flow part."""
@@ -144,18 +149,19 @@
     def _arrived(self, now: Seconds, packet: Packet) -> list[Effect]:
         key = flow_key(packet.caller, packet.address)
         held = self._flows.get(key, packet.caller, packet.address)
-        if packet.flags & Flag.SYN:
+        if packet.flags & _SYN:
             return self._opened(now, key, held, packet)
         if held is None:
             return self._pass_on(now, key, packet)
-        if packet.flags & Flag.RST:
+        if packet.flags & _RST:
             self._forget(key)
             return [Deliver(packet)]
         if self._flows.prove(key):
             if self.open_flows > self._opening.limit:
                 self._flows.remove(key)
                 return self._reset(now, packet, Reason.CONNECTION_LIMIT)
-            self._displaced.update(key, held)
+            by, held.told = held.told, NodeId("")
+            self._displaced.opened(now, key, held, by)
         self._note(now, key, held, packet.flags, inward=True)
         return [Deliver(packet)]
 
@@ -171,7 +177,9 @@
         closed = self.draining or not self._introduction.done
         found = self._opening.place(now, key, packet, self.open_flows, closed)
         if found == self._node:
-            self._flows.open(now, key, Held(packet.caller, packet.address, 0))
+            by = packet.asked[-1] if packet.asked else NodeId("")
+            held = Held(packet.caller, sys.intern(packet.address), 0, told=by)
+            self._flows.open(now, key, held)
             return [Deliver(packet)]
         if found is not None and packet.hops + 1 < MAX_HOPS:
             self._finder.note_spilled(key, found)
@@ -221,7 +229,7 @@
     def _sent(self, now: Seconds, packet: Packet) -> list[Effect]:
         key = flow_key(packet.caller, packet.address)
         held = self._flows.get(key, packet.caller, packet.address)
-        if packet.flags & Flag.RST:
+        if packet.flags & _RST:
             self._forget(key if held else None)
             return [Return(packet)]
         if held is None:
@@ -234,14 +242,14 @@
         self, now: Seconds, key: FlowKey, packet: Packet
     ) -> Held | None:
         """Take in a flow that the server goes on with after a restart."""
-        if packet.flags & (Flag.SYN | Flag.FIN) or self._flows.taken(key):
+        if packet.flags & _NO_DATA or self._flows.taken(key):
             return None
         return self._adopt(now, key, packet.caller, packet.address)
 
     def _adopt(
         self, now: Seconds, key: FlowKey, caller: str, address: str
     ) -> Held:
-        held = Held(caller, address, 0)
+        held = Held(caller, sys.intern(address), 0)
         self._flows.adopt(now, key, held)
         self._displaced.update(key, held)
         return held
--- a/packages/core/src/medlar_core/flows/announce.py
+++ b/packages/core/src/medlar_core/flows/announce.py
@@ -13,6 +13,7 @@
 from .limits import BATCH_BYTES
 from .limits import BURST_BYTES
 from .limits import BYTES_PER_S
+from .limits import HINT_GAP_S
 from .limits import KEYS_PER_BATCH
 from .limits import RETRY_S
 from .messages import Ended
@@ -47,6 +48,7 @@
         self._waiting: dict[int, _Batch] = {}
         self._located: dict[NodeId, dict[FlowKey, None]] = {}
         self._ended: dict[NodeId, dict[FlowKey, None]] = {}
+        self._hint_at = 0.0
         self._marks: collections.deque[int] = collections.deque()
 
     @property
@@ -108,9 +110,9 @@
         balancers: tuple[NodeId, ...],
     ) -> Send | None:
         return (
-            self._repeat(now, owners, balancers)
+            self._next_hint(now, balancers)
+            or self._repeat(now, owners, balancers)
             or self._next_located(now)
-            or self._next_hint(now, balancers)
             or self._next_ended()
         )
 
@@ -157,8 +159,10 @@
     def _next_hint(
         self, now: Seconds, balancers: tuple[NodeId, ...]
     ) -> Send | None:
-        if not self._marks or not balancers:
+        few = len(self._marks) < KEYS_PER_BATCH
+        if not self._marks or not balancers or (few and now < self._hint_at):
             return None
+        self._hint_at = now + HINT_GAP_S
         count = min(len(self._marks), KEYS_PER_BATCH * 2)
         marks = [self._marks.popleft() for _ in range(count)]
         return self._send_hint(now, pack_marks(marks), balancers)
--- a/packages/core/src/medlar_core/flows/balancer.py
+++ b/packages/core/src/medlar_core/flows/balancer.py
@@ -35,8 +35,10 @@
 from .messages import HintsAsked
 from .messages import HintSlice
 from .services import Services
+from .wire import MARK
 
 _NONE = NodeId("")
+_SYN = int(Flag.SYN)
 
 
 class _Route(msgspec.Struct):
@@ -90,11 +92,11 @@
             return self._refuse_address(now, packet)
         owners = route.owners
         dst = None
-        if flags & Flag.SYN:
+        if flags & _SYN:
             if not route.accepting:
                 return self._refuse(now, packet, Reason.NO_SERVER)
         else:
-            dst = self._hints.get(key)
+            dst = self._hints.marks.get(key & MARK)
         if dst is None:
             if not owners:
                 return self._journal.dropped(now, packet, Reason.NO_SERVER)
@@ -119,7 +121,7 @@
         heard of yet; its packets are dropped, not reset.
         """
         known_gone = packet.address in self._services.withdrawn
-        if packet.flags & Flag.SYN or known_gone:
+        if packet.flags & _SYN or known_gone:
             return self._refuse(now, packet, Reason.UNKNOWN_ADDRESS)
         return self._journal.dropped(now, packet, Reason.UNKNOWN_ADDRESS)
 
--- a/packages/core/src/medlar_core/flows/directory.py
+++ b/packages/core/src/medlar_core/flows/directory.py
@@ -88,14 +88,15 @@
         old = self._old
         oldest = max(0, int((now - DIRECTORY_S) / _STAMP_S))
         kept = (old.holders != _NONE) & (old.stamps >= oldest)
-        kept &= ~np.isin(old.keys, new.keys)
         keys = np.concatenate([old.keys[kept], new.keys])
+        holders = np.concatenate([old.holders[kept], new.holders])
+        stamps = np.concatenate([old.stamps[kept], new.stamps])
         order = np.argsort(keys, kind="stable")
-        self._old = _Compact(
-            keys[order],
-            np.concatenate([old.holders[kept], new.holders])[order],
-            np.concatenate([old.stamps[kept], new.stamps])[order],
-        )
+        keys = keys[order]
+        # Of two locations of a flow the later one, which is new, stays.
+        last = np.append(keys[1:] != keys[:-1], True)[: len(keys)]
+        order = order[last]
+        self._old = _Compact(keys[last], holders[order], stamps[order])
         self._fresh = {}
 
     def _find(self, key: FlowKey) -> int:
--- a/packages/core/src/medlar_core/flows/displaced.py
+++ b/packages/core/src/medlar_core/flows/displaced.py
@@ -6,6 +6,7 @@
 from .announce import Announcer
 from .held import FlowTable
 from .held import Held
+from .limits import LATE_S
 from .limits import REFRESH_S
 from .services import Services
 
@@ -32,6 +33,22 @@
         self._flows = flows
         self._announcer = announcer
         self._refresh_at = refresh_at
+        self._late: dict[FlowKey, float] = {}
+
+    def opened(
+        self, now: Seconds, key: FlowKey, held: Held, by: NodeId
+    ) -> None:
+        """Tell of a new flow, after a while if its owner sent it here.
+
+        That owner knows where it went, and most flows end soon.
+        """
+        owner = self._services.owner(held.address, key)
+        if owner != by or owner is None:
+            self.update(key, held)
+            return
+        held.told = owner
+        self._announcer.hint(key)
+        self._late[key] = now + LATE_S
 
     def update(self, key: FlowKey, held: Held) -> None:
         """Tell a flow's owner of it, if that is another one than before."""
@@ -59,11 +76,20 @@
 
     def ended(self, key: FlowKey, held: Held | None) -> None:
         """Tell a flow's owner that the flow ended."""
+        if self._late.pop(key, None) is not None:
+            return
         if held is not None and held.told:
             self._announcer.tell_end(held.told, key)
 
     def refresh(self, now: Seconds) -> None:
-        """Tell everything again now and then, before it is forgotten."""
+        """Tell what waited, and all again before it is forgotten."""
+        for key, at in list(self._late.items()):
+            if at > now:
+                break
+            del self._late[key]
+            held = self._flows.established.get(key)
+            if held is not None and held.told:
+                self._announcer.tell(held.told, key)
         if now < self._refresh_at:
             return
         self._refresh_at = now + REFRESH_S
--- a/packages/core/src/medlar_core/flows/finder.py
+++ b/packages/core/src/medlar_core/flows/finder.py
@@ -34,6 +34,8 @@
 from .wire import pack_keys
 from .wire import unpack_keys
 
+_RST = int(Flag.RST)
+
 
 class Finder:
     """Knows or learns where flows are whose buckets are owned here.
@@ -121,7 +123,7 @@
         self, now: Seconds, key: FlowKey, packet: Packet
     ) -> list[Effect]:
         """Search for an unknown flow whose bucket is owned here."""
-        if packet.flags & Flag.RST or self.directory.get(key):
+        if packet.flags & _RST or self.directory.get(key):
             return []
         owner = self._services.owner(packet.address, key)
         if owner != self._node:
@@ -135,7 +137,7 @@
 
         The packet is dropped; its caller sends it again.
         """
-        if packet.flags & Flag.RST:
+        if packet.flags & _RST:
             return []
         owner = self._services.owner(packet.address, key)
         if owner is None:
--- a/packages/core/src/medlar_core/flows/held.py
+++ b/packages/core/src/medlar_core/flows/held.py
@@ -26,7 +26,8 @@
 
     ``seen`` is the time of the last packet in whole seconds, ``marks``
     tells which ends closed it and ``told`` is the bucket's owner that
-    was told of it, empty for none.
+    was told of it, empty for none. While a flow is unproved, ``told`` is
+    the agent that passed it on to this one.
     """
 
     caller: str
--- a/packages/core/src/medlar_core/flows/hints.py
+++ b/packages/core/src/medlar_core/flows/hints.py
@@ -22,7 +22,7 @@
 from .messages import HintAck
 from .messages import HintsAsked
 from .messages import HintSlice
-from .wire import mark
+from .wire import MARK
 from .wire import pack_marks
 from .wire import unpack_marks
 
@@ -39,16 +39,16 @@
 class HintBook:
     """Marks of displaced flows and their holders, as hints only.
 
-    A wrong mark costs a packet one more hop. Marks live in two
-    generations, so that those not told again go in time. Batches come
-    along a tree of balancers, each hop acknowledged.
+    A wrong mark costs a packet one more hop. Marks that were not told
+    in the last generation are forgotten. Batches come along a tree of
+    balancers, each hop acknowledged.
     """
 
     def __init__(self, node: NodeId, rng: random.Random) -> None:
         self._node = node
         self._rng = rng
-        self.fresh: dict[int, NodeId] = {}
-        self.old: dict[int, NodeId] = {}
+        self.marks: dict[int, NodeId] = {}
+        self._fresh: set[int] = set()
         self._turn_at = 0.0
         self._seen: dict[tuple[NodeId, Incarnation, int], None] = {}
         self._relays: dict[tuple[NodeId, NodeId, int], _Relay] = {}
@@ -59,12 +59,11 @@
         self._ask_at = 0.0
 
     def __len__(self) -> int:
-        return len(self.fresh) + len(self.old)
+        return len(self.marks)
 
     def get(self, key: int) -> NodeId | None:
         """Return where a flow may have stayed."""
-        found = self.fresh.get(mark(key))
-        return found or self.old.get(mark(key))
+        return self.marks.get(key & MARK)
 
     def take_view(
         self, balancers: tuple[NodeId, ...], servers: set[NodeId]
@@ -79,8 +78,8 @@
             return
         for node in gone:
             del self._names[node]
-        self.fresh = {m: i for m, i in self.fresh.items() if i not in gone}
-        self.old = {m: i for m, i in self.old.items() if i not in gone}
+        self.marks = {m: i for m, i in self.marks.items() if i not in gone}
+        self._fresh &= self.marks.keys()
 
     def received(self, now: Seconds, src: NodeId, msg: Hint) -> list[Effect]:
         """Take a batch in, acknowledge it and pass it on once."""
@@ -103,8 +102,8 @@
     def answer(self, msg: HintsAsked) -> HintSlice:
         """Return the slice that a new balancer asks for."""
         parts = max(1, msg.parts)
-        found = {**self.old, **self.fresh}
-        rows = [(m, i) for m, i in found.items() if m % parts == msg.part]
+        found = self.marks.items()
+        rows = [(m, i) for m, i in found if m % parts == msg.part]
         names = sorted({i for _, i in rows})
         numbers = {name: number for number, name in enumerate(names)}
         return HintSlice(
@@ -121,7 +120,7 @@
         for found, number in zip(
             unpack_marks(msg.marks), numbers, strict=False
         ):
-            if number < len(msg.holders) and found not in self.fresh:
+            if number < len(msg.holders) and found not in self.marks:
                 self._note([found], msg.holders[number])
         left = self._parts_left or []
         if msg.parts == self._parts and msg.part in left:
@@ -131,7 +130,9 @@
         """Return repeats and questions to send now."""
         if now >= self._turn_at:
             self._turn_at = now + DIRECTORY_S / 2
-            self.old, self.fresh = self.fresh, {}
+            kept = self._fresh
+            self.marks = {m: i for m, i in self.marks.items() if m in kept}
+            self._fresh = set()
         effects = self._repeat(now)
         if self._parts_left and now >= self._ask_at:
             effects += self._ask(now, self._parts_left)
@@ -139,8 +140,9 @@
 
     def _note(self, marks: list[int], holder: NodeId) -> None:
         holder = self._names.setdefault(holder, holder)
-        room = HINTS_LIMIT - len(self.fresh)
-        self.fresh.update(dict.fromkeys(marks[: max(0, room)], holder))
+        room = max(0, HINTS_LIMIT - len(self.marks))
+        self.marks.update(dict.fromkeys(marks[:room], holder))
+        self._fresh.update(marks[:room])
 
     def _position(self, msg: Hint) -> int:
         """Return this balancer's place in the tree of a batch."""
--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -121,7 +121,7 @@
 """Time between two questions for slices of hints, in seconds."""
 
 HINTS_LIMIT = 400_000
-"""Hints that a balancer keeps per generation."""
+"""Hints that a balancer keeps."""
 
 BATCH_BYTES = 170
 """Bytes of a control message beside its keys."""
@@ -149,3 +149,9 @@
 
 CLOSING_LIMIT = 8192
 """Closed flows that an agent keeps for late packets."""
+
+LATE_S = 5.0
+"""Wait before an owner is told of a flow that it passed on, in seconds."""
+
+HINT_GAP_S = 0.2
+"""Time in which new hints are gathered into one batch, in seconds."""
--- a/packages/core/src/medlar_core/flows/wire.py
+++ b/packages/core/src/medlar_core/flows/wire.py
@@ -6,6 +6,8 @@
 
 _KEY_BYTES = 8
 _MARK_BYTES = 4
+MARK = 0xFFFFFFFF
+"""The bits of a flow key that a hint carries."""
 
 
 def pack_keys(keys: list[FlowKey]) -> bytes:
@@ -21,8 +23,8 @@
 
 
 def mark(key: int) -> int:
-    """Return the 32 bits of a flow key that a hint carries."""
-    return key & 0xFFFFFFFF
+    """Return the bits of a flow key that a hint carries."""
+    return key & MARK
 
 
 def pack_marks(marks: list[int]) -> bytes:
