Keep tables and hints small enough for the caches

Change: owners are packed bytes per service, and hints are kept per service, so that services without displaced flows skip them.

--- a/packages/bench/src/medlar_bench/flows/cost.py
+++ b/packages/bench/src/medlar_bench/flows/cost.py
@@ -59,6 +59,9 @@
 D_HINTS = 290_000
 """The same at design size, on an ordinary day."""
 
+D_HINTED = 3
+"""One service in so many had a server replaced in the last 8 hours."""
+
 STATE_FLOWS = {Size.FAST: 10_000, Size.FULL: 50_000}
 HELD_BYTES = 256
 ELSEWHERE_BYTES = 64
@@ -113,14 +116,22 @@
 
 
 def _hinted(host: Reducer, view: View, count: int, seed: int) -> None:
-    """Give a balancer the hints of an ordinary day."""
+    """Give a balancer the hints of an ordinary day.
+
+    They are of services whose server was replaced not long ago.
+    """
     rng = np.random.default_rng(seed)
     batch = 100
+    names = sorted({server.service for server in view.servers})
+    hinted = set(names[::D_HINTED])
+    holders = [s for s in view.servers if s.service in hinted]
     for number in range(count // batch):
-        holder = view.servers[number % len(view.servers)].id
+        holder = holders[number % len(holders)]
         marks = rng.integers(0, 1 << 32, batch, np.uint32).tobytes()
-        hint = Hint(holder, Incarnation(1), number, ENTRY, marks)
-        host.reduce(Seconds(1.0), Received(holder, hint))
+        hint = Hint(
+            holder.id, Incarnation(1), number, ENTRY, holder.service, marks
+        )
+        host.reduce(Seconds(1.0), Received(holder.id, hint))
 
 
 def _seconds(host: Reducer, events: list[PacketArrived]) -> float:
--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -382,7 +382,7 @@
             why = "the server here holds the flow"
         return AgentAnswer(
             service=self._services.addresses.get(address, ServiceName("")),
-            bucket=key % len(table.owners) if table else -1,
+            bucket=table.bucket(key) if table else -1,
             state=state,
             owner=self._services.owner(address, key) or NodeId(""),
             told=held.told if held else NodeId(""),
--- a/packages/core/src/medlar_core/flows/announce.py
+++ b/packages/core/src/medlar_core/flows/announce.py
@@ -10,6 +10,7 @@
 from ..ids import Incarnation
 from ..ids import NodeId
 from ..ids import Seconds
+from ..ids import ServiceName
 from .limits import BATCH_BYTES
 from .limits import BURST_BYTES
 from .limits import BYTES_PER_S
@@ -49,7 +50,9 @@
         self._located: dict[NodeId, dict[FlowKey, None]] = {}
         self._ended: dict[NodeId, dict[FlowKey, None]] = {}
         self._hint_at = 0.0
-        self._marks: collections.deque[int] = collections.deque()
+        self._marks: collections.deque[tuple[ServiceName, int]] = (
+            collections.deque()
+        )
 
     @property
     def idle(self) -> bool:
@@ -70,9 +73,9 @@
             return
         self._ended.setdefault(owner, {})[key] = None
 
-    def hint(self, key: FlowKey) -> None:
-        """Queue a hint for the balancers."""
-        self._marks.append(mark(key))
+    def hint(self, service: ServiceName, key: FlowKey) -> None:
+        """Queue a hint on a flow to a service for the balancers."""
+        self._marks.append((service, mark(key)))
 
     def acked(self, batch: int, incarnation: Incarnation) -> None:
         """Note that a batch arrived."""
@@ -128,7 +131,10 @@
             del self._waiting[number]
             if isinstance(batch.msg, Hint):
                 if balancers:
-                    return self._send_hint(now, batch.msg.marks, balancers)
+                    again = batch.msg
+                    return self._send_hint(
+                        now, again.service, again.marks, balancers
+                    )
             elif batch.dst in owners:
                 batch.sent_at = now
                 self._waiting[number] = batch
@@ -163,18 +169,26 @@
         if not self._marks or not balancers or (few and now < self._hint_at):
             return None
         self._hint_at = now + HINT_GAP_S
-        count = min(len(self._marks), KEYS_PER_BATCH * 2)
-        marks = [self._marks.popleft() for _ in range(count)]
-        return self._send_hint(now, pack_marks(marks), balancers)
+        service = self._marks[0][0]
+        marks: list[int] = []
+        while self._marks and self._marks[0][0] == service:
+            if len(marks) == KEYS_PER_BATCH * 2:
+                break
+            marks.append(self._marks.popleft()[1])
+        return self._send_hint(now, service, pack_marks(marks), balancers)
 
     def _send_hint(
-        self, now: Seconds, marks: bytes, balancers: tuple[NodeId, ...]
+        self,
+        now: Seconds,
+        service: ServiceName,
+        marks: bytes,
+        balancers: tuple[NodeId, ...],
     ) -> Send:
         self._batches += 1
         number = self._batches
         seed = (number * 0x9E3779B1 + self._incarnation) & 0xFFFFFFFF
         root = balancers[seed % len(balancers)]
-        msg = Hint(self._node, self._incarnation, number, root, marks)
+        msg = Hint(self._node, self._incarnation, number, root, service, marks)
         self._waiting[number] = _Batch(root, msg, now)
         return Send(root, msg)
 
--- a/packages/core/src/medlar_core/flows/balancer.py
+++ b/packages/core/src/medlar_core/flows/balancer.py
@@ -4,6 +4,7 @@
 by the tables that it computes from its view.
 """
 
+from collections.abc import Sequence
 import random
 from typing import Any
 
@@ -42,11 +43,17 @@
 
 
 class _Route(msgspec.Struct):
-    """Where packets to an address go; ``owners`` may be empty."""
+    """Where packets to an address go.
+
+    ``owners`` has an entry per bucket that indexes ``ids``, and none
+    where the service has no server.
+    """
 
     service: ServiceName
-    owners: list[NodeId]
+    ids: tuple[NodeId, ...]
+    owners: Sequence[int]
     accepting: bool
+    hints: dict[int, NodeId]
 
 
 class BalancerFlows:
@@ -95,12 +102,12 @@
         if flags & _SYN:
             if not route.accepting:
                 return self._refuse(now, packet, Reason.NO_SERVER)
-        else:
-            dst = self._hints.marks.get(key & MARK)
+        elif route.hints:
+            dst = route.hints.get(key & MARK)
         if dst is None:
             if not owners:
                 return self._journal.dropped(now, packet, Reason.NO_SERVER)
-            dst = owners[key % len(owners)]
+            dst = route.ids[owners[key % len(owners)]]
         routed = Packet(
             caller,
             address,
@@ -164,11 +171,11 @@
                 routes[address] = known
                 continue
             table = services.table(service)
-            if table is None:
-                routes[address] = _Route(service, [], False)
-            else:
+            hints = self._hints.of(service)
+            routes[address] = _Route(service, (), b"", False, hints)
+            if table is not None:
                 routes[address] = _Route(
-                    service, table.owners, table.accepting
+                    service, table.ids, table.owners, table.accepting, hints
                 )
         self._routes = routes
 
@@ -180,8 +187,8 @@
         route = self._routes.get(address)
         service = route.service if route else ServiceName("")
         table = self._services.table(service) if route else None
-        hinted = self._hints.get(key) or _NONE
-        bucket = key % len(table.owners) if table else -1
+        hinted = self._hints.of(service).get(key & MARK) or _NONE
+        bucket = table.bucket(key) if table else -1
         candidates = table.candidates(bucket) if table else []
         if route is None:
             why = Reason.UNKNOWN_ADDRESS.value
--- a/packages/core/src/medlar_core/flows/displaced.py
+++ b/packages/core/src/medlar_core/flows/displaced.py
@@ -47,7 +47,7 @@
             self.update(key, held)
             return
         held.told = owner
-        self._announcer.hint(key)
+        self._hint(key, held)
         self._late[key] = now + LATE_S
 
     def update(self, key: FlowKey, held: Held) -> None:
@@ -58,11 +58,16 @@
         if held.told == owner:
             return
         if not held.told and owner:
-            self._announcer.hint(key)
+            self._hint(key, held)
         held.told = owner
         if owner:
             self._announcer.tell(owner, key)
 
+    def _hint(self, key: FlowKey, held: Held) -> None:
+        service = self._services.addresses.get(held.address)
+        if service is not None:
+            self._announcer.hint(service, key)
+
     def update_all(self) -> None:
         """Tell what changed after a change of tables or addresses."""
         for key, held in self._flows.established.items():
@@ -96,4 +101,4 @@
         for key, held in self._flows.established.items():
             if held.told:
                 self._announcer.tell(held.told, key)
-                self._announcer.hint(key)
+                self._hint(key, held)
--- a/packages/core/src/medlar_core/flows/hints.py
+++ b/packages/core/src/medlar_core/flows/hints.py
@@ -9,6 +9,7 @@
 from ..ids import Incarnation
 from ..ids import NodeId
 from ..ids import Seconds
+from ..ids import ServiceName
 from .limits import DIRECTORY_S
 from .limits import HINT_ASK_S
 from .limits import HINT_FANOUT
@@ -22,7 +23,6 @@
 from .messages import HintAck
 from .messages import HintsAsked
 from .messages import HintSlice
-from .wire import MARK
 from .wire import pack_marks
 from .wire import unpack_marks
 
@@ -47,8 +47,9 @@
     def __init__(self, node: NodeId, rng: random.Random) -> None:
         self._node = node
         self._rng = rng
-        self.marks: dict[int, NodeId] = {}
-        self._fresh: set[int] = set()
+        self._count = 0
+        self._marks: dict[ServiceName, dict[int, NodeId]] = {}
+        self._fresh: dict[ServiceName, set[int]] = {}
         self._turn_at = 0.0
         self._seen: dict[tuple[NodeId, Incarnation, int], None] = {}
         self._relays: dict[tuple[NodeId, NodeId, int], _Relay] = {}
@@ -59,11 +60,11 @@
         self._ask_at = 0.0
 
     def __len__(self) -> int:
-        return len(self.marks)
+        return self._count
 
-    def get(self, key: int) -> NodeId | None:
-        """Return where a flow may have stayed."""
-        return self.marks.get(key & MARK)
+    def of(self, service: ServiceName) -> dict[int, NodeId]:
+        """Return holders by mark for a service; the dict stays in use."""
+        return self._marks.setdefault(service, {})
 
     def take_view(
         self, balancers: tuple[NodeId, ...], servers: set[NodeId]
@@ -78,8 +79,10 @@
             return
         for node in gone:
             del self._names[node]
-        self.marks = {m: i for m, i in self.marks.items() if i not in gone}
-        self._fresh &= self.marks.keys()
+        for marks in self._marks.values():
+            for found in [m for m, i in marks.items() if i in gone]:
+                del marks[found]
+        self._recount()
 
     def received(self, now: Seconds, src: NodeId, msg: Hint) -> list[Effect]:
         """Take a batch in, acknowledge it and pass it on once."""
@@ -91,7 +94,7 @@
         if len(self._seen) >= LATEST_BATCHES:
             del self._seen[next(iter(self._seen))]
         self._seen[name] = None
-        self._note(unpack_marks(msg.marks), msg.holder)
+        self._note(msg.service, unpack_marks(msg.marks), msg.holder)
         mine = self._position(msg)
         return effects + self._pass_on(now, msg, mine)
 
@@ -102,26 +105,35 @@
     def answer(self, msg: HintsAsked) -> HintSlice:
         """Return the slice that a new balancer asks for."""
         parts = max(1, msg.parts)
-        found = self.marks.items()
-        rows = [(m, i) for m, i in found if m % parts == msg.part]
-        names = sorted({i for _, i in rows})
-        numbers = {name: number for number, name in enumerate(names)}
+        rows = [
+            (found, holder, service)
+            for service, marks in self._marks.items()
+            for found, holder in marks.items()
+            if found % parts == msg.part
+        ]
+        pairs = sorted({(holder, service) for _, holder, service in rows})
+        numbers = {pair: number for number, pair in enumerate(pairs)}
         return HintSlice(
             part=msg.part,
             parts=parts,
-            holders=tuple(names),
-            marks=pack_marks([m for m, _ in rows]),
-            numbers=pack_marks([numbers[i] for _, i in rows]),
+            holders=tuple(holder for holder, _ in pairs),
+            services=tuple(service for _, service in pairs),
+            marks=pack_marks([found for found, _, _ in rows]),
+            numbers=pack_marks([numbers[h, s] for _, h, s in rows]),
         )
 
     def answered(self, msg: HintSlice) -> None:
         """Take a slice in; what was learnt since is newer."""
         numbers = unpack_marks(msg.numbers)
+        pairs = list(zip(msg.holders, msg.services, strict=False))
         for found, number in zip(
             unpack_marks(msg.marks), numbers, strict=False
         ):
-            if number < len(msg.holders) and found not in self.marks:
-                self._note([found], msg.holders[number])
+            if number >= len(pairs):
+                continue
+            holder, service = pairs[number]
+            if found not in self.of(service):
+                self._note(service, [found], holder)
         left = self._parts_left or []
         if msg.parts == self._parts and msg.part in left:
             left.remove(msg.part)
@@ -130,19 +142,34 @@
         """Return repeats and questions to send now."""
         if now >= self._turn_at:
             self._turn_at = now + DIRECTORY_S / 2
-            kept = self._fresh
-            self.marks = {m: i for m, i in self.marks.items() if m in kept}
-            self._fresh = set()
+            self._forget_untold()
         effects = self._repeat(now)
         if self._parts_left and now >= self._ask_at:
             effects += self._ask(now, self._parts_left)
         return effects
 
-    def _note(self, marks: list[int], holder: NodeId) -> None:
+    def _note(
+        self, service: ServiceName, marks: list[int], holder: NodeId
+    ) -> None:
         holder = self._names.setdefault(holder, holder)
-        room = max(0, HINTS_LIMIT - len(self.marks))
-        self.marks.update(dict.fromkeys(marks[:room], holder))
-        self._fresh.update(marks[:room])
+        known = self.of(service)
+        before = len(known)
+        room = max(0, HINTS_LIMIT - self._count)
+        known.update(dict.fromkeys(marks[:room], holder))
+        self._fresh.setdefault(service, set()).update(marks[:room])
+        self._count += len(known) - before
+
+    def _forget_untold(self) -> None:
+        """Forget marks that nobody told since the last time."""
+        for service, marks in self._marks.items():
+            kept = self._fresh.get(service, set())
+            for found in [m for m in marks if m not in kept]:
+                del marks[found]
+        self._fresh = {}
+        self._recount()
+
+    def _recount(self) -> None:
+        self._count = sum(len(marks) for marks in self._marks.values())
 
     def _position(self, msg: Hint) -> int:
         """Return this balancer's place in the tree of a batch."""
--- a/packages/core/src/medlar_core/flows/messages.py
+++ b/packages/core/src/medlar_core/flows/messages.py
@@ -8,6 +8,7 @@
 
 from ..ids import Incarnation
 from ..ids import NodeId
+from ..ids import ServiceName
 
 
 class Located(msgspec.Struct, frozen=True, tag="flows.located"):
@@ -73,7 +74,7 @@
 
 
 class Hint(msgspec.Struct, frozen=True, tag="flows.hint"):
-    """Flows that stay at ``holder`` although their buckets moved.
+    """Flows to a service that stay at ``holder`` when buckets move.
 
     Balancers pass it on along a tree that starts at ``root``.
     """
@@ -82,6 +83,7 @@
     incarnation: Incarnation
     batch: int
     root: NodeId
+    service: ServiceName
     marks: bytes
 
 
@@ -103,12 +105,14 @@
 class HintSlice(msgspec.Struct, frozen=True, tag="flows.hint-slice"):
     """One slice of hints, as answer to ``HintsAsked``.
 
-    ``numbers`` gives, for each mark, the index of its holder.
+    ``numbers`` gives, for each mark, the index of its holder and of the
+    service that the holder's flows are for.
     """
 
     part: int
     parts: int
     holders: tuple[NodeId, ...]
+    services: tuple[ServiceName, ...]
     marks: bytes
     numbers: bytes
 
--- a/packages/core/src/medlar_core/flows/neighbours.py
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -86,13 +86,13 @@
         """Return earlier owners of a flow's bucket, the latest first."""
         if self.table is None:
             return ()
-        return self._past.get(key % len(self.table.owners), ())
+        return self._past.get(self.table.bucket(key), ())
 
     def ranked(self, key: FlowKey) -> list[NodeId]:
         """Return the owner of a flow's bucket, then other candidates."""
         if self.table is None:
             return []
-        return self.table.candidates(key % len(self.table.owners))
+        return self.table.candidates(self.table.bucket(key))
 
     def overloaded(self, now: Seconds, flows: int) -> bool:
         """Return whether this many flows here are far over the mean.
@@ -177,11 +177,14 @@
             return
         pairs = zip(old.owners, new.owners, strict=True)
         for bucket, (before, after) in enumerate(pairs):
-            if before == after:
+            if old.ids[before] == new.ids[after]:
                 continue
+            owner = old.ids[before]
             earlier = self._past.get(bucket, ())
-            kept = tuple(i for i in earlier if i not in (before, after))
-            self._past[bucket] = (before, *kept)[:PAST_OWNERS]
+            kept = tuple(
+                i for i in earlier if i not in (owner, new.ids[after])
+            )
+            self._past[bucket] = (owner, *kept)[:PAST_OWNERS]
 
     def _update_loads(
         self, now: Seconds, members: list[Server], own_flows: int
--- a/packages/core/src/medlar_core/flows/services.py
+++ b/packages/core/src/medlar_core/flows/services.py
@@ -120,9 +120,7 @@
     def owner_in(self, service: ServiceName, key: int) -> NodeId | None:
         """Return the owner of a flow key in the table of a service."""
         table = self.table(service)
-        if table is None:
-            return None
-        return table.owners[key % len(table.owners)]
+        return None if table is None else table.owner(key)
 
 
 def _differs(old: Server, new: Server) -> bool:
--- a/packages/core/src/medlar_core/flows/table.py
+++ b/packages/core/src/medlar_core/flows/table.py
@@ -8,6 +8,7 @@
 few other buckets.
 """
 
+import array
 from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
@@ -27,6 +28,7 @@
 ACCEPTING = (ServerState.READY, ServerState.WARMING)
 _GOLDEN = np.uint64(0x9E3779B97F4A7C15)
 _MIX = (np.uint64(0xBF58476D1CE4E5B9), np.uint64(0x94D049BB133111EB))
+_BYTE_VALUES = 256
 _CHUNK_PAIRS = 1 << 21
 
 _Indices = npt.NDArray[np.int32]
@@ -43,19 +45,28 @@
 class Table(msgspec.Struct, frozen=True):
     """Owners and candidates of each bucket of one service.
 
-    ``owners`` has one entry per bucket; ``ranks`` has shape (buckets,
-    candidates kept) and indexes ``ids``. ``accepting`` tells whether the
-    owners take new flows.
+    ``owners`` has one entry per bucket, ``ranks`` has shape (buckets,
+    candidates kept); both index ``ids``. Owners are packed, so that the
+    tables of many services stay in the processor's cache. ``accepting``
+    tells whether the owners take new flows.
     """
 
     ids: tuple[NodeId, ...]
-    owners: list[NodeId]
+    owners: Sequence[int]
     ranks: _Indices
     accepting: bool
 
+    def bucket(self, key: int) -> int:
+        """Return the bucket of a flow key."""
+        return key % len(self.owners)
+
+    def owner(self, key: int) -> NodeId:
+        """Return the owner of a new flow's bucket."""
+        return self.ids[self.owners[key % len(self.owners)]]
+
     def candidates(self, bucket: int) -> list[NodeId]:
         """Return the owner of a bucket, then its candidates by rank."""
-        owner = self.owners[bucket]
+        owner = self.ids[self.owners[bucket]]
         ranked = [self.ids[i] for i in self.ranks[bucket].tolist()]
         return [owner, *(i for i in ranked if i != owner)]
 
@@ -104,8 +115,14 @@
     ranks, scores = _rank(ids, shares, buckets)
     room = np.ceil(shares / shares.sum() * buckets).astype(np.int64)
     matched = _match(ranks, scores, room)
-    owners = [ids[i] for i in matched.tolist()]
-    return Table(ids, owners, ranks, takes_new)
+    return Table(ids, _pack(matched, len(ids)), ranks, takes_new)
+
+
+def _pack(owners: _Indices, servers: int) -> Sequence[int]:
+    """Return owners in one byte each where that is enough."""
+    if servers <= _BYTE_VALUES:
+        return owners.astype(np.uint8).tobytes()
+    return array.array("I", owners.tolist())
 
 
 def _rank(
