--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -33,10 +33,10 @@
 CLOSING_S = 10.0
 """How long an ended flow passes late packets, in seconds."""
 
-SPILL_SHARE = 1.1
+SPILL_SHARE = 1.12
 """Load over the mean above which new flows are passed on."""
 
-SPILL_SLACK = 0.5
+SPILL_SLACK = 0.25
 """Standard deviations of chance arrivals that are no overload."""
 
 BYTES_PER_S = 2000
--- /dev/null
+++ b/testing/core/flows/test_balancer.py
@@ -0,0 +1,125 @@
+import random
+
+import pytest
+
+from medlar_bench.flows.world import address_of
+from medlar_bench.flows.world import make_cfg
+from medlar_bench.flows.world import make_service
+from medlar_core.effects import Forward
+from medlar_core.effects import Record
+from medlar_core.effects import Return
+from medlar_core.events import ConfigurationChanged
+from medlar_core.events import PacketArrived
+from medlar_core.events import Received
+from medlar_core.events import ViewChanged
+from medlar_core.flows.balancer import BalancerFlows
+from medlar_core.flows.messages import Hint
+from medlar_core.flows.wire import mark
+from medlar_core.flows.wire import pack_marks
+from medlar_core.ids import Incarnation
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import Seconds
+from medlar_core.ids import ServiceName
+from medlar_core.ids import Version
+from medlar_core.members.view import Server
+from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
+from medlar_core.packets import Flag
+from medlar_core.packets import flow_key
+from medlar_core.packets import Packet
+
+NODE = NodeId("10.1.0.1:9000")
+NOW = Seconds(1.0)
+NAME = ServiceName("one")
+ADDRESS = address_of("one")
+CALLER = "198.18.0.1:5000"
+
+
+def view_of(*nodes: str) -> View:
+    servers = tuple(
+        Server(
+            NodeId(node),
+            Incarnation(1),
+            NAME,
+            PlaceName("a"),
+            ServerState.READY,
+        )
+        for node in nodes
+    )
+    return View(1, servers, ())
+
+
+def balancer(*nodes: str) -> BalancerFlows:
+    made = BalancerFlows(NODE, PlaceName("a"), random.Random(1))
+    cfg = make_cfg(make_service("one"))
+    made.reduce(NOW, ConfigurationChanged(cfg, Version(1)))
+    made.reduce(NOW, ViewChanged(view_of(*nodes)))
+    return made
+
+
+def send(
+    made: BalancerFlows, flags: Flag, address: str = ADDRESS
+) -> list[object]:
+    packet = Packet(CALLER, address, int(flags))
+    return list(made.reduce(NOW, PacketArrived(packet)))
+
+
+def reasons(effects: list[object]) -> list[str]:
+    return [e.event.reason for e in effects if isinstance(e, Record)]
+
+
+def test_every_balancer_sends_a_flow_to_the_same_agent() -> None:
+    nodes = [f"10.2.0.{i}:9000" for i in range(7)]
+    (one,) = send(balancer(*nodes), Flag.SYN)
+    (two,) = send(balancer(*reversed(nodes)), Flag.ACK)
+    assert isinstance(one, Forward) and isinstance(two, Forward)
+    assert one.dst == two.dst
+    assert one.packet.service == NAME
+    assert one.packet.via == NODE
+
+
+def test_new_flow_to_an_unknown_address_is_reset_with_a_reason() -> None:
+    effects = send(balancer("10.2.0.1:1"), Flag.SYN, "192.0.2.1:1")
+    assert isinstance(effects[0], Return)
+    assert effects[0].packet.flags == Flag.RST
+    assert reasons(effects) == ["unknown-address"]
+
+
+def test_open_flow_to_an_unknown_address_is_not_reset() -> None:
+    effects = send(balancer("10.2.0.1:1"), Flag.ACK, "192.0.2.1:1")
+    assert reasons(effects) == ["unknown-address"]
+    assert not any(isinstance(e, Return) for e in effects)
+
+
+def test_open_flow_to_a_withdrawn_address_is_reset() -> None:
+    made = balancer("10.2.0.1:1")
+    cfg = make_cfg(make_service("two"))
+    made.reduce(NOW, ConfigurationChanged(cfg, Version(2)))
+    effects = send(made, Flag.ACK)
+    assert isinstance(effects[0], Return)
+
+
+@pytest.mark.parametrize("flags, resets", [(Flag.SYN, 1), (Flag.ACK, 0)])
+def test_without_servers_only_new_flows_are_reset(
+    flags: Flag, resets: int
+) -> None:
+    effects = send(balancer(), flags)
+    assert sum(isinstance(e, Return) for e in effects) == resets
+    assert reasons(effects) == ["no-server"]
+
+
+def test_hint_counts_for_open_flows_and_is_explained() -> None:
+    made = balancer("10.2.0.1:1", "10.2.0.2:1")
+    holder = NodeId("10.2.0.3:1")
+    marks = pack_marks([mark(flow_key(CALLER, ADDRESS))])
+    hint = Hint(holder, Incarnation(1), 1, NODE, NAME, marks)
+    made.reduce(NOW, Received(holder, hint))
+    (new,) = send(made, Flag.SYN)
+    (old,) = send(made, Flag.ACK)
+    assert isinstance(new, Forward) and isinstance(old, Forward)
+    assert old.dst == holder
+    assert new.dst != holder
+    answer = made.explain(NOW, CALLER, ADDRESS)
+    assert (answer.server, answer.hinted) == (holder, holder)
+    assert new.dst == answer.candidates[0]
--- /dev/null
+++ b/testing/core/flows/test_directory.py
@@ -0,0 +1,59 @@
+import random
+
+import pytest
+
+from medlar_core.flows.directory import Directory
+from medlar_core.flows.limits import DIRECTORY_S
+from medlar_core.ids import FlowKey
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+
+NOW = Seconds(0.0)
+ONE = NodeId("10.0.0.1:1")
+TWO = NodeId("10.0.0.2:1")
+KEY = FlowKey(0xFEDCBA9876543210)
+
+
+@pytest.mark.parametrize("merges", [False, True])
+def test_latest_word_wins(merges: bool) -> None:
+    found = Directory()
+    found.put(NOW, KEY, ONE)
+    if merges:
+        found.merge(NOW)
+    found.put(NOW, KEY, TWO)
+    if merges:
+        found.merge(NOW)
+    assert found.get(KEY) == TWO
+    assert len(found) == 1
+
+
+@pytest.mark.parametrize("merges", [False, True])
+def test_end_told_by_an_earlier_holder_changes_nothing(merges: bool) -> None:
+    found = Directory()
+    found.put(NOW, KEY, TWO)
+    if merges:
+        found.merge(NOW)
+    found.drop(KEY, ONE)
+    assert found.get(KEY) == TWO
+    found.drop(KEY, TWO)
+    assert found.get(KEY) is None
+
+
+def test_keeps_every_location_over_many_merges() -> None:
+    rng = random.Random(1)
+    keys = [FlowKey(rng.getrandbits(64)) for _ in range(3000)]
+    found = Directory()
+    for number, key in enumerate(keys):
+        found.put(NOW, key, (ONE, TWO)[number % 2])
+    assert all(
+        found.get(key) == (ONE, TWO)[number % 2]
+        for number, key in enumerate(keys)
+    )
+
+
+def test_location_not_told_again_is_forgotten() -> None:
+    found = Directory()
+    found.put(NOW, KEY, ONE)
+    found.merge(NOW)
+    found.merge(Seconds(DIRECTORY_S + 120.0))
+    assert found.get(KEY) is None
