--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -33,11 +33,11 @@
 CLOSING_S = 10.0
 """How long an ended flow passes late packets, in seconds."""
 
-SPILL_SHARE = 1.1
+SPILL_SHARE = 1.12
 """Load over the mean above which new flows are passed on."""
 
-SPILL_SLACK = 4
-"""Flows over the mean that never count as overload."""
+SPILL_SLACK = 0.25
+"""Standard deviations of chance arrivals that are no overload."""
 
 BYTES_PER_S = 2000
 """Control bytes that the flow part of an agent may send, per second."""
@@ -121,7 +121,7 @@
 """Time between two questions for slices of hints, in seconds."""
 
 HINTS_LIMIT = 400_000
-"""Hints that a balancer keeps per generation."""
+"""Hints that a balancer keeps."""
 
 BATCH_BYTES = 170
 """Bytes of a control message beside its keys."""
@@ -143,3 +143,15 @@
 
 DENIALS_LIMIT = 1024
 """First denials that an agent remembers."""
+
+GROWTH_S = 2.0
+"""How far the growth of the mean load is carried on, in seconds."""
+
+CLOSING_LIMIT = 8192
+"""Closed flows that an agent keeps for late packets."""
+
+LATE_S = 5.0
+"""Wait before an owner is told of a flow that it passed on, in seconds."""
+
+HINT_GAP_S = 0.2
+"""Time in which new hints are gathered into one batch, in seconds."""
--- a/packages/core/src/medlar_core/flows/neighbours.py
+++ b/packages/core/src/medlar_core/flows/neighbours.py
@@ -1,5 +1,7 @@
 """What an agent knows of the members of its service."""
 
+import math
+
 import msgspec
 import xxhash
 
@@ -12,6 +14,7 @@
 from ..members.view import Server
 from ..members.view import ServerState
 from .limits import DEPARTED_S
+from .limits import GROWTH_S
 from .limits import INTRODUCED_S
 from .limits import PAST_OWNERS
 from .limits import SETTLE_S
@@ -55,7 +58,10 @@
         self._room: dict[NodeId, float] = {}
         self._near: list[NodeId] = []
         self._far: list[NodeId] = []
-        self._limit = float("inf")
+        self._mine = 1.0
+        self._mean = 0.0
+        self._mean_at = 0.0
+        self._growth = 0.0
 
     def update(
         self, now: Seconds, services: Services, own_flows: int
@@ -68,7 +74,7 @@
         moved = old is not self.table
         if moved:
             self._keep_past(old, self.table)
-        self._update_loads(members, own_flows)
+        self._update_loads(now, members, own_flows)
         return Changes(moved, restarted)
 
     def departed(self, now: Seconds, node: NodeId) -> bool:
@@ -80,17 +86,23 @@
         """Return earlier owners of a flow's bucket, the latest first."""
         if self.table is None:
             return ()
-        return self._past.get(key % len(self.table.owners), ())
+        return self._past.get(self.table.bucket(key), ())
 
     def ranked(self, key: FlowKey) -> list[NodeId]:
         """Return the owner of a flow's bucket, then other candidates."""
         if self.table is None:
             return []
-        return self.table.candidates(key % len(self.table.owners))
+        return self.table.candidates(self.table.bucket(key))
+
+    def overloaded(self, now: Seconds, flows: int) -> bool:
+        """Return whether this many flows here are far over the mean.
 
-    def overloaded(self, flows: int) -> bool:
-        """Return whether this many flows here are far over the mean."""
-        return flows > self._limit
+        The mean is as old as the reports, so its growth is carried on.
+        """
+        since = min(now - self._mean_at, GROWTH_S)
+        mean = (self._mean + self._growth * since) * self._mine
+        slack = SPILL_SLACK * math.sqrt(max(1.0, mean))
+        return flows > mean * SPILL_SHARE + slack
 
     def roomy(self, key: FlowKey, asked: tuple[NodeId, ...]) -> NodeId | None:
         """Return a member under the mean load, near ones first.
@@ -165,13 +177,18 @@
             return
         pairs = zip(old.owners, new.owners, strict=True)
         for bucket, (before, after) in enumerate(pairs):
-            if before == after:
+            if old.ids[before] == new.ids[after]:
                 continue
+            owner = old.ids[before]
             earlier = self._past.get(bucket, ())
-            kept = tuple(i for i in earlier if i not in (before, after))
-            self._past[bucket] = (before, *kept)[:PAST_OWNERS]
+            kept = tuple(
+                i for i in earlier if i not in (owner, new.ids[after])
+            )
+            self._past[bucket] = (owner, *kept)[:PAST_OWNERS]
 
-    def _update_loads(self, members: list[Server], own_flows: int) -> None:
+    def _update_loads(
+        self, now: Seconds, members: list[Server], own_flows: int
+    ) -> None:
         takers = [s for s in members if accepting(s)]
         total = sum(s.flows for s in takers)
         shares = sum(share(s) for s in takers)
@@ -183,8 +200,12 @@
         free = [s for s in others if self._room[s.id] >= 1.0]
         self._near = [s.id for s in free if s.place == self._place]
         self._far = [s.id for s in free if s.place != self._place]
-        mine = share(self.me) if self.me is not None else 1.0
-        self._limit = mean * mine * SPILL_SHARE + SPILL_SLACK
+        self._mine = share(self.me) if self.me is not None else 1.0
+        if now - self._mean_at >= GROWTH_S / 2:
+            grown = (mean - self._mean) / (now - self._mean_at)
+            self._growth = max(0.0, grown)
+            self._mean = mean
+            self._mean_at = now
 
     @property
     def draining(self) -> bool:
