--- a/packages/bench/src/medlar_bench/requests/callers.py
+++ b/packages/bench/src/medlar_bench/requests/callers.py
@@ -1,6 +1,7 @@
 """Callers: they send, wait, repeat with their key, and keep accounts."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 
@@ -64,7 +65,8 @@
     """Poisson arrivals of each stream, and every job they made.
 
     ``repeating`` is the share that repeats early; ``marked`` callers say
-    whether they repeat.
+    whether they repeat. ``eager_s`` tells how long a balancer reads a
+    body before it does anything else.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self._repeating = repeating
         self._marked = marked
         self._made = 0
+        self.eager_s: Callable[[NodeId, int], float] = lambda node, size: 0.0
         fleet.answered = self._answered
         fleet.ran = self._ran
 
@@ -149,7 +152,8 @@
             repeat=call > 1 if self._marked else None,
         )
         balancer = job.balancer
-        delay = fleet.load.client_s
+        delay = fleet.load.client_s + fleet.delay_s(balancer)
+        delay += self.eager_s(balancer, came.body_bytes)
         fleet.clock.after(delay, lambda: self._enter(job, balancer, came))
         if self._rng.random() < self._repeating:
             patience = self._rng.uniform(*PATIENCE_MEANS) * kind.mean_s
@@ -186,7 +190,8 @@
         if job.verdict is not None or int(call) != job.calls:
             return
         job.verdict = answer.verdict
-        job.ended_at = self.fleet.clock.now + self.fleet.load.client_s
+        way = self.fleet.load.client_s + self.fleet.delay_s(node)
+        job.ended_at = self.fleet.clock.now + way
         if isinstance(answer.verdict, Ran):
             job.mixed = answer.verdict.body_digest != f"answer to {id}"
 
--- a/packages/bench/src/medlar_bench/requests/fleet.py
+++ b/packages/bench/src/medlar_bench/requests/fleet.py
@@ -76,7 +76,9 @@
     """Balancers, agents and servers of one workload.
 
     ``answered`` is called with a balancer and its answer to a caller,
-    ``ran`` with the attempt whose work started on a server.
+    ``ran`` with the attempt whose work started on a server. ``body_s``
+    tells how long a body takes through a balancer's link and
+    ``delay_s`` what a short message waits there, in seconds.
     """
 
     def __init__(
@@ -100,7 +102,8 @@
         self.balancers: list[NodeId] = []
         self._service: dict[NodeId, Service] = {}
         self.shedding: dict[NodeId, float] = {}
-        self.before_start: Callable[[StartAttempt], float] = lambda s: 0.0
+        self.body_s: Callable[[NodeId, int], float] = lambda node, size: 0.0
+        self.delay_s: Callable[[NodeId], float] = lambda node: 0.0
         self.attempts: collections.Counter[RequestId] = collections.Counter()
         self._open: dict[AttemptId, _Open] = {}
         self._seen: dict[AttemptId, StartAttempt] = {}
@@ -274,7 +277,8 @@
 
     def _work(self, node: NodeId, work: StartWork) -> None:
         start = self._seen[work.work]
-        body_s = self.before_start(start)
+        sent = self._open.get(work.work)
+        body_s = self.body_s(sent.src, start.body_bytes) if sent else 0.0
         if body_s > 0.0:
             self.clock.after(body_s, lambda: self._serve(node, work, start))
         else:
--- a/packages/bench/src/medlar_bench/requests/floods.py
+++ b/packages/bench/src/medlar_bench/requests/floods.py
@@ -24,7 +24,7 @@
 """Time into the flood before other work is measured."""
 SAMPLE_S = 0.02
 
-Prepare = Callable[[Fleet], None]
+Prepare = Callable[[Fleet, Callers], None]
 
 
 class Flooded(msgspec.Struct, frozen=True):
@@ -54,11 +54,6 @@
         """Return how many jobs of a kind were answered in time."""
         return sum(job.in_time for job in self.jobs(kind))
 
-    def in_time_share(self, kind: KindName) -> float:
-        """Return the share of a kind's jobs that were answered in time."""
-        jobs = self.jobs(kind)
-        return self.goodput(kind) / len(jobs) if jobs else 0.0
-
     def p99_s(self, kind: KindName) -> float:
         """Return the 99th percentile of the wait for an answer."""
         found = hdrh.histogram.HdrHistogram(1, 60_000_000, 3)
@@ -86,9 +81,9 @@
     ``after_s``. ``only`` names the one service that gets any work.
     """
     fleet = Fleet(load, seed, makers.balancer, makers.agent)
-    if prepare is not None:
-        prepare(fleet)
     callers = Callers(fleet, seed)
+    if prepare is not None:
+        prepare(fleet, callers)
     ends = WARM_S + length_s
     for stream in load.streams:
         if only and stream.service != only:
--- /dev/null
+++ b/packages/bench/src/medlar_bench/requests/keep.py
@@ -0,0 +1,193 @@
+"""Rows ``flood.keep``, ``flood.wait``, ``flood.used``, ``flood.recover``."""
+
+import msgspec
+
+from ..rows import Measurement
+from ..rows import Row
+from ..rows import Sense
+from ..rows import Size
+from .floods import Flooded
+from .floods import run
+from .policies import FIFO
+from .policies import Makers
+from .policies import ours
+from .policies import STATIC
+from .policies import STRICT
+from .workloads import SLOTS
+from .workloads import Stream
+from .workloads import Workload
+from .workloads import WORKLOADS
+
+LENGTH_S = {Size.FAST: 8.0, Size.FULL: 30.0}
+"""How long the flood lasts, in seconds."""
+AFTER_S = 12.0
+"""How long the run goes on after the flood, in seconds."""
+BIN_S = 1.0
+BACK = 0.99
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """What other work keeps in the two floods of a workload.
+
+    Each figure is that of the kind that fares worst.
+    """
+
+    least: float
+    most: float
+    wait: float
+    used: float
+    recover_s: float
+
+
+def measure_kept(
+    load: Workload, makers: Makers, length_s: float, seed: int
+) -> Kept:
+    """Run a workload without a flood and with each of the two floods."""
+    service = load.services[0].name
+    streams = load.of(service)
+    calm = run(load, seed, makers, None, length_s, AFTER_S, only=service)
+    floods = [
+        run(load, seed, makers, stream, length_s, AFTER_S, only=service)
+        for stream in (streams[-1], streams[0])
+    ]
+    least, most = floods
+    return Kept(
+        least=min(_kept(calm, least, s, False) for s in streams[:-1]),
+        most=min(_kept(calm, most, s, True) for s in streams[1:]),
+        wait=max(
+            max(_wait(calm, least, s) for s in streams[:-1]),
+            max(_wait(calm, most, s) for s in streams[1:]),
+        ),
+        used=min(least.used, most.used),
+        recover_s=max(_recover_s(calm, flood) for flood in floods),
+    )
+
+
+def _kept(
+    calm: Flooded, flood: Flooded, stream: Stream, capped: bool
+) -> float:
+    """Return a kind's goodput in the flood over what it is due."""
+    kind = stream.kind
+    due = float(calm.goodput(kind.name))
+    if capped:
+        slots = calm.load.count(stream.service) * SLOTS
+        floor = kind.floor * slots / kind.mean_s
+        due = min(due, floor * (calm.until - calm.since))
+    return flood.goodput(kind.name) / due
+
+
+def _wait(calm: Flooded, flood: Flooded, stream: Stream) -> float:
+    kind = stream.kind.name
+    return flood.p99_s(kind) / calm.p99_s(kind)
+
+
+def _recover_s(calm: Flooded, flood: Flooded) -> float:
+    """Return when the share answered in time is back, and stays so.
+
+    Seconds after the end of the flood; AFTER_S if it is not.
+    """
+    since = 0.0
+    for step in range(int(AFTER_S / BIN_S)):
+        start = flood.until + step * BIN_S
+        usual = _in_time(calm, start)
+        if _in_time(flood, start) < BACK * usual:
+            since = (step + 1) * BIN_S
+    return since
+
+
+def _in_time(run_: Flooded, start: float) -> float:
+    jobs = list(run_.callers.within(start, start + BIN_S))
+    return sum(job.in_time for job in jobs) / max(len(jobs), 1)
+
+
+def measure(size: Size, seed: int) -> list[Row]:
+    """Return the rows of both workloads, against FIFO and the others."""
+    rows: list[Row] = []
+    length_s = LENGTH_S[size]
+    found = [measure_kept(w, ours(), length_s, seed) for w in WORKLOADS]
+    fifo = [measure_kept(w, FIFO, length_s, seed) for w in WORKLOADS]
+    strict = [measure_kept(w, STRICT, length_s, seed) for w in WORKLOADS]
+    static = [measure_kept(w, STATIC, length_s, seed) for w in WORKLOADS]
+    for at, load in enumerate(WORKLOADS):
+        kept, plain, other = found[at], fifo[at], strict[at]
+        rows += [
+            _row(
+                "least", load, 0.97, kept.least, plain.least, other.least, seed
+            ),
+            _row("most", load, 0.95, kept.most, plain.most, other.most, seed),
+            Row(
+                name=f"flood.wait.{load.name}",
+                value=round(kept.wait, 4),
+                unit="ratio",
+                bound=2.0,
+                sense=Sense.MAX,
+                seed=seed,
+                baseline=round(plain.wait, 4),
+                baseline_name=FIFO.name,
+                note="99th percentile of the time from call to answer, "
+                "the worst kind of both floods; "
+                f"strict priority {other.wait:.4f}",
+            ),
+        ]
+    return [*rows, *_whole(found, static, seed)]
+
+
+def _row(
+    which: str,
+    load: Workload,
+    bound: float,
+    value: float,
+    fifo: float,
+    strict: float,
+    seed: int,
+) -> Row:
+    return Row(
+        name=f"flood.keep.{which}.{load.name}",
+        value=round(value, 4),
+        unit="share",
+        bound=bound,
+        sense=Sense.MIN,
+        seed=seed,
+        baseline=round(fifo, 4),
+        baseline_name=FIFO.name,
+        note=f"the kind that keeps least; strict priority {strict:.4f}",
+    )
+
+
+def _whole(found: list[Kept], static: list[Kept], seed: int) -> list[Row]:
+    """Return the rows that are one over both workloads: the worst."""
+    used = Row(
+        name="flood.used",
+        value=round(min(kept.used for kept in found), 4),
+        unit="share",
+        bound=0.95,
+        sense=Sense.MIN,
+        seed=seed,
+        baseline=round(min(kept.used for kept in static), 4),
+        baseline_name=STATIC.name,
+        note="the flood of A and S that uses least",
+    )
+    recover = Row(
+        name="flood.recover_s",
+        value=max(kept.recover_s for kept in found),
+        unit="s",
+        bound=5.0,
+        sense=Sense.MAX,
+        seed=seed,
+        baseline=max(kept.recover_s for kept in static),
+        baseline_name=STATIC.name,
+        note="the slowest of A and S, in whole seconds",
+    )
+    return [used, recover]
+
+
+NAMES = (
+    *(
+        f"flood.{name}.{load.name}"
+        for load in WORKLOADS
+        for name in ("keep.least", "keep.most", "wait")
+    ),
+    "flood.used",
+    "flood.recover_s",
+)
+KEEP = Measurement(NAMES, measure)
--- a/packages/core/src/medlar_core/requests/admission.py
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -58,7 +58,11 @@
             return Reason.DEADLINE
         wait = self.wait_s(now, kind)
         spare = left_s - self._policy.finish_means * kind.mean_s
-        limit = min(spare, self._policy.queue_share * kind.deadline_s)
+        short = max(
+            self._policy.queue_share * kind.deadline_s,
+            self._policy.queue_least_s,
+        )
+        limit = min(spare, short)
         if wait <= limit:
             return None
         if self.shares.below_floor(now, kind.name):
@@ -71,7 +75,10 @@
         if not ahead and len(self.running) < self._limit:
             return 0.0
         open_to = self.shares.share_open_to(now, kind.name)
-        return (ahead + 0.5) * kind.mean_s / (self._limit * open_to)
+        usual = (ahead + 0.5) * kind.mean_s / (self._limit * open_to)
+        if not any(w.kind.rank < kind.rank for w in self.queues):
+            return usual
+        return usual + self.shares.floor_in_s(now, kind.name)
 
     def busy(self) -> bool:
         """Return whether new work would have to wait."""
--- a/packages/core/src/medlar_core/requests/policy.py
+++ b/packages/core/src/medlar_core/requests/policy.py
@@ -17,7 +17,8 @@
 
     Shares: a kind's use of slots is averaged over ``share_tau_s`` and
     goes first while it is below ``floor_margin`` times its floor. Its
-    queue may take ``queue_share`` of its deadline. Work longer than
+    queue may take ``queue_share`` of its deadline, or ``queue_least_s``
+    if that is more. Work longer than
     ``long_share`` of another kind's deadline never takes the last slot
     beyond its floor. ``finish_means`` usual service times must be left
     when work starts. A server that sheds gets no start for ``shed_s``.
@@ -45,9 +46,10 @@
     fence_hold_s: float = 0.2
     ask_s: float = 0.05
     ask_tries: int = 3
-    share_tau_s: float = 2.0
-    floor_margin: float = 1.1
-    queue_share: float = 0.7
+    share_tau_s: float = 1.0
+    floor_margin: float = 1.25
+    queue_share: float = 0.25
+    queue_least_s: float = 0.2
     long_share: float = 0.5
     finish_means: float = 1.0
     shed_s: float = 0.02
@@ -56,7 +58,7 @@
     hedge_share: float = 0.4
     silence_s: float = 1.0
     hops: int = 4
-    door_slack: float = 2.0
+    door_slack: float = 3.0
     door_tau_s: float = 1.0
     door_callers: int = 64
     service_bytes: int = 32 * 1024 * 1024
--- a/packages/core/src/medlar_core/requests/shares.py
+++ b/packages/core/src/medlar_core/requests/shares.py
@@ -79,6 +79,14 @@
         floor = self._policy.floor_margin * self.kinds[kind].floor
         return self.used(now, kind) < floor
 
+    def floor_in_s(self, now: float, kind: KindName) -> float:
+        """Return when an idle kind falls below its floor, in seconds."""
+        used = self.used(now, kind)
+        floor = self._policy.floor_margin * self.kinds[kind].floor
+        if used <= floor or floor <= 0.0:
+            return 0.0
+        return self._policy.share_tau_s * math.log(used / floor)
+
     def share_open_to(self, now: float, kind: KindName) -> float:
         """Return the share of slots that a kind can count on now."""
         mine = self.kinds[kind]
