Keep all extra attempts within one budget

Change: a home cedes only what would wait a tenth of its deadline, and ceding takes from the retry budget.

--- a/packages/bench/src/medlar_bench/requests/trouble.py
+++ b/packages/bench/src/medlar_bench/requests/trouble.py
@@ -1,5 +1,6 @@
 """Rows on servers that mislead: cold, lying, shedding, and on balance."""
 
+import functools
 import math
 
 from medlar_core.ids import NodeId
@@ -80,7 +81,7 @@
         def read() -> bool:
             for node in fleet.members:
                 busy = len(fleet.servers[node].running)
-                fleet.clock.after(LAG_S, lambda n=node, b=busy: report(n, b))
+                fleet.clock.after(LAG_S, functools.partial(report, node, busy))
             fleet.spread(0.0)
             return True
 
--- a/packages/core/src/medlar_core/requests/admission.py
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -80,10 +80,6 @@
             return usual
         return usual + self.shares.floor_in_s(now, kind.name)
 
-    def busy(self) -> bool:
-        """Return whether new work would have to wait."""
-        return len(self.queues) > 0 or len(self.running) >= self._limit
-
     def start_next(self, now: float) -> Work | None:
         """Give a free slot to the work whose turn it is, if any."""
         if len(self.running) >= self._limit or now < self._hold_until:
--- a/packages/core/src/medlar_core/requests/agent.py
+++ b/packages/core/src/medlar_core/requests/agent.py
@@ -4,8 +4,6 @@
 import random
 from typing import Any
 
-import msgspec
-
 from ..config.model import Kind
 from ..effects import Publish
 from ..events import ConfigurationChanged
@@ -36,9 +34,10 @@
 from .events import CancelWork
 from .events import DropAnswer
 from .events import Go
-from .events import ServerLoad
 from .events import StartWork
 from .events import WorkEnded
+from .explain import AgentExplained
+from .explain import KindExplained
 from .founder import FOUNDER_CALL
 from .homes import candidates
 from .journal import Journal
@@ -59,26 +58,6 @@
 """Longest past of homes that is kept, in seconds."""
 
 
-class KindExplained(msgspec.Struct, frozen=True):
-    """How a kind of work stands at an agent; shares are of all slots."""
-
-    kind: KindName
-    rank: int
-    floor: float
-    used: float
-    running: int
-    queued: int
-
-
-class AgentExplained(msgspec.Struct, frozen=True):
-    """Why an agent takes or refuses requests now."""
-
-    load: ServerLoad
-    kinds: tuple[KindExplained, ...]
-    keys: int
-    leaving: bool
-
-
 class AgentRequests:
     """Decides which attempts run on this agent's server, and when."""
 
@@ -352,11 +331,13 @@
         # Work and claim share the list: who joins later waits in both.
         claim.waiting = [seen.came.attempt for seen in live]
         spare = live[0].came.spare
-        if spare is not None and self._admission.busy():
+        kind = self._kinds[live[0].came.kind]
+        wait = self._admission.wait_s(now, kind)
+        longest = self._policy.cede_share * kind.deadline_s
+        if spare is not None and wait > longest:
             return self._rule_one(
                 now, self._keyed.cede(ruling.key, claim, spare)
             )
-        kind = self._kinds[live[0].came.kind]
         return self._admit(now, live[0], kind, claim.waiting)
 
     def _tick(self, now: float) -> list[Any]:
--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -31,13 +31,13 @@
 from .events import RequestCame
 from .events import RequestCancelled
 from .events import StartAttempt
+from .explain import BalancerExplained
+from .explain import DoorExplained
 from .homes import as_go
 from .homes import home_of
 from .journal import Journal
 from .policy import POLICY
 from .policy import Policy
-from .tracking import BalancerExplained
-from .tracking import DoorExplained
 from .tracking import OpenRequest
 
 NO_ROOM = (Reason.OVER_SHARE, Reason.QUEUE_FULL, Reason.DEADLINE, Reason.SHED)
@@ -194,6 +194,8 @@
 
     def _spare(self, now: float, req: OpenRequest, home: Go) -> Go | None:
         """Return a process with a free slot that the home may cede to."""
+        if not self._retries.left(req.came.service, req.kind.name):
+            return None
         tried = {home.node, *req.tried}
         server = self._choice.pick(now, req.came.service, req.kind.rank, tried)
         if server is None or not self._choice.idle(now, server, req.kind.rank):
@@ -287,8 +289,11 @@
         if req.open:
             return []
         if end.go is not None and req.attempts < self._policy.hops:
-            req.moved = req.moved or not end.go.ceded
             ceded_by = dst if end.go.ceded else None
+            if ceded_by is None:
+                req.moved = True
+            elif verdict.reason is not Reason.DRAINING:
+                self._retries.spend(came.service, came.kind)
             return self._start(now, req, end.go, ceded_by=ceded_by)
         if req.keyed or not self._may_retry(now, req, verdict.reason):
             return self._finish(now, req, verdict)
--- a/packages/core/src/medlar_core/requests/budgets.py
+++ b/packages/core/src/medlar_core/requests/budgets.py
@@ -22,12 +22,15 @@
 
     def spend(self, service: ServiceName, kind: KindName) -> bool:
         """Take one retry, if one was earned."""
-        earned = self._earned.get((service, kind), 0.0)
-        if earned < 1.0:
+        if not self.left(service, kind):
             return False
-        self._earned[(service, kind)] = earned - 1.0
+        self._earned[(service, kind)] -= 1.0
         return True
 
+    def left(self, service: ServiceName, kind: KindName) -> bool:
+        """Return whether a retry was earned and not yet taken."""
+        return self._earned.get((service, kind), 0.0) >= 1.0
+
 
 class ServiceBounds:
     """Open requests and unread bytes of each service at a balancer."""
--- a/packages/core/src/medlar_core/requests/policy.py
+++ b/packages/core/src/medlar_core/requests/policy.py
@@ -13,7 +13,8 @@
     agree within ``view_spread_s``. A process that ran nothing for
     ``fence_gap_s`` counts as paused and refuses what comes in the next
     ``fence_hold_s``. An earlier home is asked ``ask_tries`` times,
-    ``ask_s`` apart.
+    ``ask_s`` apart. A home cedes a key that would wait ``cede_share`` of
+    its deadline.
 
     Shares: a kind's use of slots is averaged over ``share_tau_s`` and
     goes first while it is below ``floor_margin`` times its floor. Its
@@ -44,6 +45,7 @@
     view_spread_s: float = 10.0
     fence_gap_s: float = 1.0
     fence_hold_s: float = 0.2
+    cede_share: float = 0.1
     ask_s: float = 0.05
     ask_tries: int = 3
     share_tau_s: float = 1.0
--- a/packages/core/src/medlar_core/requests/tracking.py
+++ b/packages/core/src/medlar_core/requests/tracking.py
@@ -1,12 +1,10 @@
-"""Requests that a balancer has open, and what it explains of itself."""
+"""Requests that a balancer has open."""
 
 import msgspec
 
 from ..config.model import Kind
 from ..ids import AttemptId
-from ..ids import KindName
 from ..ids import NodeId
-from ..ids import ServiceName
 from .events import RequestCame
 
 
@@ -36,18 +34,3 @@
     def keyed(self) -> bool:
         """Whether its key decides where it may run."""
         return self.came.key is not None and not self.kind.idempotent
-
-
-class DoorExplained(msgspec.Struct, frozen=True):
-    """Share of a kind's requests that a balancer lets on now."""
-
-    service: ServiceName
-    kind: KindName
-    open_share: float
-
-
-class BalancerExplained(msgspec.Struct, frozen=True):
-    """What a balancer holds and refuses now."""
-
-    open_requests: int
-    doors: tuple[DoorExplained, ...]
