--- /dev/null
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -0,0 +1,378 @@
+"""Decisions of an agent: which flows its server holds.
+
+Flow state lives here, where flows end. Balancers keep none: a packet
+that comes to the wrong agent is passed on to the one that holds its
+flow.
+"""
+
+import random
+from typing import Any
+
+from ..effects import Deliver
+from ..effects import Effect
+from ..effects import Forward
+from ..effects import Publish
+from ..effects import Return
+from ..effects import Send
+from ..events import ConfigurationChanged
+from ..events import DrainAsked
+from ..events import LoadMeasured
+from ..events import PacketArrived
+from ..events import Received
+from ..events import ServerConnections
+from ..events import ServerProbed
+from ..events import ServerSent
+from ..events import Tick
+from ..events import ViewChanged
+from ..ids import FlowKey
+from ..ids import Incarnation
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..ids import Version
+from ..members.view import View
+from ..packets import Flag
+from ..packets import flow_key
+from ..packets import Packet
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .announce import Announcer
+from .displaced import Displaced
+from .explain import AgentAnswer
+from .finder import Finder
+from .held import FlowTable
+from .held import Held
+from .introduction import Introduction
+from .journal import Journal
+from .limits import DEAD_PROBES
+from .limits import LOAD_S
+from .limits import MAX_HOPS
+from .limits import REFRESH_S
+from .messages import HintAck
+from .messages import Introduced
+from .messages import IntroducedAck
+from .messages import LocatedAck
+from .neighbours import Neighbours
+from .opening import Opening
+from .services import Services
+
+
+class AgentFlows:
+    """Reducer of an agent's flow part."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        place: PlaceName,
+        incarnation: Incarnation,
+        rng: random.Random,
+    ) -> None:
+        self._node = node
+        self._service = service
+        self._services = Services()
+        self._neighbours = Neighbours(node, service, place)
+        self._flows = FlowTable()
+        self._journal = Journal(node, service)
+        self._announcer = Announcer(node, incarnation)
+        self._displaced = Displaced(
+            node,
+            self._services,
+            self._flows,
+            self._announcer,
+            rng.uniform(0.5, 1.0) * REFRESH_S,
+        )
+        self._finder = Finder(
+            node,
+            service,
+            self._services,
+            self._neighbours,
+            self._flows,
+            self._journal,
+        )
+        self._opening = Opening(
+            node, service, self._services, self._neighbours, self._finder
+        )
+        self._introduction = Introduction(incarnation)
+        self._view: View | None = None
+        self._view_at = float("-inf")
+        self._balancers: tuple[NodeId, ...] = ()
+        self._drain_ends: float | None = None
+        self._dead_probes = 0
+        self._load = -1
+        self._load_at = float("-inf")
+
+    @property
+    def open_flows(self) -> int:
+        """Flows that this server holds and callers have proved."""
+        return len(self._flows.established)
+
+    @property
+    def draining(self) -> bool:
+        """Whether this server takes no new flows because it leaves."""
+        return self._drain_ends is not None or self._neighbours.draining
+
+    def reduce(self, now: Seconds, event: Any) -> list[Effect]:
+        """Take one event and return the effects to carry out."""
+        match event:
+            case PacketArrived(packet=packet):
+                return self._arrived(now, packet)
+            case ServerSent(packet=packet):
+                return self._sent(now, packet)
+            case Received(src=src, msg=msg):
+                return self._received(now, src, msg)
+            case Tick():
+                return self._tick(now)
+            case ViewChanged(view=view):
+                self._view = view
+                self._take_view(now)
+            case ConfigurationChanged(cfg=cfg, version=version):
+                if self._services.take_cfg(cfg, version):
+                    self._update(now)
+                    self._displaced.update_all()
+            case DrainAsked(limit_s=limit_s):
+                return self._drain(now, limit_s)
+            case ServerProbed(alive=alive):
+                return self._probed(alive)
+            case ServerConnections(pairs=pairs):
+                self._recover(now, pairs)
+        return []
+
+    # Packets from balancers and other agents
+
+    def _arrived(self, now: Seconds, packet: Packet) -> list[Effect]:
+        key = flow_key(packet.caller, packet.address)
+        held = self._flows.get(key, packet.caller, packet.address)
+        if packet.flags & Flag.SYN:
+            return self._opened(now, key, held, packet)
+        if held is None:
+            return self._pass_on(now, key, packet)
+        if packet.flags & Flag.RST:
+            self._forget(key)
+            return [Deliver(packet)]
+        if self._flows.prove(key):
+            if self.open_flows > self._opening.limit:
+                self._flows.remove(key)
+                return self._reset(now, packet, Reason.CONNECTION_LIMIT)
+            self._displaced.update(key, held)
+        self._flows.note(now, key, held, packet.flags, inward=True)
+        return [Deliver(packet)]
+
+    def _opened(
+        self, now: Seconds, key: FlowKey, held: Held | None, packet: Packet
+    ) -> list[Effect]:
+        if self._services.addresses.get(packet.address) != self._service:
+            return self._journal.dropped(now, packet, Reason.UNKNOWN_ADDRESS)
+        if held is not None:
+            return [Deliver(packet)]
+        if self._flows.taken(key):
+            return self._journal.dropped(now, packet, Reason.DUPLICATE)
+        closed = self.draining or not self._introduction.done
+        found = self._opening.place(key, packet, self.open_flows, closed)
+        if found == self._node:
+            self._flows.open(now, key, Held(packet.caller, packet.address, 0))
+            return [Deliver(packet)]
+        if found is not None and packet.hops + 1 < MAX_HOPS:
+            self._finder.note_spilled(key, found)
+            return self._forward(found, packet)
+        if packet.hops or not self._introduction.done:
+            return self._journal.dropped(now, packet, Reason.HOP_LIMIT)
+        if self.draining:
+            return self._reset(now, packet, Reason.DRAINING)
+        return self._reset(now, packet, Reason.CONNECTION_LIMIT)
+
+    def _pass_on(
+        self, now: Seconds, key: FlowKey, packet: Packet
+    ) -> list[Effect]:
+        """Pass a packet to the agent that holds or may hold its flow."""
+        finder = self._finder
+        if finder.lost_with(now, key):
+            return self._reset(now, packet, Reason.SERVER_DIED)
+        effects = finder.search_if_owner(now, key, packet)
+        effects += finder.correct(now, key, packet)
+        if packet.hops + 1 < MAX_HOPS:
+            for node in finder.next_hops(key, packet.address):
+                if node not in packet.asked:
+                    return effects + self._forward(node, packet)
+        return effects + finder.missed(now, key, packet)
+
+    def _forward(self, node: NodeId, packet: Packet) -> list[Effect]:
+        passed = Packet(
+            packet.caller,
+            packet.address,
+            packet.flags,
+            packet.payload,
+            packet.service,
+            packet.version,
+            packet.hops + 1,
+            (*packet.asked, self._node),
+            packet.via,
+        )
+        return [Forward(node, passed)]
+
+    def _reset(
+        self, now: Seconds, packet: Packet, why: Reason
+    ) -> list[Effect]:
+        return self._journal.reset(now, packet.caller, packet.address, why)
+
+    # Packets and news from the server
+
+    def _sent(self, now: Seconds, packet: Packet) -> list[Effect]:
+        key = flow_key(packet.caller, packet.address)
+        held = self._flows.get(key, packet.caller, packet.address)
+        if packet.flags & Flag.RST:
+            self._forget(key if held else None)
+            return [Return(packet)]
+        if held is None:
+            held = self._adopt_sent(now, key, packet)
+        if held is not None:
+            self._flows.note(now, key, held, packet.flags, inward=False)
+        return [Return(packet)]
+
+    def _adopt_sent(
+        self, now: Seconds, key: FlowKey, packet: Packet
+    ) -> Held | None:
+        """Take in a flow that the server goes on with after a restart."""
+        if packet.flags & (Flag.SYN | Flag.FIN) or self._flows.taken(key):
+            return None
+        return self._adopt(now, key, packet.caller, packet.address)
+
+    def _adopt(
+        self, now: Seconds, key: FlowKey, caller: str, address: str
+    ) -> Held:
+        held = Held(caller, address, 0)
+        self._flows.adopt(now, key, held)
+        self._displaced.update(key, held)
+        return held
+
+    def _recover(
+        self, now: Seconds, pairs: tuple[tuple[str, str], ...]
+    ) -> None:
+        self._finder.recovered = True
+        for caller, address in pairs:
+            key = flow_key(caller, address)
+            if key not in self._flows.established:
+                self._adopt(now, key, caller, address)
+
+    def _probed(self, alive: bool) -> list[Effect]:
+        self._dead_probes = 0 if alive else self._dead_probes + 1
+        if self._dead_probes != DEAD_PROBES:
+            return []
+        return self._end_all(Reason.SERVER_DIED, tell_server=False)
+
+    def _forget(self, key: FlowKey | None) -> None:
+        if key is not None:
+            self._displaced.ended(key, self._flows.remove(key))
+
+    # Membership, draining and time
+
+    def _received(self, now: Seconds, src: NodeId, msg: Any) -> list[Effect]:
+        match msg:
+            case LocatedAck(batch=batch, incarnation=incarnation):
+                self._announcer.acked(batch, incarnation)
+            case HintAck(batch=batch, incarnation=incarnation, holder=holder):
+                if holder == self._node:
+                    self._announcer.acked(batch, incarnation)
+            case Introduced(incarnation=incarnation):
+                self._neighbours.introduce(now, src, incarnation)
+                return [Send(src, IntroducedAck(incarnation))]
+            case IntroducedAck():
+                self._introduction.acked(src)
+            case _:
+                return self._finder.received(now, src, msg)
+        return []
+
+    def _take_view(self, now: Seconds) -> None:
+        view = self._view
+        gap_s = self._services.view_gap_s
+        if view is None or now - self._view_at < gap_s:
+            return
+        self._view = None
+        self._view_at = now
+        self._journal.version = Version(view.version)
+        self._balancers = tuple(sorted(b.id for b in view.balancers))
+        changed = self._services.take_view(view)
+        self._update(now)
+        if changed - {self._service}:
+            self._displaced.update_all()
+
+    def _update(self, now: Seconds) -> None:
+        changes = self._neighbours.update(now, self._services, self.open_flows)
+        if changes.moved:
+            self._displaced.update_all()
+        if changes.restarted:
+            self._displaced.tell_restarted(changes.restarted)
+
+    def _drain(self, now: Seconds, limit_s: float) -> list[Effect]:
+        ends = now + limit_s
+        if self._drain_ends is not None:
+            ends = min(ends, self._drain_ends)
+        self._drain_ends = ends
+        text = f"drain accepted with {self.open_flows} open flows"
+        return [self._journal.event(Topic.DRAIN, text, Reason.DRAINING)]
+
+    def _end_all(self, why: Reason, tell_server: bool) -> list[Effect]:
+        """Reset every flow of the server."""
+        effects: list[Effect] = []
+        flows = self._flows
+        ended = {**flows.established, **flows.half_open}
+        for key, held in ended.items():
+            reset = Packet(held.caller, held.address, int(Flag.RST))
+            effects.append(Return(reset))
+            if tell_server:
+                effects.append(Deliver(reset))
+            self._forget(key)
+        text = f"ended {len(ended)} flows"
+        effects.append(self._journal.event(Topic.DRAIN, text, why))
+        return effects
+
+    def _tick(self, now: Seconds) -> list[Effect]:
+        self._take_view(now)
+        effects: list[Effect] = []
+        for key, held in self._flows.expire(now):
+            self._displaced.ended(key, held)
+        if self._drain_ends is not None and now >= self._drain_ends:
+            self._drain_ends = float("inf")
+            effects += self._end_all(Reason.DRAINING, tell_server=True)
+        self._displaced.refresh(now)
+        effects += self._finder.due(now)
+        if self._neighbours.table is not None:
+            others = sorted(self._neighbours.ids - {self._node})
+            effects += self._introduction.due(now, others)
+        effects += self._announcer.due(
+            now, self._services.servers.keys(), self._balancers
+        )
+        effects += self._report(now)
+        return effects
+
+    def _report(self, now: Seconds) -> list[Effect]:
+        if self.open_flows == self._load or now - self._load_at < LOAD_S:
+            return []
+        self._load = self.open_flows
+        self._load_at = now
+        return [Publish(LoadMeasured(flows=self._load))]
+
+    def explain(self, caller: str, address: str) -> AgentAnswer:
+        """Tell what this agent does with packets of a flow, and why."""
+        key = flow_key(caller, address)
+        held = self._flows.get(key, caller, address)
+        table = self._neighbours.table
+        hops = self._finder.next_hops(key, address)
+        if held is None:
+            known = self._finder.directory.get(key)
+            state = "elsewhere" if known else "unknown"
+            why = f"told by {known}" if known else "owner and candidates"
+        else:
+            state = "held" if key in self._flows.established else "half-open"
+            why = "the server here holds the flow"
+        return AgentAnswer(
+            service=self._services.addresses.get(address, ServiceName("")),
+            bucket=key % len(table.owners) if table else -1,
+            state=state,
+            owner=self._services.owner(address, key) or NodeId(""),
+            told=held.told if held else NodeId(""),
+            next_hops=() if held else tuple(hops),
+            version=self._journal.version,
+            why=why,
+        )
