--- a/packages/node/src/medlar_node/attempt_wire.py
+++ b/packages/node/src/medlar_node/attempt_wire.py
@@ -37,6 +37,7 @@
     repeat: bool | None = None
     ceded_by: NodeId | None = None
     spare: Go | None = None
+    hops: int = 0
 
 
 class AttemptTail(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/node/src/medlar_node/egress.py
+++ b/packages/node/src/medlar_node/egress.py
@@ -164,6 +164,7 @@
             repeat=head.repeat,
             ceded_by=head.ceded_by,
             spare=head.spare,
+            hops=head.hops,
         )
 
     def _open(self, http: web.Request, came: AttemptCame) -> _Attempt:
--- a/packages/node/src/medlar_node/ingress.py
+++ b/packages/node/src/medlar_node/ingress.py
@@ -278,6 +278,7 @@
             repeat=effect.repeat,
             ceded_by=effect.ceded_by,
             spare=effect.spare,
+            hops=effect.hops,
         )
 
 
