--- a/packages/core/src/medlar_core/requests/admission.py
+++ b/packages/core/src/medlar_core/requests/admission.py
@@ -14,6 +14,9 @@
 from .queues import Work
 from .shares import Shares
 
+SQUEEZED_FLOORS = 2.0
+"""Share open to a kind, in floors, below which it lives off its floor."""
+
 
 class Freed(enum.Enum):
     """How work left its slot."""
@@ -75,10 +78,14 @@
         if not ahead and len(self.running) < self._limit:
             return 0.0
         open_to = self.shares.share_open_to(now, kind.name)
-        usual = (ahead + 0.5) * kind.mean_s / (self._limit * open_to)
-        if not any(w.kind.rank < kind.rank for w in self.queues):
-            return usual
-        return usual + self.shares.floor_in_s(now, kind.name)
+        each = kind.mean_s / (self._limit * open_to)
+        if self.shares.below_floor(now, kind.name):
+            return ahead * each
+        if open_to > SQUEEZED_FLOORS * kind.floor:
+            return (ahead + 0.5) * each
+        # Little is left: its turn comes when it is below its floor again.
+        until = self.shares.floor_in_s(now, kind.name)
+        return (ahead + 0.5) * each + until
 
     def start_next(self, now: float) -> Work | None:
         """Give a free slot to the work whose turn it is, if any."""
