--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -354,6 +354,8 @@
         grace = self._policy.grace_s
         late = [r for r in self._requests.values() if r.due + grace <= now]
         for req in late:
+            for dst in req.open.values():
+                self._choice.unheard(dst, req.sent_at)
             effects += self._finish(now, req, MayHaveRun(Reason.DEADLINE))
         for req in list(self._requests.values()):
             effects += self._hedge(now, req)
--- a/packages/core/src/medlar_core/requests/choice.py
+++ b/packages/core/src/medlar_core/requests/choice.py
@@ -134,6 +134,12 @@
             stat.heard_at = now
             stat.silent = False
 
+    def unheard(self, node: NodeId, since: float) -> None:
+        """Note that an attempt sent then got no word by its deadline."""
+        stat = self._stats.get(node)
+        if stat is not None and stat.heard_at <= since:
+            stat.silent = True
+
     def _score(
         self, now: float, server: Server, rank: int, outlier: bool
     ) -> float:
--- a/packages/core/src/medlar_core/requests/policy.py
+++ b/packages/core/src/medlar_core/requests/policy.py
@@ -49,8 +49,8 @@
     ask_s: float = 0.05
     ask_tries: int = 3
     share_tau_s: float = 1.0
-    floor_margin: float = 1.25
-    queue_share: float = 0.25
+    floor_margin: float = 1.33
+    queue_share: float = 0.3
     queue_least_s: float = 0.2
     long_share: float = 0.5
     finish_means: float = 1.0
