--- a/testing/core/requests/test_keys.py
+++ b/testing/core/requests/test_keys.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from medlar_core import store as ops
 from medlar_core.effects import CallStore
 from medlar_core.effects import Send
 from medlar_core.events import DrainAsked
@@ -29,6 +28,9 @@
 from medlar_core.requests.messages import Claim
 from medlar_core.requests.messages import ClaimAsk
 from medlar_core.requests.messages import ClaimTold
+from medlar_core.store import Found
+from medlar_core.store import Item
+from medlar_core.store import Written
 from medlar_core.verdict import MayHaveRun
 from medlar_core.verdict import NotRun
 from medlar_core.verdict import Ran
@@ -232,18 +234,18 @@
     host = agent("x", NOW, X)
     effects = give(host, attempt("1", SLOT, KEY))
     assert [c.call for c in only(effects, CallStore)] == [FOUNDER_CALL]
-    none = StoreAnswered(FOUNDER_CALL, ops.Found((), 0))
+    none = StoreAnswered(FOUNDER_CALL, Found((), 0))
     put = only(give(host, none), CallStore)[0].op
     assert put.expected == 0
-    written = StoreAnswered(FOUNDER_CALL, ops.Written(1))
+    written = StoreAnswered(FOUNDER_CALL, Written(1))
     assert only(give(host, written), StartWork)
 
 
 def test_whole_service_restarted_runs_no_key_at_first() -> None:
     host = agent("x", NOW, X)
     effects = give(host, attempt("1", SLOT, KEY))
-    item = ops.Item("requests/founder/berth-desk", "gone 1", 1)
-    found = StoreAnswered(FOUNDER_CALL, ops.Found((item,), 1))
+    item = Item("requests/founder/berth-desk", "gone 1", 1)
+    found = StoreAnswered(FOUNDER_CALL, Found((item,), 1))
     effects += give(host, found)
     effects += tick_until(host, NOW, NOW + 0.7)
     assert only(effects, StartWork) == []
