Say not run of a key only where its first call is known

Change: a key that may be a repeat passes the door to its home, and without the home's word its refusal is may have run.

--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -161,15 +161,17 @@
         if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
         admits = self._door.admits(came.service, came.kind, came.caller)
-        # Whether a repeat ran before can't be told at the door.
-        if not admits and not came.repeat:
+        # Only its home can tell that a key which may be a repeat did not
+        # run, so the door lets it pass.
+        unsure = came.key is not None and came.repeat is not False
+        if not admits and not (unsure and not kind.idempotent):
             return Reason.OVER_SHARE
         return None
 
     def _bar(self, now: float, came: RequestCame, why: Reason) -> list[Any]:
         self._journal.note(now, came, why)
         verdict: Verdict = NotRun(why)
-        if came.repeat and came.key is not None:
+        if came.key is not None and came.repeat is not False:
             verdict = MayHaveRun(why)
         return [AnswerCaller(came.req, verdict)]
 
@@ -290,9 +292,7 @@
             return []
         if end.go is not None and req.attempts < self._policy.hops:
             ceded_by = dst if end.go.ceded else None
-            if ceded_by is None:
-                req.moved = True
-            elif verdict.reason is not Reason.DRAINING:
+            if ceded_by is not None and verdict.reason is not Reason.DRAINING:
                 self._retries.spend(came.service, came.kind)
             return self._start(now, req, end.go, ceded_by=ceded_by)
         if req.keyed or not self._may_retry(now, req, verdict.reason):
@@ -327,9 +327,9 @@
         """Return whether "not run" holds for the key, not just for us."""
         if req.settled:
             return True
-        if req.unsure or req.came.repeat:
+        if req.unsure:
             return False
-        return req.came.repeat is False or not req.moved
+        return req.came.key is None or req.came.repeat is False
 
     def _cancelled(self, now: float, id: RequestId) -> list[Any]:
         req = self._requests.get(id)
--- a/packages/core/src/medlar_core/requests/tracking.py
+++ b/packages/core/src/medlar_core/requests/tracking.py
@@ -13,9 +13,8 @@
 
     ``tried`` are the agents that had an attempt and ``attempts`` counts
     them. ``settled`` is set once the home of its key refused it,
-    ``moved`` once an agent named another that holds the key, ``unsure``
-    once an attempt may have run and ``hedged`` once a second attempt
-    was made beside the first.
+    ``unsure`` once an attempt may have run and ``hedged`` once a second
+    attempt was made beside the first.
     """
 
     came: RequestCame
@@ -26,7 +25,6 @@
     open: dict[AttemptId, NodeId] = msgspec.field(default_factory=dict)
     tried: set[NodeId] = msgspec.field(default_factory=set)
     settled: bool = False
-    moved: bool = False
     unsure: bool = False
     hedged: bool = False
 
