--- a/packages/core/src/medlar_core/members/load.py
+++ b/packages/core/src/medlar_core/members/load.py
@@ -17,7 +17,7 @@
 from .record import Record
 
 BYTES_S = 350.0
-"""Bytes per second to which the cycle is stretched, each way."""
+"""Bytes per second to which a cycle is stretched, by what the last cost."""
 SHORTEST_CYCLE_S = 1.0
 REFRESH_CYCLES = 8
 """A load that stays the same is told again after so many cycles."""
@@ -94,6 +94,7 @@
         self._cycle_s = SHORTEST_CYCLE_S
         self._count = 0
         self._sent = 0
+        self._cost = 0.0
 
     def of(self, node: NodeId) -> Load | None:
         """Return the last known load of a server."""
@@ -149,6 +150,9 @@
         for hop, node in self._plan[self._sent : upto]:
             sent += [Send(node, msg) for msg in self._messages(hop)]
         self._sent = max(self._sent, upto)
+        for effect in sent:
+            entries = len(effect.msg.packed) / _ENTRY.size
+            self._cost += MESSAGE_BYTES + entries * ENTRY_BYTES
         return sent
 
     def _begin(
@@ -160,7 +164,10 @@
     ) -> None:
         ids = tuple(record.id for record in balancers)
         row, column = neighbours(me, ids)
-        self._cycle_s = cycle_s(len(balancers), servers)
+        first = cycle_s(len(balancers), servers)
+        last = max(SHORTEST_CYCLE_S, self._cost / BYTES_S)
+        self._cycle_s = last if self._cost else first
+        self._cost = 0.0
         self._starts = now
         self._sent = 0
         self._plan = [(1, node) for node in row]
