Tell of each kind how and why its requests ended

Cause: the demo counted about 200 answers that may have run, without why. Change: outcomes.txt beside broken.txt.

--- a/packages/standins/src/medlar_standins/demo/__main__.py
+++ b/packages/standins/src/medlar_standins/demo/__main__.py
@@ -13,6 +13,7 @@
 from .processes import fleet
 from .report import details
 from .report import lines
+from .report import outcomes
 from .report import table
 from .scenario import Demo
 from .scenario import NotReady
@@ -31,6 +32,8 @@
     bad = (*found.bad_ends, *found_fleet.ended_badly)
     rows = lines(msgspec.structs.replace(found, bad_ends=bad))
     (folder / "timeline.txt").write_text(timeline)
+    ended = "\n".join(outcomes(found.ended)) + "\n"
+    (folder / "outcomes.txt").write_text(ended)
     (folder / "broken.txt").write_text("\n".join(details(found)) + "\n")
     print(table(rows))
     for name in bad:
--- a/packages/standins/src/medlar_standins/demo/report.py
+++ b/packages/standins/src/medlar_standins/demo/report.py
@@ -117,6 +117,15 @@
     return shown
 
 
+def outcomes(ended: Iterable[Ended]) -> list[str]:
+    """Return how often requests of each kind ended how and why."""
+    counts = collections.Counter(
+        f"{item.kind}: {item.outcome.value} {item.reason}".rstrip()
+        for item in ended
+    )
+    return [f"{count:6} {name}" for name, count in sorted(counts.items())]
+
+
 def _none(name: str, count: int) -> Line:
     return Line(name, str(count), "0", count == 0)
 
