--- a/packages/core/src/medlar_core/requests/agent.py
+++ b/packages/core/src/medlar_core/requests/agent.py
@@ -192,7 +192,7 @@
         if came.kind not in self._kinds:
             return Reason.UNKNOWN_KIND
         kind = self._kinds[came.kind]
-        if now < self._fenced_until and not kind.idempotent:
+        if now < self._fenced_until:
             return Reason.FENCED
         if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -77,6 +77,7 @@
         self._bounds = ServiceBounds(policy)
         self._journal = Journal()
         self._requests: dict[RequestId, OpenRequest] = {}
+        self._held: dict[RequestId, RequestCame] = {}
         self._attempts: dict[AttemptId, RequestId] = {}
         self._stem = f"{rng.getrandbits(64):016x}"
         self._made = 0
@@ -87,7 +88,7 @@
     @property
     def open_work(self) -> int:
         """Requests without a verdict; a stopping balancer waits for 0."""
-        return len(self._requests)
+        return len(self._requests) + len(self._held)
 
     def explain(self) -> BalancerExplained:
         """Return what is open and how far each kind's door is."""
@@ -133,9 +134,13 @@
             self._fenced_until = now + self._policy.fence_hold_s
 
     def _came(self, now: float, came: RequestCame) -> list[Any]:
-        if came.req in self._requests:
+        if came.req in self._requests or came.req in self._held:
             return []
         kind = self._kinds.get(came.service, {}).get(came.kind)
+        if kind is not None and kind.idempotent and now < self._fenced_until:
+            # Many of these callers went away meanwhile: wait to hear that.
+            self._held[came.req] = came
+            return []
         reason = self._barred(now, came, kind)
         if reason is not None or kind is None:
             return self._bar(now, came, reason or Reason.UNKNOWN_KIND)
@@ -156,7 +161,7 @@
             return Reason.UNKNOWN_KIND
         if self._stopping:
             return Reason.DRAINING
-        if now < self._fenced_until and not kind.idempotent:
+        if now < self._fenced_until:
             return Reason.FENCED
         if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
@@ -332,6 +337,7 @@
         return req.came.key is None or req.came.repeat is False
 
     def _cancelled(self, now: float, id: RequestId) -> list[Any]:
+        self._held.pop(id, None)
         req = self._requests.get(id)
         return self._close(now, req) if req is not None else []
 
@@ -351,6 +357,10 @@
     def _tick(self, now: float) -> list[Any]:
         self._door.tick(now)
         effects: list[Any] = []
+        if now >= self._fenced_until:
+            held, self._held = self._held, {}
+            for came in held.values():
+                effects += self._came(now, came)
         grace = self._policy.grace_s
         late = [r for r in self._requests.values() if r.due + grace <= now]
         for req in late:
--- a/packages/core/src/medlar_core/requests/ledger.py
+++ b/packages/core/src/medlar_core/requests/ledger.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import heapq
 
 import msgspec
 
@@ -43,6 +44,7 @@
         self._journal = journal
         self._load = load
         self._attempts: dict[AttemptId, Attempt] = {}
+        self._ending: list[tuple[float, AttemptId]] = []
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -55,6 +57,7 @@
         """Note a new attempt."""
         seen = Attempt(came, now + came.deadline_s)
         self._attempts[came.attempt] = seen
+        heapq.heappush(self._ending, (seen.due + self._keep_s, came.attempt))
         return seen
 
     def open(self, attempts: Iterable[AttemptId]) -> list[Attempt]:
@@ -105,10 +108,6 @@
 
     def expire(self, now: float) -> None:
         """Forget attempts whose time is long past."""
-        old = [
-            id
-            for id, seen in self._attempts.items()
-            if seen.answer is not None and seen.due + self._keep_s <= now
-        ]
-        for id in old:
+        while self._ending and self._ending[0][0] <= now:
+            _, id = heapq.heappop(self._ending)
             del self._attempts[id]
