--- a/testing/core/requests/test_keys.py
+++ b/testing/core/requests/test_keys.py
@@ -258,3 +258,31 @@
     give(host, Received(NodeId("x"), ask))
     back = attempt("1", SLOT, KEY, ceded_by=NodeId("x"), hops=1)
     assert only(give(host, back), StartWork)
+
+
+def test_homes_that_others_name_are_asked_too() -> None:
+    host = settled("x", Y)
+    give(host, view(X, Y, version=2))
+    give(host, attempt("1", SLOT, KEY))
+    other = Go(NodeId("z"), Incarnation(3))
+    key = IdempotencyKey(KEY)
+    told = ClaimTold(
+        key, Incarnation(1), Claim.CEDED, prior=(other,), whole=True
+    )
+    effects = give(host, Received(NodeId("y"), told))
+    assert only(effects, StartWork) == []
+    assert [s.dst for s in only(effects, Send)] == ["z"]
+    last = ClaimTold(key, Incarnation(3), Claim.CEDED)
+    assert only(give(host, Received(NodeId("z"), last)), StartWork)
+
+
+def test_earlier_home_matters_for_the_whole_window() -> None:
+    host = settled("x", Y)
+    give(host, view(X, Y, version=2))
+    tick_until(host, NOW, NOW + 20.0)
+    asked = give(host, attempt("1", SLOT, KEY), NOW + 20.0)
+    assert [s.dst for s in only(asked, Send)] == ["y"]
+    tick_until(host, NOW + 20.0, NOW + 30.0)
+    later = key_at("x", "x", "y")
+    effects = give(host, attempt("2", SLOT, f"{later}"), NOW + 30.0)
+    assert only(effects, StartWork)
