--- a/testing/bench/requests/test_rows.py
+++ b/testing/bench/requests/test_rows.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-from medlar_bench.requests import MEASUREMENTS
+from medlar_bench import requests
 from medlar_bench.requests.callers import Accounts
 from medlar_bench.requests.callers import settle
 from medlar_bench.requests.faults import Fault
@@ -44,7 +44,7 @@
 
 
 def test_every_row_of_the_area_is_measured() -> None:
-    assert {n for made in MEASUREMENTS for n in made.names} == DUE
+    assert {n for made in requests.MEASUREMENTS for n in made.names} == DUE
 
 
 def test_fault_schedule_breaks_no_promise() -> None:
