Take a tick first after a pause

A packet that waited while a balancer stood still was placed by the old view: packets go to the flow part alone, and members closed the view only at the next tick.

--- a/packages/core/src/medlar_core/compose.py
+++ b/packages/core/src/medlar_core/compose.py
@@ -6,7 +6,9 @@
 
 from .effects import Publish
 from .events import Reducer
+from .events import Tick
 from .ids import Seconds
+from .members.balancer import PAUSE_S
 
 PUBLISH_LIMIT = 1000
 """Most events that one event may set off inside a process."""
@@ -26,12 +28,23 @@
     ) -> None:
         self.parts = parts
         self._routes = {kind: (part,) for kind, part in routes.items()}
+        self._last = Seconds(0.0)
 
     def reduce(self, now: Seconds, event: Any) -> list[Any]:
         """Take one event and return the effects of all parts.
 
+        After a pause all parts take a tick first, with all that it
+        publishes: whatever waited meanwhile must not be decided by what
+        was known before.
+
         :raises RuntimeError: if parts publish to one another for ever.
         """
+        paused = now - self._last >= PAUSE_S
+        self._last = now
+        first = self._take(now, Tick()) if paused else []
+        return first + self._take(now, event)
+
+    def _take(self, now: Seconds, event: Any) -> list[Any]:
         effects: list[Any] = []
         queue = collections.deque([event])
         for _ in range(PUBLISH_LIMIT):
