--- a/packages/ops/src/medlar_ops/commands/apply.py
+++ b/packages/ops/src/medlar_ops/commands/apply.py
@@ -51,16 +51,24 @@
 LIMIT_S = 30.0
 CONFIRM_S = 10.0
 POLL_S = 0.2
+SILENT_S = 1.0
 MAX_POLLED = 64
 """Processes that are asked whether the version is in force."""
 
 
+class InForce(msgspec.Struct, frozen=True):
+    """How many processes have the version, answered, and were asked."""
+
+    count: int
+    answered: int
+    asked: int
+
+
 class Applied(msgspec.Struct, frozen=True):
-    """The outcome; ``in_force`` of ``asked`` processes have the version."""
+    """The outcome, and where it is in force if processes were asked."""
 
     outcome: Outcome
-    in_force: int = 0
-    asked: int = 0
+    in_force: InForce | None = None
 
 
 class _Wanted(msgspec.Struct, frozen=True):
@@ -156,7 +164,7 @@
         in_force = await _confirm(
             fleet, asked, outcome.version, wanted.confirm_s
         )
-        return Applied(outcome, in_force, len(asked))
+        return Applied(outcome, in_force)
 
 
 async def _base(store: StoreClient, wanted: _Wanted) -> Version:
@@ -186,17 +194,21 @@
     nodes: Sequence[NodeId],
     version: Version,
     limit_s: float,
-) -> int:
-    """Wait until processes have a version in force; return how many."""
-    ends = time.monotonic() + limit_s
+) -> InForce:
+    """Wait until processes that answer have a version in force.
+
+    One that is silent may have left; it is not waited for for long.
+    """
+    began = time.monotonic()
     while True:
         answers = await fleet.statuses(nodes, learn=False)
-        count = sum(
-            isinstance(x, ProcessStatus) and x.version >= version
-            for x in answers
-        )
-        if count == len(nodes) or time.monotonic() >= ends:
-            return count
+        heard = [x for x in answers if isinstance(x, ProcessStatus)]
+        count = sum(status.version >= version for status in heard)
+        found = InForce(count, len(heard), len(nodes))
+        waited = time.monotonic() - began
+        wait_s = limit_s if count < len(heard) else min(limit_s, SILENT_S)
+        if count == len(nodes) or waited >= wait_s:
+            return found
         await asyncio.sleep(POLL_S)
 
 
@@ -210,11 +222,8 @@
     match applied.outcome:
         case Accepted() as accepted:
             say(_accepted(accepted))
-            if applied.asked:
-                say(
-                    f"in force on {applied.in_force} of {applied.asked}"
-                    " processes asked"
-                )
+            if applied.in_force is not None:
+                say(_in_force(applied.in_force))
         case Rejected() as rejected:
             _show_rejected(rejected)
         case Unknown() as unknown:
@@ -226,6 +235,12 @@
             warn(f"to ask again, {unknown.how}")
 
 
+def _in_force(found: InForce) -> str:
+    silent = found.asked - found.answered
+    left = f"; {silent} of those asked did not answer" if silent else ""
+    return f"in force on {found.count} of {found.answered} processes{left}"
+
+
 def _accepted(outcome: Accepted) -> str:
     if outcome.unchanged:
         return f"version {outcome.version} is the same; nothing is changed"
