--- a/packages/core/src/medlar_core/requests/balancer.py
+++ b/packages/core/src/medlar_core/requests/balancer.py
@@ -31,13 +31,13 @@
 from .events import RequestCame
 from .events import RequestCancelled
 from .events import StartAttempt
+from .explain import BalancerExplained
+from .explain import DoorExplained
 from .homes import as_go
 from .homes import home_of
 from .journal import Journal
 from .policy import POLICY
 from .policy import Policy
-from .tracking import BalancerExplained
-from .tracking import DoorExplained
 from .tracking import OpenRequest
 
 NO_ROOM = (Reason.OVER_SHARE, Reason.QUEUE_FULL, Reason.DEADLINE, Reason.SHED)
@@ -161,15 +161,17 @@
         if came.body_bytes > kind.max_body_bytes:
             return Reason.TOO_LARGE
         admits = self._door.admits(came.service, came.kind, came.caller)
-        # Whether a repeat ran before can't be told at the door.
-        if not admits and not came.repeat:
+        # Only its home can tell that a key which may be a repeat did not
+        # run, so the door lets it pass.
+        unsure = came.key is not None and came.repeat is not False
+        if not admits and not (unsure and not kind.idempotent):
             return Reason.OVER_SHARE
         return None
 
     def _bar(self, now: float, came: RequestCame, why: Reason) -> list[Any]:
         self._journal.note(now, came, why)
         verdict: Verdict = NotRun(why)
-        if came.repeat and came.key is not None:
+        if came.key is not None and came.repeat is not False:
             verdict = MayHaveRun(why)
         return [AnswerCaller(came.req, verdict)]
 
@@ -194,6 +196,8 @@
 
     def _spare(self, now: float, req: OpenRequest, home: Go) -> Go | None:
         """Return a process with a free slot that the home may cede to."""
+        if not self._retries.left(req.came.service, req.kind.name):
+            return None
         tried = {home.node, *req.tried}
         server = self._choice.pick(now, req.came.service, req.kind.rank, tried)
         if server is None or not self._choice.idle(now, server, req.kind.rank):
@@ -287,8 +291,9 @@
         if req.open:
             return []
         if end.go is not None and req.attempts < self._policy.hops:
-            req.moved = req.moved or not end.go.ceded
             ceded_by = dst if end.go.ceded else None
+            if ceded_by is not None and verdict.reason is not Reason.DRAINING:
+                self._retries.spend(came.service, came.kind)
             return self._start(now, req, end.go, ceded_by=ceded_by)
         if req.keyed or not self._may_retry(now, req, verdict.reason):
             return self._finish(now, req, verdict)
@@ -322,9 +327,9 @@
         """Return whether "not run" holds for the key, not just for us."""
         if req.settled:
             return True
-        if req.unsure or req.came.repeat:
+        if req.unsure:
             return False
-        return req.came.repeat is False or not req.moved
+        return req.came.key is None or req.came.repeat is False
 
     def _cancelled(self, now: float, id: RequestId) -> list[Any]:
         req = self._requests.get(id)
@@ -349,6 +354,8 @@
         grace = self._policy.grace_s
         late = [r for r in self._requests.values() if r.due + grace <= now]
         for req in late:
+            for dst in req.open.values():
+                self._choice.unheard(dst, req.sent_at)
             effects += self._finish(now, req, MayHaveRun(Reason.DEADLINE))
         for req in list(self._requests.values()):
             effects += self._hedge(now, req)
