--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -123,7 +123,7 @@
 HINTS_LIMIT = 400_000
 """Hints that a balancer keeps."""
 
-BATCH_BYTES = 170
+BATCH_BYTES = 230
 """Bytes of a control message beside its keys."""
 
 SPILL_PICKS = 4
--- /dev/null
+++ b/testing/core/flows/test_announce.py
@@ -0,0 +1,66 @@
+import pytest
+
+from medlar_core.flows.announce import Announcer
+from medlar_core.flows.limits import BURST_BYTES
+from medlar_core.flows.limits import BYTES_PER_S
+from medlar_core.flows.limits import RETRY_S
+from medlar_core.flows.messages import Located
+from medlar_core.ids import FlowKey
+from medlar_core.ids import Incarnation
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+from medlar_core.ids import ServiceName
+from medlar_fakes.net import wire_bytes
+
+OWNERS = [NodeId(f"10.2.0.{i}:9000") for i in range(6)]
+BALANCERS = tuple(NodeId(f"10.1.0.{i}:9000") for i in range(3))
+NAME = ServiceName("one")
+
+
+def announcer(flows: int) -> Announcer:
+    made = Announcer(NodeId("10.2.1.1:9000"), Incarnation(1))
+    for number in range(flows):
+        key = FlowKey((number * 0x9E3779B97F4A7C15) & (2**64 - 1))
+        made.tell(OWNERS[number % len(OWNERS)], key)
+        made.hint(NAME, key)
+    return made
+
+
+@pytest.mark.parametrize("flows, limit_s", [(200, 1.0), (1500, 15.0)])
+def test_drained_flows_are_told_within_the_byte_rate(
+    flows: int, limit_s: float
+) -> None:
+    made = announcer(flows)
+    now, sent = 0.0, 0
+    while not made.idle:
+        now += 0.1
+        for send in made.due(Seconds(now), set(OWNERS), BALANCERS):
+            sent += wire_bytes(send.msg)
+            made.acked(send.msg.batch, Incarnation(1))
+        assert sent <= BURST_BYTES + BYTES_PER_S * now + 1200
+    assert now <= limit_s
+
+
+def test_lost_batch_is_sent_again_until_acknowledged() -> None:
+    made = announcer(1)
+    first = made.due(Seconds(1.0), set(OWNERS), ())
+    assert made.due(Seconds(1.1), set(OWNERS), ()) == []
+    again = made.due(Seconds(1.0 + RETRY_S), set(OWNERS), ())
+    assert again == first
+    assert isinstance(first[0].msg, Located)
+    made.acked(first[0].msg.batch, Incarnation(2))
+    assert made.due(Seconds(1.0 + 2 * RETRY_S), set(OWNERS), ()) == first
+
+
+def test_news_for_a_gone_owner_is_dropped() -> None:
+    made = announcer(6)
+    made.due(Seconds(1.0), set(OWNERS[:1]), ())
+    sends = made.due(Seconds(1.0 + RETRY_S), set(OWNERS), ())
+    assert {send.dst for send in sends} <= {OWNERS[0]}
+
+
+def test_end_of_a_flow_that_was_not_told_is_not_told() -> None:
+    made = announcer(0)
+    made.tell(OWNERS[0], FlowKey(1))
+    made.tell_end(OWNERS[0], FlowKey(1))
+    assert made.due(Seconds(1.0), set(OWNERS), ()) == []
