--- a/testing/bench/flows/test_rows.py
+++ b/testing/bench/flows/test_rows.py
@@ -1,6 +1,6 @@
 import pytest
 
-from medlar_bench.flows import MEASUREMENTS
+from medlar_bench import flows
 from medlar_bench.flows.broken import measure
 from medlar_bench.flows.broken import play
 from medlar_bench.flows.large import at_log
@@ -27,7 +27,7 @@
 
 
 def test_every_row_of_the_area_is_measured() -> None:
-    assert {name for m in MEASUREMENTS for name in m.names} == NAMES
+    assert {name for m in flows.MEASUREMENTS for name in m.names} == NAMES
 
 
 @pytest.mark.parametrize("name", ["drain", "uneven"])
