--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -33,7 +33,7 @@
 CLOSING_S = 10.0
 """How long an ended flow passes late packets, in seconds."""
 
-SPILL_SHARE = 1.12
+SPILL_SHARE = 1.13
 """Load over the mean above which new flows are passed on."""
 
 SPILL_SLACK = 0.25
