--- a/packages/bench/src/medlar_bench/flows/broken.py
+++ b/packages/bench/src/medlar_bench/flows/broken.py
@@ -17,8 +17,8 @@
 from .baselines import Tabled
 from .callers import Callers
 from .callers import Fate
+from .fleet import Fleet
 from .world import address_of
-from .world import Fleet
 from .world import make_cfg
 from .world import make_service
 from .world import PLACES
--- a/packages/bench/src/medlar_bench/flows/flood.py
+++ b/packages/bench/src/medlar_bench/flows/flood.py
@@ -14,8 +14,8 @@
 from .broken import Load
 from .broken import MANIFEST
 from .broken import Stage
+from .fleet import Fleet
 from .world import address_of
-from .world import Fleet
 
 LOADS = {
     Size.FAST: Load(feeds=20, short_per_s=15, gap_s=10.0, rounds=0),
--- a/packages/bench/src/medlar_bench/flows/world.py
+++ b/packages/bench/src/medlar_bench/flows/world.py
@@ -9,14 +9,13 @@
 import functools
 import random
 from typing import Any
-from typing import Protocol
 
 import msgspec
 
 from medlar_core.config.model import Address
 from medlar_core.config.model import Configuration
 from medlar_core.config.model import Place
-from medlar_core.config.model import Protocol as Carries
+from medlar_core.config.model import Protocol
 from medlar_core.config.model import Service
 from medlar_core.effects import Deliver
 from medlar_core.effects import Publish
@@ -28,8 +27,6 @@
 from medlar_core.events import ServerConnections
 from medlar_core.events import ServerSent
 from medlar_core.events import ViewChanged
-from medlar_core.flows.agent import AgentFlows
-from medlar_core.flows.balancer import BalancerFlows
 from medlar_core.ids import Incarnation
 from medlar_core.ids import NodeId
 from medlar_core.ids import PlaceName
@@ -46,6 +43,9 @@
 from medlar_fakes.net import Net
 from medlar_fakes.net import TICK_S
 
+from .fleet import Designed
+from .fleet import Fleet
+
 REPORT_S = 1.0
 """Time between two load reports of the membership, in seconds."""
 
@@ -56,48 +56,6 @@
 PLACES = tuple(PlaceName(name) for name in ("a", "b", "c"))
 
 
-class Fleet(Protocol):
-    """Makes the reducers of a design, or of a baseline."""
-
-    def balancer(
-        self, node: NodeId, place: PlaceName, rng: random.Random
-    ) -> Reducer:
-        """Return a new balancer."""
-        ...
-
-    def agent(
-        self,
-        node: NodeId,
-        service: ServiceName,
-        place: PlaceName,
-        incarnation: Incarnation,
-        rng: random.Random,
-    ) -> Reducer:
-        """Return a new agent."""
-        ...
-
-
-class Designed:
-    """The design under test."""
-
-    def balancer(
-        self, node: NodeId, place: PlaceName, rng: random.Random
-    ) -> Reducer:
-        """Return a balancer that keeps no flow state."""
-        return BalancerFlows(node, place, rng)
-
-    def agent(
-        self,
-        node: NodeId,
-        service: ServiceName,
-        place: PlaceName,
-        incarnation: Incarnation,
-        rng: random.Random,
-    ) -> Reducer:
-        """Return an agent that knows its flows."""
-        return AgentFlows(node, service, place, incarnation, rng)
-
-
 def address_of(service: str) -> str:
     """Return the address text of a service of a world."""
     return f"192.0.2.{sum(service.encode()) % 250}:443"
@@ -106,7 +64,7 @@
 def make_service(name: str, address: str = "", buckets: int = 1024) -> Service:
     """Return a service with one address for flows."""
     ip, port = (address or address_of(name)).split(":")
-    carried = Address(ip=ip, port=int(port), protocol=Carries.FLOW)
+    carried = Address(ip=ip, port=int(port), protocol=Protocol.FLOW)
     return Service(
         name=ServiceName(name),
         addresses=(carried,),
