--- a/packages/node/src/medlar_node/egress.py
+++ b/packages/node/src/medlar_node/egress.py
@@ -26,11 +26,14 @@
 
 from . import attempt_wire as wire
 from . import headers as names
+from .logs import part_logger
 from .metrics import Metrics
 from .process import Process
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+log = part_logger("egress")
+
 SHED_STATUS = 503
 """The server's word that it did not run the work."""
 
@@ -227,9 +230,11 @@
                     answer += await res.content.read(MAX_ANSWER_BYTES)
                     if len(answer) > MAX_ANSWER_BYTES:
                         return MayHaveRun(Reason.TOO_LARGE)
-        except ClientConnectorError:
+        except ClientConnectorError as exc:
+            log.warning("no connection to server", extra={"why": str(exc)})
             return NotRun(Reason.UNREACHABLE)
-        except (ClientError, OSError):
+        except (ClientError, OSError) as exc:
+            log.warning("lost work on server", extra={"why": repr(exc)})
             return MayHaveRun(Reason.SERVER_DIED)
         if res.status == SHED_STATUS:
             return NotRun(Reason.SHED)
--- a/packages/node/src/medlar_node/ingress.py
+++ b/packages/node/src/medlar_node/ingress.py
@@ -35,6 +35,7 @@
 from . import headers as names
 from .bodies import Body
 from .bodies import BodyGone
+from .logs import part_logger
 from .metrics import Metrics
 from .process import Process
 from .proxyline import Destination
@@ -44,6 +45,8 @@
 """Time beyond the deadline in which an agent's own verdict still counts."""
 KEY_CHARS = 128
 
+log = part_logger("ingress")
+
 
 class Answer(msgspec.Struct, frozen=True):
     """A whole answer of a server, checked against its digest."""
@@ -227,13 +230,19 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await self._post(effect, waiting)
-        except ClientConnectorError:
+        except ClientConnectorError as exc:
+            log.warning(
+                "no connection to %s", effect.dst, extra={"why": str(exc)}
+            )
             verdict: Verdict = NotRun(Reason.UNREACHABLE)
         except BodyGone:
             verdict = MayHaveRun(Reason.BODY_INCOMPLETE)
         except TimeoutError:
             verdict = MayHaveRun(Reason.DEADLINE)
-        except (ClientError, OSError, msgspec.DecodeError):
+        except (ClientError, OSError, msgspec.DecodeError) as exc:
+            log.warning(
+                "lost an attempt at %s", effect.dst, extra={"why": repr(exc)}
+            )
             verdict = MayHaveRun(Reason.CONNECTION_LOST)
         return AttemptEnded(effect.attempt, verdict)
 
--- a/packages/standins/src/medlar_standins/demo/processes.py
+++ b/packages/standins/src/medlar_standins/demo/processes.py
@@ -109,6 +109,8 @@
 async def fleet(folder: pathlib.Path, key: str) -> AsyncIterator[Fleet]:
     """Yield a fleet and stop whatever it started at the end."""
     folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.glob("*.log"):
+        old.unlink()
     found = Fleet(folder, key)
     try:
         yield found
