--- a/packages/core/src/medlar_core/config/writer.py
+++ b/packages/core/src/medlar_core/config/writer.py
@@ -150,7 +150,11 @@
         return [*effects, Finished(outcome)]
 
     def _unknown(self) -> Unknown:
-        how = f"apply the same document again with --change {self._change.id}"
+        change = self._change
+        how = (
+            "apply the same document again with"
+            f" --change {change.id} --base {change.base}"
+        )
         return Unknown(self._change.id, self._written, how)
 
     # The steps, in order
@@ -255,7 +259,9 @@
         self, history: History, sides: "_Sides", tree: Tree
     ) -> Generator[Step, Any, Outcome | Down]:
         newest = max(history.head.version, self._change.at_least)
-        record = self._record(Version(newest + 1), sides.current, tree)
+        record = self._record(
+            Version(newest + 1), history.revision, sides.current, tree
+        )
         recent = yield from page_out((*history.head.recent, record))
         if not isinstance(recent, tuple):
             return self._bad(recent)
@@ -275,7 +281,11 @@
         return Down("no answer to the write of the head")
 
     def _record(
-        self, version: Version, current: Tree, tree: Tree
+        self,
+        version: Version,
+        after: ops.Revision,
+        current: Tree,
+        tree: Tree,
     ) -> ChangeRecord:
         patch = patch_between(current, tree)
         names: list[str] = [] if patch.places is None else [PLACES]
@@ -288,6 +298,7 @@
             self._mine.root.hex(),
             self._change.by,
             tuple(names[:MAX_TOUCHED]),
+            after,
         )
 
     def _hand_over(
--- a/packages/core/src/medlar_core/members/reporter.py
+++ b/packages/core/src/medlar_core/members/reporter.py
@@ -19,14 +19,15 @@
 
 BEAT_S = 2.0
 """Period of beats to one watcher; those to two are half of it apart."""
-ASK_S = 3.5
+ASK_S = 5.5
 """An answer is asked for when the last is older than this."""
 AGAIN_S = 0.2
 """First pause before a change that was not answered is told again."""
-LOST_S = 4.5
+LOST_S = 6.5
 """A process that no watcher answered for so long looks for others."""
 SEARCH_S = 0.5
 PEERS = 8
+UNTOLD = -1
 SEEDS_LIMIT = 64
 FAREWELL_S = 1.0
 """A goodbye that is not answered is repeated for so long."""
@@ -38,7 +39,7 @@
     next_beat: float
     acked_at: float
     next_tell: float = 0.0
-    told: int = -1
+    told: int = UNTOLD
     seen: int = 0
     again: float = AGAIN_S
 
@@ -48,6 +49,11 @@
     return id_hash(",".join(sorted(watchers))) & 0xFFFF
 
 
+def _between(now: Seconds, beat: float) -> float:
+    """Return the first time of a rhythm that is not past."""
+    return beat - BEAT_S if beat - BEAT_S >= now else beat
+
+
 class Reporter:
     """Beats to its watchers, announces changes, and finds new watchers."""
 
@@ -57,6 +63,7 @@
         self.record = record
         self.flows = 0
         self.busy = 0
+        self.holds = 0
         self.peers: tuple[NodeId, ...] = ()
         self.watchers: dict[NodeId, _Watcher] = {}
         self._seeds = tuple(seed for seed in seeds if seed != record.id)
@@ -132,10 +139,18 @@
         """Beat to these balancers from now on."""
         if not watchers or set(watchers) == set(self.watchers):
             return
+        # Who is known to some is known to all soon: a beat will do.
+        told = self.record.seq if self.known else UNTOLD
         kept: dict[NodeId, _Watcher] = {}
-        for number, node in enumerate(watchers):
-            held = self.watchers.get(node) or _Watcher(now, now)
-            held.next_beat = now + number * BEAT_S / len(watchers)
+        rhythm = [
+            w.next_beat for n, w in self.watchers.items() if n in watchers
+        ]
+        beat = max(now, *rhythm) if rhythm else now - BEAT_S / len(watchers)
+        for node in watchers:
+            held = self.watchers.get(node)
+            if held is None:
+                beat = _between(now, beat + BEAT_S / len(watchers))
+                held = _Watcher(beat, now, told=told)
             kept[node] = held
         self.watchers = kept
 
@@ -206,6 +221,7 @@
             int(want),
             self.flows,
             self.busy,
+            0 if seen else self.holds,
         )
 
     def _search(self) -> list[Send]:
