--- a/packages/bench/src/medlar_bench/world/fleet.py
+++ b/packages/bench/src/medlar_bench/world/fleet.py
@@ -44,6 +44,7 @@
         self.world = World(seed)
         self.services: dict[str, Service] = {}
         self.places: list[PlaceName] = []
+        self.regions: dict[PlaceName, RegionName] = {}
         self.died: list[Process] = []
         self.left: list[Process] = []
 
@@ -69,8 +70,9 @@
             places=tuple(self.places),
             kinds=tuple(kinds),
         )
+        dealt = sum(p.service is not None for p in self.world.processes)
         for n in range(servers):
-            self.world.start_server(ServiceName(name), self._place(n))
+            self.world.start_server(ServiceName(name), self._place(n + dealt))
 
     def add_balancers(self, count: int) -> None:
         """Start balancers, dealt over the places."""
@@ -79,7 +81,10 @@
 
     def configuration(self) -> Configuration:
         """Return the document that declares all this."""
-        places = tuple(Place(name=p, region=REGION) for p in self.places)
+        places = tuple(
+            Place(name=p, region=self.regions.get(p, REGION))
+            for p in self.places
+        )
         services = tuple(self.services.values())
         return Configuration(places=places, services=services)
 
--- a/packages/bench/src/medlar_bench/world/world.py
+++ b/packages/bench/src/medlar_bench/world/world.py
@@ -1,5 +1,6 @@
 """A small fleet of real reducers over the fakes, and its faults."""
 
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -18,6 +19,7 @@
 from medlar_core.events import ConfigurationChanged
 from medlar_core.events import DrainAsked
 from medlar_core.events import Received
+from medlar_core.events import Reducer
 from medlar_core.events import ServerConnections
 from medlar_core.events import ServerProbed
 from medlar_core.events import StopAsked
@@ -59,7 +61,7 @@
 
     ``processes`` lists every start in order. The fabric hands a packet
     or request to any live balancer, also one that was asked to stop
-    until it has ended.
+    until it has ended. ``wrap`` may put a meter around each reducer.
     """
 
     def __init__(self, seed: int) -> None:
@@ -75,6 +77,7 @@
         self.feeds = Feeds(self.clock, self.net, self.pick, self.service_of)
         self.work = Work(self.clock, self.net, self.pick, self.servers)
         self.operators = Operators(self.clock, self.net)
+        self.wrap: Callable[[NodeId, Reducer], Reducer] = lambda _, host: host
         self._cuts: set[frozenset[PlaceName]] = set()
         self._now: dict[NodeId, Process] = {}
         self._recorder: dict[NodeId, Recorder] = {}
@@ -163,6 +166,10 @@
         ]
         return self.net.rng.choice(found) if found else None
 
+    def role(self, node: NodeId) -> Balancer | Agent:
+        """Return the parts of a live process."""
+        return self._roles[node]
+
     def service_of(self, server: NodeId) -> ServiceName:
         """Return the service that a live server runs."""
         return self._now[server].service or ServiceName("")
@@ -232,7 +239,7 @@
         assert isinstance(reducer, Composed)
         reducer.parts = (*reducer.parts, _Witness(found))
         self._roles[found.node] = role
-        self.net.attach(found.node, reducer)
+        self.net.attach(found.node, self.wrap(found.node, reducer))
 
     def _leaves(self, found: Process) -> bool:
         """Go on with a planned stop; True once the process has ended."""
--- a/packages/core/src/medlar_core/timeline/query.py
+++ b/packages/core/src/medlar_core/timeline/query.py
@@ -59,10 +59,11 @@
 
 
 class Gathered(msgspec.Struct, frozen=True):
-    """The merged time line and the processes that are not in it."""
+    """The merged time line, who answered and who did not."""
 
     events: tuple[Stamped, ...]
     silent: tuple[Silent, ...] = ()
+    answered: tuple[NodeId, ...] = ()
 
 
 def tells_of(item: Stamped, node: str) -> bool:
--- a/packages/ops/src/medlar_ops/timeline.py
+++ b/packages/ops/src/medlar_ops/timeline.py
@@ -78,7 +78,8 @@
             wanted = _named(answers) - asked
         events = merge(answer.events for answer in heard)
         silent = [Silent(a.node, a.why) for a in heard if a.why]
-        return Gathered(events, tuple(silent))
+        answered = [a.node for a in heard if not a.why]
+        return Gathered(events, tuple(silent), tuple(answered))
 
     async def _ask(self, node: NodeId) -> Heard:
         try:
--- a/packages/ops/src/medlar_ops/timeline_cli.py
+++ b/packages/ops/src/medlar_ops/timeline_cli.py
@@ -22,6 +22,7 @@
 from medlar_core.timeline.query import select
 from medlar_core.timeline.wire import encode_lines
 
+from . import explain_flow
 from . import timeline as gathering
 from . import timeline_html
 from . import timeline_text
@@ -106,10 +107,15 @@
     asked = question(about, what or [])
     gathered = asyncio.run(gathering.gather_once(some_nodes(nodes)))
     answer = answer_to(asked, gathered)
+    routed = _routed(asked, gathered)
     print(answer.sentence)
-    print(timeline_text.lines(answer.events))
+    if answer.events:
+        print(timeline_text.lines(answer.events))
+    if routed:
+        print(routed)
     _show_silent(gathered)
-    sys.exit(1 if answer.sure is Sure.NOTHING else 0)
+    nothing = answer.sure is Sure.NOTHING and not routed
+    sys.exit(1 if nothing else 0)
 
 
 def question(about: About, what: Sequence[str]) -> Question:
@@ -132,6 +138,17 @@
     )
 
 
+def _routed(asked: Question, gathered: Gathered) -> str:
+    """Return how processes route a flow now; empty for other questions."""
+    match asked:
+        case WhyFlow(caller=caller, address=address):
+            nodes = gathered.answered
+            return explain_flow.lines(
+                asyncio.run(explain_flow.ask_all(nodes, caller, address))
+            )
+    return ""
+
+
 async def _follow(nodes: Iterable[NodeId], wanted: Filter, json: bool) -> None:
     """Show what is new, and who is silent each time that changes."""
     silent: set[NodeId] = set()
