--- a/packages/bench/src/medlar_bench/capacity.py
+++ b/packages/bench/src/medlar_bench/capacity.py
@@ -4,6 +4,8 @@
 fleets of four sizes and prints the tables of docs/CAPACITY.md.
 """
 
+import pathlib
+
 import defopt
 
 from . import capacity_model as design
@@ -18,6 +20,8 @@
 from .capacity_samples import Measured
 from .capacity_samples import Role
 
+BEGIN = "<!-- begin: measured -->"
+END = "<!-- end: measured -->"
 MODULES = {
     "BalancerFlows": "flows.balancer",
     "BalancerMembers": "members.balancer",
@@ -26,19 +30,45 @@
 }
 
 
-def capacity() -> None:
-    """Measure and print the tables."""
-    found = measure_all()
-    print("### Balancer\n")
-    print(table(_balancer(found)))
-    print("\n### Balancer, processor time by part\n")
-    print(table(_parts(found)))
-    print("\n### Agent\n")
-    print(table(_agent(found)))
-    print("\n### Store and operators' tool\n")
-    print(table(_store(found)))
-    print("\n### Bad days\n")
-    print(bad_days(found))
+def capacity(*, page: pathlib.Path | None = None) -> None:
+    """Measure and print the tables.
+
+    :param page: also put them between the marks of this page.
+    """
+    text = tables(measure_all())
+    print(text)
+    if page is not None:
+        page.write_text(with_tables(page.read_text(), text))
+
+
+def tables(found: Measured) -> str:
+    """Return all tables in markdown."""
+    return "\n\n".join(
+        (
+            "### Balancer",
+            table(_balancer(found)),
+            "### Balancer, processor time by part",
+            table(_parts(found)),
+            "### Agent",
+            table(_agent(found)),
+            "### Store and operators' tool",
+            table(_store(found)),
+            "### Bad days",
+            bad_days(found),
+        )
+    )
+
+
+def with_tables(page: str, text: str) -> str:
+    """Return a page with the tables between its marks.
+
+    :raises ValueError: if the page lacks a mark.
+    """
+    head, begin, rest = page.partition(BEGIN)
+    _, end, tail = rest.partition(END)
+    if not begin or not end:
+        raise ValueError(f"expected {BEGIN} and {END} in the page")
+    return f"{head}{begin}\n\n{text}\n\n{end}{tail}"
 
 
 def _balancer(found: Measured) -> list[Figure]:
--- a/packages/ops/src/medlar_ops/timeline_cli.py
+++ b/packages/ops/src/medlar_ops/timeline_cli.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Iterable
 from collections.abc import Sequence
-import enum
 import pathlib
 import sys
 import time
+from typing import Literal
 
 from medlar_core.ids import NodeId
 from medlar_core.timeline.events import Topic
@@ -31,19 +31,14 @@
 MS_PER_S = 1_000
 
 
-class About(enum.Enum):
-    """What the explain command can be asked about."""
-
-    FLOW = "flow"
-    REQUEST = "request"
-    SERVER = "server"
-    VERSION = "version"
+About = Literal["flow", "request", "server", "version"]
+"""What the explain command can be asked about."""
 
 
 def timeline(
     *,
     nodes: str = "",
-    topic: Topic | None = None,
+    topic: str = "",
     service: str = "",
     server: str = "",
     flow: str = "",
@@ -58,7 +53,7 @@
 
     :param nodes: ip:port of processes to ask, with commas, or
         MEDLARSTAGE_NODES; others are found there.
-    :param topic: only events of this topic.
+    :param topic: only events of this topic, such as drain or verdict.
     :param service: only events of this service.
     :param server: only events by or about this server.
     :param flow: only events of this flow, as its 64-bit key.
@@ -71,7 +66,7 @@
     """
     since_ms = int((time.time() - since) * MS_PER_S) if since else 0
     wanted = Filter(
-        topic=topic,
+        topic=_topic(topic),
         service=service,
         server=server,
         flow=flow,
@@ -92,9 +87,7 @@
     _show_silent(found)
 
 
-def explain(
-    about: About, what: list[str] | None = None, *, nodes: str = ""
-) -> None:
+def explain(about: About, *what: str, nodes: str = "") -> None:
     """Tell why a flow, request or server is where it is.
 
     :param about: flow, request, server, or version for the versions of
@@ -104,7 +97,7 @@
     :param nodes: ip:port of processes to ask, with commas, or
         MEDLARSTAGE_NODES; others are found there.
     """
-    asked = question(about, what or [])
+    asked = question(about, what)
     gathered = asyncio.run(gathering.gather_once(some_nodes(nodes)))
     answer = answer_to(asked, gathered)
     routed = _routed(asked, gathered)
@@ -124,20 +117,32 @@
     :raises ValueError: if the words do not fit what is asked about.
     """
     match about, what:
-        case About.FLOW, [caller, address]:
+        case "flow", [caller, address]:
             return WhyFlow(caller, address)
-        case About.REQUEST, [request]:
+        case "request", [request]:
             return WhyRequest(request)
-        case About.SERVER, [server]:
+        case "server", [server]:
             return WhyServer(server)
-        case About.VERSION, []:
+        case "version", []:
             return WhichVersion()
     raise ValueError(
         "expected flow CALLER ADDRESS, request ID, server IP:PORT or "
-        f"version, got {about.value} {' '.join(what)}"
+        f"version, got {about} {' '.join(what)}"
     )
 
 
+def _topic(text: str) -> Topic | None:
+    """Return the topic that a flag names.
+
+    :raises ValueError: if there is no such topic.
+    """
+    names = [topic.value for topic in Topic]
+    if text and text not in names:
+        allowed = ", ".join(names)
+        raise ValueError(f"--topic: got {text!r}, expected one of {allowed}")
+    return Topic(text) if text else None
+
+
 def _routed(asked: Question, gathered: Gathered) -> str:
     """Return how processes route a flow now; empty for other questions."""
     match asked:
