--- a/packages/bench/src/medlar_bench/capacity_model.py
+++ b/packages/bench/src/medlar_bench/capacity_model.py
@@ -58,8 +58,12 @@
     error: float
 
     def at(self, size: float) -> float:
-        """Return the figure at a size, never below zero."""
-        return max(self.start + self.rise * _scale(self.shape, size), 0.0)
+        """Return the figure at a size, never below the one measured.
+
+        A line that falls is not trusted beyond the sizes measured.
+        """
+        derived = self.start + self.rise * _scale(self.shape, size)
+        return max(derived, self.found)
 
     @property
     def formula(self) -> str:
--- a/testing/bench/test_capacity.py
+++ b/testing/bench/test_capacity.py
@@ -15,6 +15,11 @@
     assert slope.error == pytest.approx(0.0, abs=1e-9)
 
 
+def test_falling_line_stays_at_the_largest_size_measured() -> None:
+    slope = fit(SIZES, [40.0, 30.0, 20.0, 10.0], Shape.LINE)
+    assert slope.at(720.0) == 10.0
+
+
 def test_distance_from_the_line_is_told() -> None:
     slope = fit(SIZES, [10.0, 20.0, 20.0, 40.0], Shape.LINE)
     assert slope.error > 0.2
