--- a/packages/bench/src/medlar_bench/members/design.py
+++ b/packages/bench/src/medlar_bench/members/design.py
@@ -20,7 +20,6 @@
 from medlar_core.members.balancer import BalancerMembers
 from medlar_core.members.load import cycle_s
 from medlar_core.members.load import Grid
-from medlar_core.members.load import Load
 from medlar_core.members.load import neighbours
 from medlar_core.members.messages import Ack
 from medlar_core.members.messages import Announce
@@ -39,9 +38,11 @@
 from medlar_core.members.reporter import BEAT_S
 from medlar_core.members.reporter import check
 from medlar_core.members.view import ServerState
+from medlar_core.members.view import View
 from medlar_core.storeaccess.access import StoreAccess
 import medlar_core.wire as wire
 from medlar_fakes.net import TICK_S
+from medlar_fakes.net import wire_bytes
 
 from .fleet import REGIONS
 from .fleet import SERVERS_PER_SERVICE
@@ -86,6 +87,7 @@
         self.now = Seconds(0.0)
         self.spent_s = 0.0
         self.messages = 0
+        self.wire_bytes = 0
         self._join()
 
     def run(self, seconds: float) -> None:
@@ -97,10 +99,21 @@
             for src, msg in self._due(step):
                 self._receive(src, msg)
 
+    @property
+    def view(self) -> View:
+        """What the balancer knows."""
+        return self._host.view
+
+    def settled(self) -> "DesignNode":
+        """Run for a second and return this node."""
+        self.run(1.0)
+        return self
+
     def timed(self, seconds: float) -> float:
         """Let virtual time pass; return the processor time in seconds."""
         self.spent_s = 0.0
         self.messages = 0
+        self.wire_bytes = 0
         self.run(seconds)
         return self.spent_s
 
@@ -155,7 +168,7 @@
         grid = Grid()
         for node in self._rng.sample(self._servers, count):
             flows = self._rng.randrange(FLOWS - 50, FLOWS + 50)
-            grid.set(node, Load.of(flows, self._rng.randrange(3)))
+            grid.reported(node, flows, self._rng.randrange(3))
         return grid.messages_now(hop)
 
     def _receive(self, src: NodeId, msg: Any) -> None:
@@ -169,6 +182,7 @@
         event = Received(opened.src, wire.decode(opened.body))
         self.spent_s += time.process_time() - start
         self.messages += 1
+        self.wire_bytes += wire_bytes(msg)
         self._take([src], event)
 
     def _take(self, froms: list[NodeId], event: Any) -> None:
@@ -180,6 +194,7 @@
         self.spent_s += time.process_time() - start
         self.messages += len(sent)
         for effect in sent:
+            self.wire_bytes += wire_bytes(effect.msg)
             self._answer(effect.dst, effect.msg)
 
     def _answer(self, dst: NodeId, msg: Any) -> None:
--- a/packages/core/src/medlar_core/flows/agent.py
+++ b/packages/core/src/medlar_core/flows/agent.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import sys
 from typing import Any
 
 from ..effects import Deliver
@@ -57,6 +58,10 @@
 from .opening import Opening
 from .services import Services
 
+_SYN = int(Flag.SYN)
+_RST = int(Flag.RST)
+_NO_DATA = int(Flag.SYN | Flag.FIN)
+
 
 class AgentFlows:
     """Reducer of an agent's flow part."""
@@ -144,19 +149,20 @@
     def _arrived(self, now: Seconds, packet: Packet) -> list[Effect]:
         key = flow_key(packet.caller, packet.address)
         held = self._flows.get(key, packet.caller, packet.address)
-        if packet.flags & Flag.SYN:
+        if packet.flags & _SYN:
             return self._opened(now, key, held, packet)
         if held is None:
             return self._pass_on(now, key, packet)
-        if packet.flags & Flag.RST:
+        if packet.flags & _RST:
             self._forget(key)
             return [Deliver(packet)]
         if self._flows.prove(key):
             if self.open_flows > self._opening.limit:
                 self._flows.remove(key)
                 return self._reset(now, packet, Reason.CONNECTION_LIMIT)
-            self._displaced.update(key, held)
-        self._flows.note(now, key, held, packet.flags, inward=True)
+            by, held.told = held.told, NodeId("")
+            self._displaced.opened(now, key, held, by)
+        self._note(now, key, held, packet.flags, inward=True)
         return [Deliver(packet)]
 
     def _opened(
@@ -164,14 +170,16 @@
     ) -> list[Effect]:
         if self._services.addresses.get(packet.address) != self._service:
             return self._journal.dropped(now, packet, Reason.UNKNOWN_ADDRESS)
-        if held is not None:
-            return [Deliver(packet)]
         if self._flows.taken(key):
+            if held is not None:
+                return [Deliver(packet)]
             return self._journal.dropped(now, packet, Reason.DUPLICATE)
         closed = self.draining or not self._introduction.done
-        found = self._opening.place(key, packet, self.open_flows, closed)
+        found = self._opening.place(now, key, packet, self.open_flows, closed)
         if found == self._node:
-            self._flows.open(now, key, Held(packet.caller, packet.address, 0))
+            by = packet.asked[-1] if packet.asked else NodeId("")
+            held = Held(packet.caller, sys.intern(packet.address), 0, told=by)
+            self._flows.open(now, key, held)
             return [Deliver(packet)]
         if found is not None and packet.hops + 1 < MAX_HOPS:
             self._finder.note_spilled(key, found)
@@ -221,27 +229,27 @@
     def _sent(self, now: Seconds, packet: Packet) -> list[Effect]:
         key = flow_key(packet.caller, packet.address)
         held = self._flows.get(key, packet.caller, packet.address)
-        if packet.flags & Flag.RST:
+        if packet.flags & _RST:
             self._forget(key if held else None)
             return [Return(packet)]
         if held is None:
             held = self._adopt_sent(now, key, packet)
         if held is not None:
-            self._flows.note(now, key, held, packet.flags, inward=False)
+            self._note(now, key, held, packet.flags, inward=False)
         return [Return(packet)]
 
     def _adopt_sent(
         self, now: Seconds, key: FlowKey, packet: Packet
     ) -> Held | None:
         """Take in a flow that the server goes on with after a restart."""
-        if packet.flags & (Flag.SYN | Flag.FIN) or self._flows.taken(key):
+        if packet.flags & _NO_DATA or self._flows.taken(key):
             return None
         return self._adopt(now, key, packet.caller, packet.address)
 
     def _adopt(
         self, now: Seconds, key: FlowKey, caller: str, address: str
     ) -> Held:
-        held = Held(caller, address, 0)
+        held = Held(caller, sys.intern(address), 0)
         self._flows.adopt(now, key, held)
         self._displaced.update(key, held)
         return held
@@ -261,6 +269,12 @@
             return []
         return self._end_all(Reason.SERVER_DIED, tell_server=False)
 
+    def _note(
+        self, now: Seconds, key: FlowKey, held: Held, flags: int, inward: bool
+    ) -> None:
+        if self._flows.note(now, key, held, flags, inward):
+            self._displaced.ended(key, held)
+
     def _forget(self, key: FlowKey | None) -> None:
         if key is not None:
             self._displaced.ended(key, self._flows.remove(key))
@@ -368,7 +382,7 @@
             why = "the server here holds the flow"
         return AgentAnswer(
             service=self._services.addresses.get(address, ServiceName("")),
-            bucket=key % len(table.owners) if table else -1,
+            bucket=table.bucket(key) if table else -1,
             state=state,
             owner=self._services.owner(address, key) or NodeId(""),
             told=held.told if held else NodeId(""),
--- a/packages/core/src/medlar_core/members/reach.py
+++ b/packages/core/src/medlar_core/members/reach.py
@@ -16,6 +16,7 @@
 from ..ids import Seconds
 
 CHECK_S = 0.5
+PROBE_S = 0.15
 TARGETS = 3
 """Processes of a place that are probed in each round of a check."""
 RETRY_S = 2.0
@@ -77,11 +78,17 @@
         held = self._places.get(place)
         return held is not None and held.heard >= since
 
-    def check(self, now: Seconds, place: PlaceName) -> None:
-        """Find out whether a place can be reached."""
-        held = self._places.setdefault(place, _Place(now - FRESH_S))
-        fresh = now - held.heard < FRESH_S
-        if held.reached is Reached.YES and not fresh:
+    def check(
+        self, now: Seconds, place: PlaceName, since: Seconds | None = None
+    ) -> None:
+        """Find out whether a place can be reached.
+
+        It need not be probed if it was heard of after ``since``, or just
+        now.
+        """
+        start = Seconds(now - FRESH_S) if since is None else since
+        held = self._places.setdefault(place, _Place(start - FRESH_S))
+        if held.reached is Reached.YES and held.heard < start:
             held.reached = Reached.CHECKING
             held.since = now
 
@@ -94,6 +101,11 @@
         """Return whether a place is silent."""
         return place in self.cut_places
 
+    def open(self, place: PlaceName) -> bool:
+        """Return whether a place is neither silent nor being looked at."""
+        held = self._places.get(place)
+        return held is None or held.reached is Reached.YES
+
     def awaited(self) -> list[PlaceName]:
         """Return the places that are back but not reconciled, sorted."""
         return sorted(
@@ -131,7 +143,8 @@
                     held.reached = Reached.NO
                     held.reconciled = False
                     silent.append(place)
-                case Reached.CHECKING:
+                case Reached.CHECKING if now - held.probed >= PROBE_S:
+                    held.probed = now
                     probe.append(place)
                 case Reached.NO if now - held.probed >= RETRY_S:
                     held.probed = now
