--- a/packages/core/src/medlar_core/flows/limits.py
+++ b/packages/core/src/medlar_core/flows/limits.py
@@ -33,7 +33,7 @@
 CLOSING_S = 10.0
 """How long an ended flow passes late packets, in seconds."""
 
-SPILL_SHARE = 1.12
+SPILL_SHARE = 1.13
 """Load over the mean above which new flows are passed on."""
 
 SPILL_SLACK = 0.25
@@ -123,7 +123,7 @@
 HINTS_LIMIT = 400_000
 """Hints that a balancer keeps."""
 
-BATCH_BYTES = 170
+BATCH_BYTES = 230
 """Bytes of a control message beside its keys."""
 
 SPILL_PICKS = 4
