--- a/packages/core/src/medlar_core/config/join.py
+++ b/packages/core/src/medlar_core/config/join.py
@@ -69,8 +69,13 @@
         waited = now > self._began + self._alone_s
         if len(self._heard) < ENOUGH and not waited:
             return None
-        peer = max(self._heard, key=lambda src: self._heard[src].version)
-        have = self._heard[peer]
-        if not have.version:
+        newest = max(have.version for have in self._heard.values())
+        if not newest:
             return None
+        # One peer for all who start at once would be asked too much.
+        holders = [
+            src for src, have in self._heard.items() if have.version == newest
+        ]
+        peer = self._rng.choice(holders)
+        have = self._heard[peer]
         return Choice(peer, have, len(self._heard))
