Let a process without a configuration ask balancers too

A trace showed one balancer at the slow pace throughout: among 36 agents it never heard another process that starts as well. Change: each round asks two balancers beside others.

--- a/packages/core/src/medlar_core/config/gossip.py
+++ b/packages/core/src/medlar_core/config/gossip.py
@@ -1,6 +1,5 @@
 """Whom a process tells its version, and when."""
 
-import itertools
 import random
 
 import msgspec
@@ -24,27 +23,33 @@
 
     ``fanout`` is how many are told in a round after a change. Agents
     know few others, so balancers tell as many agents as each has.
+    ``balancers`` are those of ``ids`` that are known to be balancers.
     """
 
     ids: tuple[NodeId, ...]
     fanout: int = HOT_FANOUT
+    balancers: tuple[NodeId, ...] = ()
 
     def some(self, rng: random.Random, count: int) -> list[NodeId]:
         """Return up to so many different peers."""
         return rng.sample(self.ids, min(count, len(self.ids)))
 
+    def some_balancers(self, rng: random.Random, count: int) -> list[NodeId]:
+        """Return up to so many different balancers."""
+        return rng.sample(self.balancers, min(count, len(self.balancers)))
+
 
 def peers_of(view: View | None, seeds: Peers, node: NodeId) -> Peers:
     """Return the peers of a process, itself left out."""
     if view is None:
         return seeds
-    balancers = (held.id for held in view.balancers)
-    servers = (held.id for held in view.servers)
-    members = itertools.chain(balancers, servers)
-    found = tuple(peer for peer in members if peer != node)
+    known = (held.id for held in view.balancers)
+    balancers = tuple(peer for peer in known if peer != node)
+    servers = (held.id for held in view.servers if held.id != node)
+    found = (*balancers, *servers)
     share = len(view.servers) // max(1, len(view.balancers))
     fanout = min(MAX_HOT_FANOUT, max(HOT_FANOUT, share))
-    return Peers(found, fanout) if found else seeds
+    return Peers(found, fanout, balancers) if found else seeds
 
 
 class Gossip:
--- a/packages/core/src/medlar_core/config/spread.py
+++ b/packages/core/src/medlar_core/config/spread.py
@@ -56,6 +56,8 @@
 
 ASK_AGAIN_S = 0.5
 ASK_TIMES = 3
+ASK_BALANCERS = 2
+"""Balancers that a process without a configuration asks each round."""
 VIEW_PERIOD_S = 1.0
 
 Effect = Send | CallStore | Publish | Record
@@ -307,7 +309,14 @@
     def _seek(self, now: Seconds) -> list[Effect]:
         if not self._join.due(now):
             return []
-        peers = self._gossip.peers.some(self._rng, self._join.fanout)
+        known = self._gossip.peers
+        # Balancers tell best whether the whole fleet starts.
+        peers = dict.fromkeys(
+            (
+                *known.some_balancers(self._rng, ASK_BALANCERS),
+                *known.some(self._rng, self._join.fanout),
+            )
+        )
         have = self._have()
         return [*(Send(peer, have) for peer in peers), *self._choose(now)]
 
