--- a/packages/bench/src/medlar_bench/members/budgets.py
+++ b/packages/bench/src/medlar_bench/members/budgets.py
@@ -26,7 +26,7 @@
 from .work import Day
 from .work import lose_place
 
-FAST_SIZES = (7, 14, 21)
+FAST_SIZES = (7, 14, 21, 28)
 FULL_SIZES = (14, 21, 28, 42)
 """Multiples of the seven places, so that all are alike."""
 LEASE_SIZES = (7, 14, 21, 28)
