--- a/packages/node/src/medlar_node/metrics.py
+++ b/packages/node/src/medlar_node/metrics.py
@@ -6,6 +6,20 @@
 from prometheus_client import generate_latest
 from prometheus_client import Histogram
 
+from medlar_core.timeline.events import Topic
+
+REFUSING = frozenset(
+    (
+        Topic.ADMISSION,
+        Topic.CONFIGURATION,
+        Topic.KEYS,
+        Topic.PACKET,
+        Topic.STORE,
+        Topic.VERDICT,
+    )
+)
+"""Topics whose events with a reason tell of something refused."""
+
 
 class Metrics:
     """All metrics of one process; docs/reference/metrics.md lists them."""
@@ -86,10 +100,10 @@
         """Count a call to the store."""
         self._store_calls.labels(kind, result).inc()
 
-    def event(self, topic: str, reason: str) -> None:
-        """Count an event of the time line and its reason, if any."""
-        self._events.labels(topic).inc()
-        if reason:
+    def event(self, topic: Topic, reason: str) -> None:
+        """Count an event of the time line, and what it refused, if so."""
+        self._events.labels(topic.value).inc()
+        if reason and topic in REFUSING:
             self._refusals.labels(reason).inc()
 
     def verdict(self, service: str, kind: str, verdict: str) -> None:
--- a/packages/node/src/medlar_node/process.py
+++ b/packages/node/src/medlar_node/process.py
@@ -151,7 +151,7 @@
 
     def record(self, event: TimelineEvent) -> None:
         """Put an event on the time line and count it."""
-        self.metrics.event(event.topic.value, event.reason)
+        self.metrics.event(event.topic, event.reason)
         if self.recorder.record(_wall_ms(), event):
             log.info(
                 event.text,
--- a/packages/standins/src/medlar_standins/demo/scenario.py
+++ b/packages/standins/src/medlar_standins/demo/scenario.py
@@ -267,6 +267,12 @@
 
     async def _until_all_answer(self) -> None:
         async def answer() -> bool:
+            ended = self._fleet.dead()
+            if ended:
+                raise NotReady(
+                    f"ended at the start: {', '.join(ended)}; another demo "
+                    f"on the same ports? see the logs in {self._folder}"
+                )
             return len(await self._statuses()) == len(nodes())
 
         await self._until(answer, READY_LIMIT_S, "an answer of each process")
--- /dev/null
+++ b/testing/node/test_metrics.py
@@ -0,0 +1,19 @@
+import pytest
+
+from medlar_core.timeline.events import Topic
+from medlar_node.metrics import Metrics
+
+
+@pytest.mark.parametrize(
+    ("topic", "counted"),
+    [(Topic.ADMISSION, True), (Topic.KEYS, True), (Topic.MEMBERSHIP, False)],
+)
+def test_only_refusals_are_counted_as_such(
+    topic: Topic, counted: bool
+) -> None:
+    metrics = Metrics()
+    metrics.event(topic, "told")
+    found = 'medlarstage_refusals_total{reason="told"} 1.0' in str(
+        metrics.text().decode()
+    )
+    assert found is counted
