--- a/packages/node/src/medlar_node/agent.py
+++ b/packages/node/src/medlar_node/agent.py
@@ -34,6 +34,7 @@
 from .serverport import ServerPort
 from .settings import AgentSettings
 from .status import Explained
+from .status import flow_asked
 from .status import Status
 from .status import Unexplained
 
@@ -160,13 +161,12 @@
         )
 
     def _explain(self, query: dict[str, str]) -> Explained | Unexplained:
-        caller = query.get("caller", "")
-        address = query.get("address", "")
-        if bool(caller) != bool(address):
-            return Unexplained("expected both caller and address as ip:port")
+        asked = flow_asked(query)
+        if isinstance(asked, Unexplained):
+            return asked
         flow = None
-        if caller:
-            flow = self._agent.flows.explain(caller, address)
+        if asked is not None:
+            flow = self._agent.flows.explain(asked.caller, asked.address)
         return Explained(
             self._cfg.listen,
             self._agent.config.version,
--- a/packages/node/src/medlar_node/balancer.py
+++ b/packages/node/src/medlar_node/balancer.py
@@ -36,6 +36,7 @@
 from .proxyline import ProxyLine
 from .settings import BalancerSettings
 from .status import Explained
+from .status import flow_asked
 from .status import Status
 from .status import Unexplained
 
@@ -156,14 +157,15 @@
         )
 
     def _explain(self, query: dict[str, str]) -> Explained | Unexplained:
-        caller = query.get("caller", "")
-        address = query.get("address", "")
-        if bool(caller) != bool(address):
-            return Unexplained("expected both caller and address as ip:port")
+        asked = flow_asked(query)
+        if isinstance(asked, Unexplained):
+            return asked
         flow = None
-        if caller:
+        if asked is not None:
             now = Seconds(time.monotonic())
-            flow = self._balancer.flows.explain(now, caller, address)
+            flow = self._balancer.flows.explain(
+                now, asked.caller, asked.address
+            )
         return Explained(
             self._cfg.listen,
             self._balancer.config.version,
--- a/packages/node/src/medlar_node/status.py
+++ b/packages/node/src/medlar_node/status.py
@@ -9,7 +9,6 @@
 from medlar_core.ids import ServiceName
 from medlar_core.members.view import Balancer
 from medlar_core.members.view import Server
-from medlar_core.members.view import View
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True):
@@ -47,10 +46,17 @@
     flow: BalancerAnswer | AgentAnswer | None = None
 
 
-def states(view: View) -> dict[str, int]:
-    """Return how many servers of a view are in each state."""
-    found: dict[str, int] = {}
-    for server in view.servers:
-        name = server.state.value
-        found[name] = found.get(name, 0) + 1
-    return found
+class FlowAsked(msgspec.Struct, frozen=True):
+    """The flow that a question is about; both ends are ``ip:port``."""
+
+    caller: str
+    address: str
+
+
+def flow_asked(query: dict[str, str]) -> FlowAsked | Unexplained | None:
+    """Return the flow that a query names, or None if it names none."""
+    caller = query.get("caller", "")
+    address = query.get("address", "")
+    if bool(caller) != bool(address):
+        return Unexplained("expected both caller and address as ip:port")
+    return FlowAsked(caller, address) if caller else None
