Keep one type for a whole answer of a server

Cause: the read-through found Held in egress.py and Answer in ingress.py, the same three fields and the same limit written twice. Change: both use Answer and MAX_ANSWER_BYTES of answers.py. Conclusion: no change of behaviour.

--- a/packages/node/src/medlar_node/egress.py
+++ b/packages/node/src/medlar_node/egress.py
@@ -26,26 +26,19 @@
 
 from . import attempt_wire as wire
 from . import headers as names
+from .answers import Answer
+from .answers import MAX_ANSWER_BYTES
 from .logs import part_logger
 from .metrics import Metrics
 from .process import Process
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 log = part_logger("egress")
 
 SHED_STATUS = 503
 """The server's word that it did not run the work."""
 
 
-class Held(msgspec.Struct, frozen=True):
-    """A whole answer of the server, kept for the caller and repeats."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class _Attempt(msgspec.Struct):
     """An attempt whose balancer waits for a word."""
 
@@ -65,7 +58,7 @@
         self._server = server
         self._attempts: dict[AttemptId, _Attempt] = {}
         self._work: dict[AttemptId, asyncio.Task[None]] = {}
-        self._held: dict[AttemptId, Held] = {}
+        self._held: dict[AttemptId, Answer] = {}
         self._session: ClientSession | None = None
 
     async def start(self) -> None:
@@ -239,7 +232,7 @@
         if res.status == SHED_STATUS:
             return NotRun(Reason.SHED)
         kept = names.end_to_end(res.headers)
-        self._held[started.work] = Held(res.status, kept, answer)
+        self._held[started.work] = Answer(res.status, kept, answer)
         digest = hashlib.sha256(answer).hexdigest()
         return Ran(res.status, digest, len(answer))
 
--- a/packages/node/src/medlar_node/ingress.py
+++ b/packages/node/src/medlar_node/ingress.py
@@ -33,6 +33,8 @@
 
 from . import attempt_wire as wire
 from . import headers as names
+from .answers import Answer
+from .answers import MAX_ANSWER_BYTES
 from .bodies import Body
 from .bodies import BodyGone
 from .logs import part_logger
@@ -40,7 +42,6 @@
 from .process import Process
 from .proxyline import Destination
 
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 GRACE_S = 0.5
 """Time beyond the deadline in which an agent's own verdict still counts."""
 KEY_CHARS = 128
@@ -48,14 +49,6 @@
 log = part_logger("ingress")
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """A whole answer of a server, checked against its digest."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class _Open(msgspec.Struct):
     """A request that has not ended."""
 
