--- a/packages/core/src/medlar_core/packets.py
+++ b/packages/core/src/medlar_core/packets.py
@@ -19,6 +19,8 @@
     ACK = 2
     FIN = 4
     RST = 8
+    BOUNCED = 16
+    """A server returned the packet: it does not hold the flow."""
 
 
 class Packet(msgspec.Struct, array_like=True, omit_defaults=True):
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of opaque flows: balancers choose, agents hold and return."""
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -0,0 +1,259 @@
+"""Decisions of an agent: its server's flows, and where others are."""
+
+import random
+from typing import Any
+
+import msgspec
+
+from ..effects import Send
+from ..events import Received
+from ..events import StopAsked
+from ..events import StoreAnswered
+from ..events import Tick
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..packets import Flag
+from ..storeaccess.access import StoreAccess
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .agent_flows import AgentFlows
+from .effects import RelayEffect
+from .events import PassedOn
+from .events import ServerAnnounced
+from .events import ServerLeft
+from .events import ServerReturned
+from .flowtable import DEFAULT_IDLE_S
+from .journal import Journal
+from .members import Members
+from .messages import AgentReport
+from .messages import AgentState
+from .messages import FlowHeld
+from .messages import FlowUnknown
+from .messages import Hello
+from .messages import Goodbye
+from .messages import OtherService
+from .neighbour import Neighbour
+from .pace import Pace
+from .registration import Registration
+from .segment import SegmentCodec
+
+PEERS_EVERY_S = 0.1
+BALANCERS_EVERY_S = 0.1
+EXPIRE_EVERY_S = 1.0
+
+
+class AgentIdentity(msgspec.Struct, frozen=True):
+    """Who an agent is; ``beat_s`` is how often its server speaks."""
+
+    node: NodeId
+    place: PlaceName
+    service: ServiceName
+    incarnation: int
+    beat_s: float
+    seeds: tuple[NodeId, ...]
+
+
+class RelayAgent:
+    """Reducer of an agent."""
+
+    def __init__(
+        self,
+        who: AgentIdentity,
+        codec: SegmentCodec,
+        access: StoreAccess,
+        registration: Registration,
+        rng: random.Random,
+    ) -> None:
+        self._who = who
+        self._incarnation = who.incarnation
+        self._access = access
+        self._registration = registration
+        self.members = Members(who.node)
+        self.neighbour = Neighbour(who.beat_s)
+        self._journal = Journal(who.node)
+        self.flows = AgentFlows(
+            who.node,
+            who.service,
+            codec,
+            self.members,
+            self.neighbour,
+            self._journal,
+            rng,
+        )
+        self._count = 0
+        self._state = AgentState.STARTING
+        self._stopping = False
+        self._peer_pace = Pace(PEERS_EVERY_S)
+        self._balancer_pace = Pace(BALANCERS_EVERY_S)
+        self._idle_s = DEFAULT_IDLE_S
+        self._expire_at = 0.0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server is gone and the store still has its entry."""
+        gone = self._state is AgentState.GONE
+        return gone and not self._registration.is_written
+
+    def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
+        """Take one event and return the effects to carry out."""
+        match event:
+            case PassedOn():
+                return self.flows.passed_on(now, event, self.report(now))
+            case ServerReturned(segment=segment):
+                own = self.report(now) if segment.flags & Flag.BOUNCED else None
+                return self.flows.returned(now, segment, own)
+            case Received(src=src, msg=msg):
+                return self._received(now, src, msg)
+            case Tick():
+                return self._tick(now)
+            case ServerAnnounced():
+                return self._announced(now, event)
+            case ServerLeft():
+                return self._left(now, event)
+            case StoreAnswered():
+                self._registration.answered(now, event)
+                return self._store_calls(now)
+            case StopAsked():
+                self._stopping = True
+                return self._changed(now)
+        return []
+
+    def report(self, now: Seconds) -> AgentReport:
+        """Return what this agent says of itself now."""
+        server = self.neighbour.server
+        state = self.neighbour.state(now)
+        if self._stopping and state is not AgentState.GONE:
+            state = AgentState.RESTARTING
+        self._count += 1
+        return AgentReport(
+            id=self._who.node,
+            place=self._who.place,
+            service=self.flows.service,
+            incarnation=self._incarnation,
+            count=self._count,
+            state=state,
+            slots=server.slots if server else 1,
+            busy=self.flows.table.busy,
+            flows=self.flows.table.open,
+            cold=server is not None and server.cold_until > now,
+            whole=self.neighbour.knows_all(now),
+            server=server.name if server else "",
+            server_born=server.born_ms if server else 0,
+        )
+
+    # The server beside this agent
+
+    def _announced(
+        self, now: Seconds, event: ServerAnnounced
+    ) -> list[RelayEffect]:
+        is_new = self.neighbour.announced(now, event)
+        effects: list[RelayEffect] = []
+        server = self.neighbour.server
+        if server is not None:
+            self.flows.service = server.service
+        if is_new:
+            effects += self.flows.server_replaced(now)
+        return effects + self._changed(now)
+
+    def _left(self, now: Seconds, event: ServerLeft) -> list[RelayEffect]:
+        if not self.neighbour.left(event):
+            return []
+        return [*self.flows.server_replaced(now), *self._changed(now)]
+
+    def _changed(self, now: Seconds) -> list[RelayEffect]:
+        """Tell a change of state at once."""
+        report = self.report(now)
+        if report.state is self._state:
+            return []
+        old, self._state = self._state, report.state
+        event = self._journal.belief(
+            Topic.DRAIN
+            if report.state in (AgentState.DRAINING, AgentState.GONE)
+            else Topic.MEMBERSHIP,
+            f"members: server is {report.state.value}, was {old.value}",
+            service=report.service,
+            server=f"{report.server} born {report.server_born}",
+        )
+        self._peer_pace.hurry()
+        self._balancer_pace.hurry()
+        self._register(report)
+        return [event, *self._tell(now), *self._store_calls(now)]
+
+    # Other processes
+
+    def _received(
+        self, now: Seconds, src: NodeId, msg: Any
+    ) -> list[RelayEffect]:
+        match msg:
+            case AgentReport():
+                self.members.take_report(now, msg, direct=msg.id == src)
+            case Hello():
+                self._greeted(now, msg)
+            case Goodbye(id=node):
+                self.members.balancers.pop(node, None)
+            case FlowHeld(flow=flow, holder=holder):
+                return self.flows.found(now, flow, holder)
+            case FlowUnknown(flow=flow):
+                return self.flows.denied(now, flow, src)
+            case OtherService(report=report):
+                self.members.take_report(now, report, direct=True)
+        return []
+
+    def _greeted(self, now: Seconds, msg: Hello) -> None:
+        self.members.take_balancer(now, msg.id)
+        self._journal.version = max(self._journal.version, msg.version)
+        if msg.idle_s:
+            self._idle_s = msg.idle_s
+        for peer in msg.peers:
+            self.members.learn_balancer(now, peer)
+        for departed in msg.departed:
+            self.members.take_departed(now, departed)
+        for report in msg.agents:
+            if report.id == self._who.node:
+                self._refute(report)
+            else:
+                self.members.take_report(now, report, direct=False)
+        self.flows.introduced(now)
+
+    def _refute(self, report: AgentReport) -> None:
+        """Outdo what an earlier process at this address has said."""
+        if report.incarnation > self._incarnation:
+            self._incarnation = report.incarnation + 1
+            self._peer_pace.hurry()
+            self._balancer_pace.hurry()
+
+    def _tick(self, now: Seconds) -> list[RelayEffect]:
+        effects = self._changed(now)
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_EVERY_S
+            self.members.expire(now)
+            self.flows.expire(now, self._idle_s)
+        effects += self._tell(now)
+        effects += self._store_calls(now)
+        return effects
+
+    def _tell(self, now: Seconds) -> list[RelayEffect]:
+        peers = [m.report.id for m in self.members.of(self.flows.service)]
+        balancers = list(self.members.balancers) or list(self._who.seeds)
+        told: list[NodeId] = []
+        if self._peer_pace.due(now, len(peers)):
+            told += peers
+        if self._balancer_pace.due(now, len(balancers)):
+            told += balancers
+        if not told:
+            return []
+        report = self.report(now)
+        return [Send(node, report) for node in told]
+
+    def _register(self, report: AgentReport) -> None:
+        if report.state in (AgentState.GONE, AgentState.STARTING):
+            self._registration.want("")
+            return
+        lasting = msgspec.structs.replace(report, busy=0, flows=0, cold=False)
+        self._registration.want(msgspec.json.encode(lasting).decode())
+
+    def _store_calls(self, now: Seconds) -> list[RelayEffect]:
+        self._registration.due(now)
+        return list(self._access.due(now))
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -0,0 +1,437 @@
+"""An agent's packets: to its server, to its callers, to other agents."""
+
+import random
+
+from ..effects import Send
+from ..ids import NodeId
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..packets import Flag
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .choice import Choice
+from .choice import load
+from .effects import Pass
+from .effects import RelayEffect
+from .effects import ToCaller
+from .effects import ToServer
+from .events import PassedOn
+from .flowtable import Flow
+from .flowtable import FlowTable
+from .journal import Journal
+from .members import Member
+from .members import Members
+from .messages import AgentReport
+from .messages import AgentState
+from .messages import FlowHeld
+from .messages import FlowUnknown
+from .messages import OtherService
+from .neighbour import Neighbour
+from .search import PACKETS_KEPT
+from .search import Search
+from .search import Searches
+from .segment import FlowId
+from .segment import Segment
+from .segment import SegmentCodec
+from .wrapped import Why
+from .wrapped import Wrapped
+
+SETTLE_S = 0.5
+"""After its first greeting an agent knows the members of its service."""
+PASS_ON_GAIN = 1.0
+"""A new flow is passed on once if another server's load is lower by this."""
+
+_SYN = int(Flag.SYN)
+
+
+class AgentFlows:
+    """The flow part of an agent's reducer."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        service: ServiceName,
+        codec: SegmentCodec,
+        members: Members,
+        neighbour: Neighbour,
+        journal: Journal,
+        rng: random.Random,
+    ) -> None:
+        self.service = service
+        self.table = FlowTable(node)
+        self._node = node
+        self._codec = codec
+        self._members = members
+        self._neighbour = neighbour
+        self._journal = journal
+        self._choice = Choice(node, rng)
+        self._searches = Searches()
+        self._askers: dict[FlowId, NodeId] = {}
+        self._introduced_at: float | None = None
+
+    def introduced(self, now: Seconds) -> None:
+        """Note that a balancer told the members."""
+        if self._introduced_at is None:
+            self._introduced_at = now
+
+    def expire(self, now: Seconds, idle_s: float) -> None:
+        """Forget what is no longer needed."""
+        self.table.expire(now, idle_s)
+        self._searches.expire(now)
+        self._askers.clear()
+
+    # Packets from balancers and other agents
+
+    def passed_on(
+        self, now: Seconds, event: PassedOn, own: AgentReport
+    ) -> list[RelayEffect]:
+        """Take a packet that a balancer or another agent handed on."""
+        wrapped = event.wrapped
+        segment = event.segment
+        flow_id = segment.inward
+        flow = self.table.get(flow_id)
+        opening = bool(segment.flags & _SYN)
+        if flow is not None and flow.holder == self._node:
+            return self._to_holder(now, event, flow_id, flow, own)
+        if opening and wrapped.service != self.service:
+            return [Send(event.src, OtherService(wrapped.service, own))]
+        if wrapped.why == Why.ASKED:
+            return self._asked(now, event, flow_id, flow)
+        if flow is not None:
+            return self._to_other(now, event, flow_id, flow, own)
+        if opening:
+            return self._open(now, event, flow_id, own)
+        return self._search(now, flow_id, segment, wrapped)
+
+    def _to_holder(
+        self,
+        now: Seconds,
+        event: PassedOn,
+        flow_id: FlowId,
+        flow: Flow,
+        own: AgentReport,
+    ) -> list[RelayEffect]:
+        """Deliver a packet to the own server, which holds the flow."""
+        segment = event.segment
+        unanswered = segment.flags & _SYN and not flow.answered
+        if unanswered and own.state is not AgentState.READY:
+            return self._place(now, flow_id, segment, own, (self._node,))
+        effects = self._deliver(now, flow, segment)
+        if event.wrapped.why == Why.ASKED:
+            effects.append(Send(event.src, FlowHeld(flow_id, self._node)))
+        return effects
+
+    def _to_other(
+        self,
+        now: Seconds,
+        event: PassedOn,
+        flow_id: FlowId,
+        flow: Flow,
+        own: AgentReport,
+    ) -> list[RelayEffect]:
+        """Pass a packet to the agent that holds its flow."""
+        segment = event.segment
+        flow.at = now
+        if event.src == flow.holder and not segment.flags & _SYN:
+            # The holder that is known here sends the packet back.
+            self.table.remove(flow_id)
+            return self._search(now, flow_id, segment, event.wrapped)
+        if segment.flags & _SYN and not self._takes_flows(now, flow.holder):
+            declined = (*flow.declined, flow.holder)
+            return self._place(now, flow_id, segment, own, declined)
+        return [self._pass(flow.holder, Why.PLACED, segment, flow.declined)]
+
+    def _deliver(
+        self, now: Seconds, flow: Flow, segment: Segment
+    ) -> list[RelayEffect]:
+        self.table.delivered(now, flow, segment)
+        return [ToServer(self._codec.offered(segment.data))]
+
+    # New flows
+
+    def _open(
+        self, now: Seconds, event: PassedOn, flow_id: FlowId, own: AgentReport
+    ) -> list[RelayEffect]:
+        segment = event.segment
+        declined = event.wrapped.declined
+        if event.wrapped.why == Why.ROUTED or own.state != AgentState.READY:
+            return self._place(now, flow_id, segment, own, declined)
+        # Another agent chose this one by a report that may be outdated.
+        if own.busy >= own.slots and self._node not in declined:
+            others = self._members.of(self.service)
+            best = self._choice.pick(now, own, others, declined)
+            gain = load(own) - self._load_of(best)
+            if best != self._node and gain >= PASS_ON_GAIN:
+                return self._place(
+                    now, flow_id, segment, own, (*declined, self._node)
+                )
+        return self._take(now, flow_id, segment, declined)
+
+    def _place(
+        self,
+        now: Seconds,
+        flow_id: FlowId,
+        segment: Segment,
+        own: AgentReport,
+        declined: tuple[NodeId, ...],
+    ) -> list[RelayEffect]:
+        """Give a new flow to the server that has most room."""
+        able = own if own.state is AgentState.READY else None
+        others = self._members.of(self.service)
+        best = self._choice.pick(now, able, others, declined)
+        if best is None:
+            return self._refuse(now, flow_id, segment, own)
+        if best == self._node:
+            return self._take(now, flow_id, segment, declined)
+        self.table.put(now, flow_id, best, declined)
+        return [self._pass(best, Why.PLACED, segment, declined)]
+
+    def _take(
+        self,
+        now: Seconds,
+        flow_id: FlowId,
+        segment: Segment,
+        declined: tuple[NodeId, ...],
+    ) -> list[RelayEffect]:
+        flow = self.table.put(now, flow_id, self._node, declined)
+        note = self._journal.flow(
+            Topic.PLACEMENT,
+            f"flows: opened with {self.table.busy} busy, "
+            f"{self.table.open} open, declined by {len(declined)}",
+            flow_id,
+            self.service,
+            self._node,
+        )
+        return [*self._deliver(now, flow, segment), note]
+
+    def _refuse(
+        self,
+        now: Seconds,
+        flow_id: FlowId,
+        segment: Segment,
+        own: AgentReport,
+    ) -> list[RelayEffect]:
+        """Reset a flow that no server takes, if that is certain."""
+        self.table.remove(flow_id)
+        if not self._is_settled(now):
+            return []
+        why = Reason.SHED
+        if own.state is not AgentState.READY:
+            why = Reason.NO_SERVER
+        return self._reset(flow_id, segment.ack, why)
+
+    # Flows that this agent does not know
+
+    def _search(
+        self,
+        now: Seconds,
+        flow_id: FlowId,
+        segment: Segment,
+        wrapped: Wrapped,
+        own_denied: bool = False,
+    ) -> list[RelayEffect]:
+        """Ask all who may hold a flow; keep its packets meanwhile."""
+        if segment.flags & Flag.RST:
+            return []
+        running = self._searches.running(now, flow_id)
+        if running is not None:
+            if len(running.waiting) < PACKETS_KEPT:
+                running.waiting.append(segment)
+            running.acked = segment.ack
+            return []
+        if self._searches.full():
+            return [self._note(flow_id, "flows: dropped, too many searches")]
+        asked = self._all_members(wrapped)
+        offers = not own_denied and not self._knows_all(now)
+        search = Search(
+            began=now,
+            awaited={m.report.id for m in asked},
+            own=offers,
+            provable=self._is_settled(now),
+            waiting=[],
+            acked=segment.ack,
+        )
+        self._searches.begin(flow_id, search)
+        effects: list[RelayEffect] = [
+            self._pass(m.report.id, Why.ASKED, segment, ()) for m in asked
+        ]
+        if offers:
+            effects.append(ToServer(self._codec.offered(segment.data)))
+        effects.append(
+            self._note(flow_id, f"flows: unknown, asked {len(asked)} agents")
+        )
+        return effects + self._conclude(flow_id, search)
+
+    def _asked(
+        self,
+        now: Seconds,
+        event: PassedOn,
+        flow_id: FlowId,
+        flow: Flow | None,
+    ) -> list[RelayEffect]:
+        """Answer whether the own server holds a flow."""
+        if flow is not None and flow.holder != event.src:
+            segment = event.segment
+            return [
+                self._pass(flow.holder, Why.PLACED, segment, ()),
+                Send(event.src, FlowHeld(flow_id, flow.holder)),
+            ]
+        if self._knows_all(now):
+            return [Send(event.src, FlowUnknown(flow_id))]
+        self._askers[flow_id] = event.src
+        return [ToServer(self._codec.offered(event.segment.data))]
+
+    def found(
+        self, now: Seconds, flow_id: FlowId, holder: NodeId
+    ) -> list[RelayEffect]:
+        """Take the word of the agent whose server holds a flow."""
+        search = self._searches.end(flow_id)
+        if search is None or holder == self._node:
+            return []
+        self.table.put(now, flow_id, holder)
+        effects: list[RelayEffect] = [
+            self._pass(holder, Why.PLACED, segment, ())
+            for segment in search.waiting
+        ]
+        effects.append(self._note(flow_id, "flows: found", holder))
+        return effects
+
+    def denied(
+        self, now: Seconds, flow_id: FlowId, src: NodeId
+    ) -> list[RelayEffect]:
+        """Take the word of an agent whose server does not hold a flow."""
+        search = self._searches.get(flow_id)
+        if search is None:
+            return []
+        search.awaited.discard(src)
+        return self._conclude(flow_id, search)
+
+    def _conclude(
+        self, flow_id: FlowId, search: Search
+    ) -> list[RelayEffect]:
+        if not search.proves_absence:
+            return []
+        self._searches.end(flow_id)
+        return self._reset(flow_id, search.acked, Reason.NO_FLOW)
+
+    # Packets from the own server
+
+    def returned(
+        self, now: Seconds, segment: Segment, own: AgentReport | None
+    ) -> list[RelayEffect]:
+        """Take a packet that the server sent, or did not accept."""
+        if segment.flags & Flag.BOUNCED:
+            assert own is not None
+            return self._bounced(now, segment, own)
+        flow_id = segment.outward
+        flow = self.table.get(flow_id)
+        effects: list[RelayEffect] = [ToCaller(segment.dst, segment.data)]
+        if flow is None or flow.holder != self._node:
+            flow = self.table.put(now, flow_id, self._node)
+            effects += self._came_back(now, flow_id, flow, segment)
+        self.table.returned(now, flow, segment)
+        return effects
+
+    def _came_back(
+        self, now: Seconds, flow_id: FlowId, flow: Flow, segment: Segment
+    ) -> list[RelayEffect]:
+        """Take back a flow that the server's own packet proves."""
+        flow.answered = True
+        flow.sent = segment.ack
+        flow.acked = segment.seq
+        effects: list[RelayEffect] = []
+        asker = self._askers.pop(flow_id, None)
+        if asker is not None:
+            effects.append(Send(asker, FlowHeld(flow_id, self._node)))
+        search = self._searches.end(flow_id)
+        if search is not None:
+            for waiting in search.waiting:
+                effects += self._deliver(now, flow, waiting)
+        effects.append(
+            self._note(flow_id, "flows: known again by the server's packet")
+        )
+        return effects
+
+    def _bounced(
+        self, now: Seconds, segment: Segment, own: AgentReport
+    ) -> list[RelayEffect]:
+        """Take back a packet that the own server did not accept."""
+        flow_id = segment.inward
+        flow = self.table.get(flow_id)
+        held = flow is not None and flow.holder == self._node
+        if segment.flags & _SYN:
+            if not held or flow is None:
+                return []
+            declined = (*flow.declined, self._node)
+            self.table.remove(flow_id)
+            return self._place(now, flow_id, segment, own, declined)
+        asker = self._askers.pop(flow_id, None)
+        if asker is not None:
+            return [Send(asker, FlowUnknown(flow_id))]
+        search = self._searches.get(flow_id)
+        if search is not None:
+            search.own = False
+            return self._conclude(flow_id, search)
+        if held:
+            self.table.remove(flow_id)
+        wrapped = Wrapped(Why.ROUTED, self.service, segment.data)
+        return self._search(now, flow_id, segment, wrapped, own_denied=True)
+
+    def server_replaced(self, now: Seconds) -> list[RelayEffect]:
+        """Reset the flows of a server that has ended."""
+        effects: list[RelayEffect] = []
+        for flow_id, flow in self.table.own():
+            self.table.remove(flow_id)
+            effects += self._reset(flow_id, flow.acked, Reason.SERVER_DIED)
+        return effects
+
+    # Helpers
+
+    def _all_members(self, wrapped: Wrapped) -> list[Member]:
+        names = {self.service, wrapped.service, *wrapped.elsewhere}
+        return [m for name in sorted(names) for m in self._members.of(name)]
+
+    def _knows_all(self, now: Seconds) -> bool:
+        if self._neighbour.state(now) is AgentState.DOWN:
+            return True
+        return self._neighbour.knows_all(now)
+
+    def _is_settled(self, now: Seconds) -> bool:
+        since = self._introduced_at
+        return since is not None and now - since >= SETTLE_S
+
+    def _takes_flows(self, now: Seconds, node: NodeId) -> bool:
+        member = self._members.agents.get(node)
+        if member is None or member.is_silent(now):
+            return False
+        return member.report.state is AgentState.READY
+
+    def _load_of(self, node: NodeId | None) -> float:
+        member = self._members.agents.get(node) if node else None
+        return load(member.report) if member else float("inf")
+
+    def _pass(
+        self,
+        dst: NodeId,
+        why: Why,
+        segment: Segment,
+        declined: tuple[NodeId, ...],
+    ) -> Pass:
+        wrapped = Wrapped(int(why), self.service, segment.data, declined)
+        return Pass(dst, wrapped)
+
+    def _reset(
+        self, flow_id: FlowId, seq: int, why: Reason
+    ) -> list[RelayEffect]:
+        data = self._codec.reset(flow_id, seq)
+        note = self._journal.flow(
+            Topic.PACKET, "flows: reset", flow_id, self.service, why=why
+        )
+        return [ToCaller(flow_id.caller, data), note]
+
+    def _note(
+        self, flow_id: FlowId, text: str, server: str = ""
+    ) -> RelayEffect:
+        return self._journal.flow(
+            Topic.HANDOVER, text, flow_id, self.service, server
+        )
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -0,0 +1,408 @@
+"""Decisions of a balancer: which agent is asked about a packet.
+
+Nothing depends on a balancer's memory: what it keeps of flows are hints
+that save a hop.
+"""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import msgspec
+
+from ..effects import Send
+from ..events import Received
+from ..events import StopAsked
+from ..events import StoreAnswered
+from ..events import Tick
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..packets import Flag
+from ..store import Item
+from ..storeaccess.access import Part
+from ..storeaccess.access import StoreAccess
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .effects import FetchRoutes
+from .effects import Pass
+from .effects import RelayEffect
+from .effects import ToCaller
+from .events import CallerSent
+from .events import RoutesFetched
+from .journal import Journal
+from .members import Members
+from .messages import AgentReport
+from .messages import Goodbye
+from .messages import Hello
+from .messages import OtherService
+from .owners import eligible
+from .owners import Owners
+from .pace import Pace
+from .registration import Registration
+from .routes import Routes
+from .routes import RouteTable
+from .segment import Segment
+from .segment import SegmentCodec
+from .watching import Change
+from .watching import Following
+from .watching import Read
+from .wrapped import Why
+from .wrapped import Wrapped
+
+HELLO_EVERY_S = 0.5
+HELLO_AGENTS = 12
+"""Reports in one greeting; the rest follow in the next ones."""
+CONFIGURATION_WAIT_S = 5.0
+MEMBERS_WAIT_S = 10.0
+FETCH_AGAIN_S = 1.0
+CERTAIN_S = 6.0
+"""An unknown address is refused if the configuration is this fresh."""
+
+_SYN = int(Flag.SYN)
+
+
+class BalancerIdentity(msgspec.Struct, frozen=True):
+    """Who a balancer is, and where the store keeps what it reads.
+
+    ``agents`` and ``balancers`` are prefixes under ``members``.
+    """
+
+    node: NodeId
+    place: PlaceName
+    seeds: tuple[NodeId, ...]
+    configuration: str
+    members: str
+    agents: str
+    balancers: str
+
+
+RouteReader = Callable[[str], RouteTable]
+"""Reads the operators' configuration; raises ValueError if it can't."""
+
+
+class RelayBalancer:
+    """Reducer of a balancer."""
+
+    def __init__(
+        self,
+        who: BalancerIdentity,
+        codec: SegmentCodec,
+        read_routes: RouteReader,
+        access: StoreAccess,
+        registration: Registration,
+        rng: random.Random,
+    ) -> None:
+        self._who = who
+        self._codec = codec
+        self._read_routes = read_routes
+        self._access = access
+        self._registration = registration
+        self._rng = rng
+        self.members = Members(who.node)
+        self.routes = Routes()
+        self._journal = Journal(who.node)
+        self._owners: dict[ServiceName, Owners] = {}
+        self._configuration = Following(
+            access,
+            Part.CONFIGURATION,
+            who.configuration,
+            CONFIGURATION_WAIT_S,
+        )
+        self._entries = Following(
+            access, Part.MEMBERS, who.members, MEMBERS_WAIT_S
+        )
+        self._pace = Pace(HELLO_EVERY_S)
+        self._changes = 0
+        self._told = 0
+        self._fetch_at = 0.0
+        self._agreed_at = float("-inf")
+        self.stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this balancer can carry traffic."""
+        known = self.routes.table is not None and bool(self.members.agents)
+        return known and not self.stopping
+
+    def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
+        """Take one event and return the effects to carry out."""
+        match event:
+            case CallerSent(segment=segment):
+                return self._came(now, segment)
+            case Received(src=src, msg=msg):
+                return self._received(now, src, msg)
+            case Tick():
+                return self._tick(now)
+            case StoreAnswered():
+                return self._answered(now, event)
+            case RoutesFetched(table=table, src=src):
+                return self._took(now, table, f"balancer {src}")
+            case StopAsked():
+                self.stopping = True
+                self._registration.want("")
+                return self._goodbye()
+        return []
+
+    # Packets
+
+    def _came(self, now: Seconds, segment: Segment) -> list[RelayEffect]:
+        flow_id = segment.inward
+        services = self.routes.services(flow_id)
+        if not services:
+            return self._unknown_address(now, segment)
+        owners = self._owners.get(services[0])
+        if owners is None or not owners.ids:
+            return [self._dropped(segment, services[0], Reason.NO_SERVER)]
+        ranked = owners.ranked(flow_id.key)
+        dst = self._heard_first(now, ranked, segment)
+        wrapped = Wrapped(
+            int(Why.ROUTED),
+            services[0],
+            segment.data,
+            (),
+            services[1:],
+        )
+        return [Pass(dst, wrapped)]
+
+    def _heard_first(
+        self, now: Seconds, ranked: tuple[NodeId, ...], segment: Segment
+    ) -> NodeId:
+        """Return the owner, or its stand-in if the owner may be away.
+
+        A repeated SYN says that the first one was not answered.
+        """
+        repeated = segment.flags & _SYN and segment.ack
+        if not repeated or len(ranked) < 2:
+            return ranked[0]
+        owner = self.members.agents.get(ranked[0])
+        if owner is None or owner.is_silent(now, STAND_IN_S):
+            return ranked[1]
+        return ranked[0]
+
+    def _unknown_address(
+        self, now: Seconds, segment: Segment
+    ) -> list[RelayEffect]:
+        flow_id = segment.inward
+        fresh = max(self._configuration.fresh_at, self._agreed_at)
+        certain = now - fresh <= CERTAIN_S
+        if not segment.flags & _SYN or not certain:
+            return [self._dropped(segment, "", Reason.UNKNOWN_ADDRESS)]
+        note = self._journal.flow(
+            Topic.PACKET,
+            "flows: refused",
+            flow_id,
+            why=Reason.UNKNOWN_ADDRESS,
+        )
+        data = self._codec.reset(flow_id, segment.ack)
+        return [ToCaller(flow_id.caller, data), note]
+
+    def _dropped(
+        self, segment: Segment, service: str, why: Reason
+    ) -> RelayEffect:
+        return self._journal.flow(
+            Topic.PACKET, "flows: dropped", segment.inward, service, why=why
+        )
+
+    # Other processes
+
+    def _received(
+        self, now: Seconds, src: NodeId, msg: Any
+    ) -> list[RelayEffect]:
+        match msg:
+            case AgentReport():
+                self.members.take_report(now, msg, direct=msg.id == src)
+            case OtherService(report=report):
+                self.members.take_report(now, report, direct=True)
+            case Hello():
+                return self._greeted(now, msg)
+            case Goodbye(id=node):
+                self.members.balancers.pop(node, None)
+        return self._update(now)
+
+    def _greeted(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
+        self.members.take_balancer(now, msg.id)
+        for peer in msg.peers:
+            self.members.learn_balancer(now, peer)
+        for departed in msg.departed:
+            self.members.take_departed(now, departed)
+        for report in msg.agents:
+            self.members.take_report(now, report, direct=False)
+        effects = self._update(now)
+        if msg.version == self.routes.version:
+            self._agreed_at = now
+        if msg.version > self.routes.version and now >= self._fetch_at:
+            self._fetch_at = now + FETCH_AGAIN_S
+            effects.append(FetchRoutes(msg.id))
+        return effects
+
+    def _tick(self, now: Seconds) -> list[RelayEffect]:
+        effects: list[RelayEffect] = [
+            self._journal.belief(
+                Topic.MEMBERSHIP,
+                "members: agent is gone",
+                report.service,
+                report.id,
+            )
+            for report in self.members.expire(now)
+        ]
+        self._refresh(now)
+        effects += self._hello(now)
+        if not self.stopping:
+            self._configuration.due(now)
+            self._entries.due(now)
+            self._registration.want(self._who.node)
+        self._registration.due(now)
+        return effects + list(self._access.due(now))
+
+    def _hello(self, now: Seconds) -> list[RelayEffect]:
+        peers = list(self.members.balancers) or list(self._who.seeds)
+        agents = list(self.members.agents)
+        told = len(agents) + len(peers)
+        if self.stopping or not self._pace.due(now, told):
+            return []
+        hello = self._greeting()
+        dsts = dict.fromkeys((*agents, *peers))
+        return [Send(node, hello) for node in dsts if node != self._who.node]
+
+    def _greeting(self) -> Hello:
+        reports = [m.report for m in self.members.agents.values()]
+        start = self._told % max(1, len(reports))
+        self._told += HELLO_AGENTS
+        shown = (reports[start:] + reports[:start])[:HELLO_AGENTS]
+        table = self.routes.table
+        return Hello(
+            id=self._who.node,
+            version=self.routes.version,
+            agents=tuple(shown),
+            peers=tuple(self.members.balancers),
+            departed=self.members.departed(),
+            idle_s=table.idle_s if table else 0.0,
+        )
+
+    def _goodbye(self) -> list[RelayEffect]:
+        dsts = (*self.members.agents, *self.members.balancers)
+        return [Send(node, Goodbye(self._who.node)) for node in dsts]
+
+    # The store
+
+    def _answered(
+        self, now: Seconds, event: StoreAnswered
+    ) -> list[RelayEffect]:
+        effects: list[RelayEffect] = []
+        if not self._registration.answered(now, event):
+            effects += self._take_configuration(
+                now, self._configuration.answered(now, event)
+            )
+            self._take_entries(now, self._entries.answered(now, event))
+            effects += self._update(now)
+        if not self.stopping:
+            self._configuration.due(now)
+            self._entries.due(now)
+        self._registration.due(now)
+        return effects + list(self._access.due(now))
+
+    def _take_configuration(
+        self, now: Seconds, told: Read | Change | None
+    ) -> list[RelayEffect]:
+        if told is None:
+            return []
+        effects: list[RelayEffect] = []
+        for item in told.items:
+            if item.key != self._who.configuration:
+                continue
+            try:
+                table = self._read_routes(item.value)
+            except ValueError as exc:
+                effects.append(
+                    self._journal.belief(
+                        Topic.CONFIGURATION,
+                        f"configuration: unreadable: {exc}",
+                        reason="unreadable",
+                    )
+                )
+                continue
+            effects += self._took(now, table, f"store revision {item.revision}")
+        return effects
+
+    def _took(
+        self, now: Seconds, table: RouteTable, whence: str
+    ) -> list[RelayEffect]:
+        old = self.routes.version
+        if not self.routes.take(table):
+            return []
+        self._journal.version = table.version
+        self._pace.hurry()
+        note = self._journal.belief(
+            Topic.CONFIGURATION,
+            f"configuration: in force, {len(table.routes)} routes, "
+            f"was version {old}, from {whence}",
+        )
+        return [note, *self._hello(now)]
+
+    def _take_entries(
+        self, now: Seconds, told: Read | Change | None
+    ) -> None:
+        if told is None:
+            return
+        for item in told.items:
+            self._take_entry(now, item)
+        if isinstance(told, Change):
+            for key in told.deleted:
+                self._take_deleted(now, key)
+            return
+        present = {item.key for item in told.items}
+        for node in list(self.members.agents):
+            if self._who.agents + node not in present:
+                self.members.take_missing(now, node)
+        if self._who.balancers + self._who.node not in present:
+            self._registration.saw(None)
+
+    def _take_entry(self, now: Seconds, item: Item) -> None:
+        if item.key.startswith(self._who.balancers):
+            node = NodeId(item.value)
+            self.members.learn_balancer(now, node)
+            return
+        if not item.key.startswith(self._who.agents):
+            return
+        try:
+            report = msgspec.json.decode(item.value, type=AgentReport)
+        except msgspec.DecodeError:
+            return  # another program's entry names no agent
+        self.members.take_report(now, report, direct=False)
+        self.members.take_registered(report.id)
+
+    def _take_deleted(self, now: Seconds, key: str) -> None:
+        if key.startswith(self._who.agents):
+            node = NodeId(key.removeprefix(self._who.agents))
+            self.members.take_missing(now, node)
+        elif key == self._who.balancers + self._who.node:
+            self._registration.saw(None)
+
+    # Which agent is asked
+
+    def _update(self, now: Seconds) -> list[RelayEffect]:
+        if self.members.changes == self._changes:
+            return []
+        self._changes = self.members.changes
+        self._pace.hurry()
+        self._refresh(now)
+        return self._hello(now)
+
+    def _refresh(self, now: Seconds) -> None:
+        """Rank the agents of each service anew if they changed."""
+        services = {m.report.service for m in self.members.agents.values()}
+        owners: dict[ServiceName, Owners] = {}
+        for service in services:
+            ids = eligible(now, self.members.of(service))
+            known = self._owners.get(service)
+            if known is not None and known.ids == tuple(sorted(ids)):
+                owners[service] = known
+            else:
+                owners[service] = Owners(ids)
+        self._owners = owners
+
+
+STAND_IN_S = 0.3
+"""An owner unheard for longer may be away."""
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/flowtable.py
@@ -0,0 +1,133 @@
+"""The flows that an agent knows: those of its server, and where others are."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from ..ids import NodeId
+from ..ids import Seconds
+from ..packets import Flag
+from .segment import FlowId
+from .segment import is_later
+from .segment import Segment
+
+CLOSED_KEPT_S = 5.0
+"""Late packets of a flow that ended still find its server."""
+BUSY_LIMIT_S = 10.0
+"""A caller that waits for longer is taken to wait no more."""
+DEFAULT_IDLE_S = 60.0
+
+_END = int(Flag.FIN | Flag.RST)
+_SYN = int(Flag.SYN)
+
+
+class Flow(msgspec.Struct):
+    """One flow and its holder.
+
+    ``sent`` is the position that the caller has sent up to, ``acked``
+    what it has received. ``busy`` tells that the caller sent a request
+    and has had nothing back. ``answered`` tells that the server accepted
+    the flow. ``declined`` names agents whose servers did not.
+    """
+
+    holder: NodeId
+    at: float
+    sent: int = 0
+    acked: int = 0
+    busy: bool = False
+    answered: bool = False
+    ended: bool = False
+    declined: tuple[NodeId, ...] = ()
+
+
+class FlowTable:
+    """Flows by id; counts those of the own server."""
+
+    def __init__(self, node: NodeId) -> None:
+        self._node = node
+        self._flows: dict[FlowId, Flow] = {}
+        self.busy = 0
+        self.open = 0
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, flow_id: FlowId) -> Flow | None:
+        """Return what is known of a flow."""
+        return self._flows.get(flow_id)
+
+    def put(
+        self,
+        now: Seconds,
+        flow_id: FlowId,
+        holder: NodeId,
+        declined: tuple[NodeId, ...] = (),
+    ) -> Flow:
+        """Note who holds a flow, in place of what was known."""
+        self.remove(flow_id)
+        flow = Flow(holder, now, declined=declined)
+        self._flows[flow_id] = flow
+        if holder == self._node:
+            self.open += 1
+        return flow
+
+    def remove(self, flow_id: FlowId) -> None:
+        """Forget a flow."""
+        flow = self._flows.pop(flow_id, None)
+        if flow is None or flow.holder != self._node:
+            return
+        self._set_busy(flow, False)
+        if not flow.ended:
+            self.open -= 1
+
+    def delivered(self, now: Seconds, flow: Flow, segment: Segment) -> None:
+        """Note a packet that goes to the own server."""
+        flow.at = now
+        if segment.flags & _SYN:
+            flow.sent = segment.seq
+            return
+        flow.acked = segment.ack
+        end = (segment.seq + segment.size) & 0xFFFFFFFF
+        if segment.size and is_later(end, flow.sent):
+            flow.sent = end
+            self._set_busy(flow, True)
+        if segment.flags & Flag.RST:
+            self._end(flow)
+
+    def returned(self, now: Seconds, flow: Flow, segment: Segment) -> None:
+        """Note a packet that the own server sent."""
+        flow.at = now
+        if segment.flags & _SYN:
+            flow.answered = True
+        if segment.size or segment.flags & _END:
+            self._set_busy(flow, False)
+        if segment.flags & _END:
+            self._end(flow)
+
+    def own(self) -> Iterator[tuple[FlowId, Flow]]:
+        """Return the own server's flows that have not ended."""
+        for flow_id, flow in list(self._flows.items()):
+            if flow.holder == self._node and not flow.ended:
+                yield flow_id, flow
+
+    def expire(self, now: Seconds, idle_s: float) -> None:
+        """Forget flows that ended or were idle for longer."""
+        gone = []
+        for flow_id, flow in self._flows.items():
+            quiet = now - flow.at
+            if quiet > (CLOSED_KEPT_S if flow.ended else idle_s):
+                gone.append(flow_id)
+            elif flow.busy and quiet > BUSY_LIMIT_S:
+                self._set_busy(flow, False)
+        for flow_id in gone:
+            self.remove(flow_id)
+
+    def _set_busy(self, flow: Flow, busy: bool) -> None:
+        if flow.busy is not busy:
+            flow.busy = busy
+            self.busy += 1 if busy else -1
+
+    def _end(self, flow: Flow) -> None:
+        if not flow.ended:
+            flow.ended = True
+            self.open -= 1
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -0,0 +1,128 @@
+"""Messages between the processes that relay flows."""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from ..ids import NodeId
+from ..ids import PlaceName
+from ..ids import ServiceName
+from .segment import FlowId
+
+
+class AgentState(enum.Enum):
+    """What an agent says of itself and of the server beside it."""
+
+    STARTING = "starting"
+    """No server has announced itself yet."""
+    READY = "ready"
+    DRAINING = "draining"
+    DOWN = "down"
+    """The server stopped announcing itself."""
+    RESTARTING = "restarting"
+    """The agent stops while its server lives on."""
+    GONE = "gone"
+    """The server left for good."""
+
+
+class AgentReport(msgspec.Struct, frozen=True, tag="agent"):
+    """What one agent says of itself.
+
+    ``incarnation`` is of the agent's process and ``count`` grows with
+    each report of it. ``busy`` counts flows whose caller waits for an
+    answer, ``flows`` all open ones. ``server_born`` tells incarnations
+    of the server apart. ``whole`` tells whether the agent knows every
+    flow that its server holds.
+    """
+
+    id: NodeId
+    place: PlaceName
+    service: ServiceName
+    incarnation: int
+    count: int
+    state: AgentState
+    slots: int = 1
+    busy: int = 0
+    flows: int = 0
+    cold: bool = False
+    whole: bool = False
+    server: str = ""
+    server_born: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """Order of reports of one agent."""
+        return (self.incarnation, self.count)
+
+
+class Departed(msgspec.Struct, frozen=True):
+    """An agent that is gone for good, by incarnation of its process."""
+
+    id: NodeId
+    incarnation: int
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """What a balancer tells: itself, its configuration, whom it knows.
+
+    ``agents`` holds the latest reports, some at a time; ``peers`` other
+    balancers; ``departed`` agents that went lately. ``idle_s`` is how
+    long a flow may be idle.
+    """
+
+    id: NodeId
+    version: int
+    agents: tuple[AgentReport, ...] = ()
+    peers: tuple[NodeId, ...] = ()
+    departed: tuple[Departed, ...] = ()
+    idle_s: float = 0.0
+
+
+class Goodbye(msgspec.Struct, frozen=True, tag="goodbye"):
+    """A balancer stops."""
+
+    id: NodeId
+
+
+class FlowHeld(msgspec.Struct, frozen=True, tag="held"):
+    """The sender's server, or ``holder``'s, holds the flow."""
+
+    flow: FlowId
+    holder: NodeId
+
+
+class FlowUnknown(msgspec.Struct, frozen=True, tag="unknown"):
+    """Neither the sender nor its server holds the flow."""
+
+    flow: FlowId
+
+
+class OtherService(msgspec.Struct, frozen=True, tag="other"):
+    """A packet of ``service`` came to an agent of another service."""
+
+    service: ServiceName
+    report: AgentReport
+
+
+RelayMessage: TypeAlias = (
+    AgentReport | Hello | Goodbye | FlowHeld | FlowUnknown | OtherService
+)
+
+_encoder = msgspec.json.Encoder()
+_decoder: msgspec.json.Decoder[RelayMessage] = msgspec.json.Decoder(
+    RelayMessage
+)
+
+
+def encode(msg: RelayMessage) -> bytes:
+    """Return a message as JSON."""
+    return _encoder.encode(msg)
+
+
+def decode(data: bytes) -> RelayMessage:
+    """Return the message in JSON text.
+
+    :raises msgspec.DecodeError: if it is none.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -0,0 +1,117 @@
+"""What the agent knows of the server beside it."""
+
+import msgspec
+
+from ..ids import Seconds
+from ..ids import ServiceName
+from .events import ServerAnnounced
+from .events import ServerLeft
+from .events import ServerPhase
+from .messages import AgentState
+
+MISSED_BEATS = 3
+"""Announcements that may be missed before the server is held dead."""
+FIRST_SEQUENCE = 1
+"""A server whose first announcement this was has no earlier flows."""
+
+
+class Server(msgspec.Struct):
+    """One incarnation of the server, as it announced itself."""
+
+    name: str
+    born_ms: int
+    sequence: int
+    service: ServiceName
+    phase: ServerPhase
+    slots: int
+    cold_until: float
+    heard_at: float
+    whole: bool
+
+
+class Neighbour:
+    """Follows the server's announcements and tells what changed."""
+
+    def __init__(self, beat_s: float) -> None:
+        self._silent_s = MISSED_BEATS * beat_s
+        self.server: Server | None = None
+
+    def announced(self, now: Seconds, event: ServerAnnounced) -> bool:
+        """Take an announcement; return whether a new server began.
+
+        Late ones of an earlier incarnation, or older than the last one,
+        are passed over.
+        """
+        known = self.server
+        cold_until = now + event.cold_s
+        if known is not None and self._is_same(event):
+            if event.sequence <= known.sequence:
+                return False
+            known.sequence = event.sequence
+            known.service = event.service
+            known.slots = event.slots
+            known.cold_until = cold_until
+            known.heard_at = now
+            if known.phase is not ServerPhase.LEFT:
+                known.phase = event.phase
+            return False
+        if known is not None and not self._replaces(now, event):
+            return False
+        self.server = Server(
+            event.server,
+            event.born_ms,
+            event.sequence,
+            event.service,
+            event.phase,
+            event.slots,
+            cold_until,
+            now,
+            event.sequence <= FIRST_SEQUENCE,
+        )
+        return known is not None
+
+    def left(self, event: ServerLeft) -> bool:
+        """Note that the server ends; return whether it is this one."""
+        known = self.server
+        if known is None or known.name != event.server:
+            return False
+        if event.born_ms and event.born_ms < known.born_ms:
+            return False
+        known.phase = ServerPhase.LEFT
+        return True
+
+    def state(self, now: Seconds) -> AgentState:
+        """Return the state that the agent reports."""
+        server = self.server
+        if server is None:
+            return AgentState.STARTING
+        if server.phase is ServerPhase.LEFT:
+            return AgentState.GONE
+        if now - server.heard_at > self._silent_s:
+            return AgentState.DOWN
+        if server.phase is ServerPhase.DRAINING:
+            return AgentState.DRAINING
+        return AgentState.READY
+
+    def knows_all(self, now: Seconds) -> bool:
+        """Return whether flows unknown here are unknown to the server."""
+        server = self.server
+        if server is None:
+            return False
+        return server.whole or self.state(now) is AgentState.GONE
+
+    def _is_same(self, event: ServerAnnounced) -> bool:
+        known = self.server
+        return (
+            known is not None
+            and known.name == event.server
+            and known.born_ms == event.born_ms
+        )
+
+    def _replaces(self, now: Seconds, event: ServerAnnounced) -> bool:
+        known = self.server
+        assert known is not None
+        if event.born_ms > known.born_ms:
+            return True
+        # Clocks may be set back between two starts of a server.
+        return now - known.heard_at > self._silent_s
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/registration.py
@@ -0,0 +1,116 @@
+"""A process's own entry in the store, kept by a lease."""
+
+import random
+
+from ..events import StoreAnswered
+from ..ids import Seconds
+from ..ids import StoreCallId
+from ..store import Conflict
+from ..store import Item
+from ..store import Delete
+from ..store import Leased
+from ..store import LeaseGrant
+from ..store import LeaseKeep
+from ..store import LeaseLapsed
+from ..store import Put
+from ..store import StoreOp
+from ..store import Unavailable
+from ..store import Written
+from ..storeaccess.access import Part
+from ..storeaccess.access import StoreAccess
+
+LEASE_S = 8.0
+KEEP_S = 1.5
+"""Renewal; an entry that lapsed in an outage is back this soon."""
+SPREAD_S = 0.1
+
+
+class Registration:
+    """Writes one entry and keeps it; writes it again when it is lost.
+
+    The entry is written under a condition on its revision, so that a
+    write of an earlier process that takes effect late cannot replace it
+    unseen.
+    """
+
+    def __init__(
+        self, access: StoreAccess, key: str, rng: random.Random
+    ) -> None:
+        self._access = access
+        self._key = key
+        self._rng = rng
+        self._value = ""
+        self._written = ""
+        self._revision = 0
+        self._lease = 0
+        self._call: StoreCallId | None = None
+        self._op: StoreOp | None = None
+        self._keep_at = 0.0
+
+    @property
+    def is_written(self) -> bool:
+        """Whether the store holds what this process wants it to hold."""
+        return self._value == self._written
+
+    def want(self, value: str) -> None:
+        """Say what the entry shall hold; empty for no entry."""
+        self._value = value
+
+    def saw(self, item: Item | None) -> None:
+        """Note what the store was seen to hold under the key."""
+        if self._call is None and item is None and self._written:
+            self._written = ""
+            self._revision = 0
+
+    def due(self, now: Seconds) -> None:
+        """Ask the store for what is to be done next, if anything."""
+        if self._call is not None and not self._access.waits(self._call):
+            self._call = None
+        if self._call is not None:
+            return
+        op = self._next(now)
+        if op is not None:
+            self._op = op
+            self._call = self._access.ask(now, Part.MEMBERS, op, SPREAD_S)
+
+    def answered(self, now: Seconds, event: StoreAnswered) -> bool:
+        """Take an answer if it is to this part's call."""
+        if self._call is None or event.call != self._call:
+            return False
+        answer = self._access.take(now, Part.MEMBERS, event)
+        op, self._op, self._call = self._op, None, None
+        match answer:
+            case Leased(lease=lease):
+                self._lease = lease
+                self._keep_at = now + KEEP_S * self._rng.uniform(0.8, 1.0)
+            case LeaseLapsed():
+                self._lease = 0
+                self._written = ""
+                self._revision = 0
+            case Written(revision=revision):
+                self._revision = revision
+                self._written = op.value if isinstance(op, Put) else ""
+            case Conflict(actual=actual):
+                self._revision = actual
+                self._written = ""
+                if isinstance(op, Delete):
+                    self._value = ""
+            case Unavailable():
+                pass  # StoreAccess counts it and says when to try again
+        return True
+
+    def _next(self, now: Seconds) -> StoreOp | None:
+        if not self._value:
+            return self._removal()
+        if not self._lease:
+            return LeaseGrant(LEASE_S)
+        if self._value != self._written:
+            return Put(self._key, self._value, self._revision, self._lease)
+        if now >= self._keep_at:
+            return LeaseKeep(self._lease)
+        return None
+
+    def _removal(self) -> StoreOp | None:
+        if not self._written or not self._revision:
+            return None
+        return Delete(self._key, self._revision)
--- a/packages/core/src/medlar_core/store.py
+++ b/packages/core/src/medlar_core/store.py
@@ -116,6 +116,10 @@
     lease: int
 
 
+class HistoryGone(msgspec.Struct, frozen=True, tag="history-gone"):
+    """The changes that a watch asks for are no longer kept: read anew."""
+
+
 class Unavailable(msgspec.Struct, frozen=True, tag="unavailable"):
     """No answer: a write may or may not have taken effect."""
 
@@ -123,5 +127,12 @@
 
 
 StoreAnswer: TypeAlias = (
-    Found | Changed | Written | Conflict | Leased | LeaseLapsed | Unavailable
+    Found
+    | Changed
+    | Written
+    | Conflict
+    | Leased
+    | LeaseLapsed
+    | HistoryGone
+    | Unavailable
 )
--- a/packages/core/src/medlar_core/storeaccess/access.py
+++ b/packages/core/src/medlar_core/storeaccess/access.py
@@ -15,6 +15,7 @@
 from ..store import Unavailable
 from ..store import Watch
 from .circuit import Circuit
+from .circuit import LONGEST_PAUSE_S
 
 CALLS_PER_S = 2.0
 BURST_CALLS = 4.0
@@ -54,13 +55,14 @@
         rng: random.Random,
         rate: float = CALLS_PER_S,
         burst: float = BURST_CALLS,
+        longest_pause_s: float = LONGEST_PAUSE_S,
     ) -> None:
         self._rng = rng
         self._rate = rate
         self._burst = burst
         self._tokens = burst
         self._filled_at: float | None = None
-        self._circuit = Circuit(rng)
+        self._circuit = Circuit(rng, longest_pause_s)
         self._queue: collections.deque[_Queued] = collections.deque()
         self._owners: dict[StoreCallId, tuple[Part, float]] = {}
         self._last = 0
--- a/packages/core/src/medlar_core/storeaccess/circuit.py
+++ b/packages/core/src/medlar_core/storeaccess/circuit.py
@@ -21,8 +21,11 @@
     which failed together come back apart.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, longest_pause_s: float = LONGEST_PAUSE_S
+    ) -> None:
         self._rng = rng
+        self._longest_pause_s = longest_pause_s
         self._failures = 0
         self._pause = FIRST_PAUSE_S
         self._opens_at: float | None = None
@@ -64,6 +67,6 @@
         if self._failures < FAILURES_TO_OPEN and not probed:
             return
         if probed:
-            self._pause = min(self._pause * 2, LONGEST_PAUSE_S)
+            self._pause = min(self._pause * 2, self._longest_pause_s)
         self._probe_ends = None
         self._opens_at = now + self._pause * self._rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/packages/node/src/medlar_node/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The relay's processes: sockets and HTTP around its decisions."""
--- /dev/null
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -0,0 +1,78 @@
+"""Composition root of a balancer that relays flows."""
+
+import asyncio
+import contextlib
+import random
+
+from medlar_core.relay.balancer import BalancerIdentity
+from medlar_core.relay.balancer import RelayBalancer
+from medlar_core.relay.balancer import RouteReader
+from medlar_core.relay.events import CallerSent
+from medlar_core.relay.registration import Registration
+from medlar_core.relay.segment import SegmentCodec
+from medlar_core.storeaccess.access import StoreAccess
+
+from ..logs import part_logger
+from .access import new_access
+from .http import Request
+from .http import Response
+from .http import serving
+from .process import AskStore
+from .process import peer_answer
+from .process import RelayProcess
+from .process import running
+from .settings import RelaySettings
+from .udp import udp_port
+
+LINGER_S = 2.0
+"""Routers notice within this that a balancer is out of rotation."""
+MARGIN_S = 1.0
+"""Time left for the process to end before it would be killed."""
+
+log = part_logger("balancer")
+
+
+async def serve(
+    cfg: RelaySettings,
+    who: BalancerIdentity,
+    codec: SegmentCodec,
+    read_routes: RouteReader,
+    ask_store: AskStore,
+) -> None:
+    """Relay flows until asked to stop.
+
+    :raises OSError: if an address cannot be listened on.
+    """
+    rng = random.Random(cfg.name)
+    access: StoreAccess = new_access(rng)
+    registration = Registration(access, who.balancers + who.node, rng)
+    reducer = RelayBalancer(
+        who, codec, read_routes, access, registration, rng
+    )
+    process = RelayProcess(cfg, reducer, codec, ask_store)
+
+    def from_caller(data: bytes, src: str) -> None:
+        try:
+            segment = codec.decode(data)
+        except ValueError as exc:
+            log.warning("unreadable packet", extra={"src": src, "why": exc})
+            return
+        process.give(CallerSent(segment))
+
+    async def ready(req: Request) -> Response:
+        return Response(200 if reducer.is_ready else 503)
+
+    async def peer(req: Request) -> Response:
+        return await peer_answer(req, reducer.routes.table)
+
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_context
+        process.peers = enter(udp_port(cfg.node, process.from_peer))
+        process.callers = enter(udp_port(cfg.packets, from_caller))
+        await stack.enter_async_context(serving(cfg.node, peer))
+        await stack.enter_async_context(serving(cfg.readiness, ready))
+        await stack.enter_async_context(running(process))
+        log.info("started", extra={"at": cfg.node})
+        await process.stop_asked.wait()
+        await asyncio.sleep(min(LINGER_S, cfg.grace_s - MARGIN_S))
+    log.info("stopped", extra={"lost_lines": 0})
--- /dev/null
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -0,0 +1,213 @@
+"""One process of the relay: carries out what its reducer decides."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import signal
+import time
+from typing import Any
+
+import msgspec
+
+from medlar_core.effects import CallStore
+from medlar_core.effects import Record
+from medlar_core.effects import Send
+from medlar_core.events import Received
+from medlar_core.events import Reducer
+from medlar_core.events import StopAsked
+from medlar_core.events import StoreAnswered
+from medlar_core.events import Tick
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+from medlar_core.relay import messages
+from medlar_core.relay import wrapped as wrapping
+from medlar_core.relay.effects import FetchRoutes
+from medlar_core.relay.effects import Pass
+from medlar_core.relay.effects import ToCaller
+from medlar_core.relay.effects import ToServer
+from medlar_core.relay.events import PassedOn
+from medlar_core.relay.events import RoutesFetched
+from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.segment import host_of
+from medlar_core.relay.segment import SegmentCodec
+from medlar_core.store import StoreAnswer
+from medlar_core.store import StoreOp
+from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.recorder import Recorder
+
+from ..logs import part_logger
+from .http import HttpClient
+from .http import HttpError
+from .http import Request
+from .http import Response
+from .settings import RelaySettings
+from .udp import UdpPort
+
+TICK_S = 0.1
+FETCH_LIMIT_S = 1.0
+EVENTS_KEPT = 1_200
+PACKET_MARK = b"P"
+CONTROL_MARK = b"C"
+ROUTES_PATH = "/v1/routes"
+
+log = part_logger("process")
+
+AskStore = Callable[[StoreOp], Awaitable[StoreAnswer]]
+
+
+class RelayProcess:
+    """Gives events to a reducer and carries out its effects.
+
+    The ports are set by the composition root before the first event.
+    """
+
+    def __init__(
+        self,
+        cfg: RelaySettings,
+        reducer: Reducer,
+        codec: SegmentCodec,
+        ask_store: AskStore,
+    ) -> None:
+        self._cfg = cfg
+        self._reducer = reducer
+        self._codec = codec
+        self._ask_store = ask_store
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.recorder = Recorder(cfg.node, EVENTS_KEPT)
+        self.peers: UdpPort | None = None
+        self.callers: UdpPort | None = None
+        self.server: UdpPort | None = None
+        self.stop_asked = asyncio.Event()
+        host, _, port = cfg.server.rpartition(":")
+        self._server = (host, int(port or 0))
+
+    def give(self, event: Any) -> None:
+        """Let the reducer take an event and carry out its effects."""
+        for effect in self._reducer.reduce(now(), event):
+            self._carry(effect)
+
+    def from_peer(self, data: bytes, src: str) -> None:
+        """Take a datagram of another process."""
+        match data[:1]:
+            case b"P":
+                self._packet(data[1:], NodeId(src))
+            case b"C":
+                self._message(data[1:], NodeId(src))
+            case _:
+                log.warning("unreadable datagram", extra={"src": src})
+
+    async def ticking(self) -> None:
+        """Give ticks until cancelled."""
+        while True:
+            self.give(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def listen_to_signals(self) -> None:
+        """Stop in good order when asked to."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop, number)
+
+    def _stop(self, number: signal.Signals) -> None:
+        if not self.stop_asked.is_set():
+            log.info("asked to stop", extra={"signal": number.name})
+            self.stop_asked.set()
+            self.give(StopAsked())
+
+    def _packet(self, data: bytes, src: NodeId) -> None:
+        try:
+            wrapped = wrapping.decode(data)
+            segment = self._codec.decode(wrapped.data)
+        except (msgspec.DecodeError, ValueError) as exc:
+            log.warning("unreadable packet", extra={"src": src, "why": exc})
+            return
+        self.give(PassedOn(src, wrapped, segment))
+
+    def _message(self, data: bytes, src: NodeId) -> None:
+        try:
+            msg = messages.decode(data)
+        except msgspec.DecodeError as exc:
+            log.warning("unreadable message", extra={"src": src, "why": exc})
+            return
+        self.give(Received(src, msg))
+
+    def _carry(self, effect: Any) -> None:
+        match effect:
+            case Pass(dst=dst, wrapped=wrapped):
+                self._to_peer(dst, PACKET_MARK + wrapping.encode(wrapped))
+            case ToServer(data=data):
+                assert self.server is not None
+                self.server.send(data, *self._server)
+            case ToCaller(caller=caller, data=data):
+                assert self.callers is not None
+                self.callers.send(data, host_of(caller), self._cfg.caller_port)
+            case Send(dst=dst, msg=msg):
+                self._to_peer(dst, CONTROL_MARK + messages.encode(msg))
+            case Record(event=event):
+                self._record(event)
+            case CallStore(call=call, op=op):
+                self._spawn(self._call(call, op))
+            case FetchRoutes(src=src):
+                self._spawn(self._fetch(src))
+            case _:
+                raise TypeError(f"expected an effect, got {effect!r}")
+
+    def _to_peer(self, dst: NodeId, data: bytes) -> None:
+        assert self.peers is not None
+        host, _, port = dst.rpartition(":")
+        self.peers.send(data, host, int(port))
+
+    def _record(self, event: TimelineEvent) -> None:
+        wall_ms = time.time_ns() // 1_000_000
+        if self.recorder.record(wall_ms, event):
+            told = msgspec.to_builtins(event)
+            text = told.pop("text")
+            log.info(text, extra=told)
+
+    async def _call(self, call: Any, op: StoreOp) -> None:
+        answer = await self._ask_store(op)
+        self.give(StoreAnswered(call, answer))
+
+    async def _fetch(self, src: NodeId) -> None:
+        try:
+            req = Request("GET", ROUTES_PATH)
+            res = await HttpClient(src).call(req, FETCH_LIMIT_S)
+            table = msgspec.json.decode(res.body, type=RouteTable)
+        except (HttpError, msgspec.DecodeError) as exc:
+            log.warning("no routes", extra={"src": src, "why": str(exc)})
+            return
+        self.give(RoutesFetched(src, table))
+
+    def _spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("task failed", exc_info=task.exception())
+
+
+async def peer_answer(req: Request, table: RouteTable | None) -> Response:
+    """Answer another process that asks for the configuration."""
+    if req.target != ROUTES_PATH or table is None:
+        return Response(404)
+    return Response(200, msgspec.json.encode(table))
+
+
+@contextlib.asynccontextmanager
+async def running(process: RelayProcess) -> Any:
+    """Give ticks and take signals while the context is open."""
+    process.listen_to_signals()
+    task = asyncio.create_task(process.ticking())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+def now() -> Seconds:
+    """Return monotonic time."""
+    return Seconds(time.monotonic())
