Tell balancers who holds a flow, and prefer near servers

Change: holders are told to the balancer when a flow is placed, passed on or found; messages are MessagePack arrays; greetings carry four reports; a server at the caller's place counts as less loaded; three balancers follow the entries and tell agents whose entry is missing, so leases are renewed every 6 s.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -17,7 +17,6 @@
 from ..packets import Flag
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
-from ..verdict import Reason
 from .agent_flows import AgentFlows
 from .effects import RelayEffect
 from .events import PassedOn
@@ -29,10 +28,11 @@
 from .members import Members
 from .messages import AgentReport
 from .messages import AgentState
+from .messages import EntryMissing
 from .messages import FlowHeld
 from .messages import FlowUnknown
-from .messages import Hello
 from .messages import Goodbye
+from .messages import Hello
 from .messages import OtherService
 from .neighbour import Neighbour
 from .pace import Pace
@@ -40,7 +40,7 @@
 from .segment import SegmentCodec
 
 PEERS_EVERY_S = 0.1
-BALANCERS_EVERY_S = 0.1
+BALANCERS_EVERY_S = 0.2
 EXPIRE_EVERY_S = 1.0
 
 
@@ -102,7 +102,9 @@
             case PassedOn():
                 return self.flows.passed_on(now, event, self.report(now))
             case ServerReturned(segment=segment):
-                own = self.report(now) if segment.flags & Flag.BOUNCED else None
+                own = (
+                    self.report(now) if segment.flags & Flag.BOUNCED else None
+                )
                 return self.flows.returned(now, segment, own)
             case Received(src=src, msg=msg):
                 return self._received(now, src, msg)
@@ -197,12 +199,15 @@
                 return self.flows.found(now, flow, holder)
             case FlowUnknown(flow=flow):
                 return self.flows.denied(now, flow, src)
+            case EntryMissing():
+                self._registration.saw(None)
+                return self._store_calls(now)
             case OtherService(report=report):
                 self.members.take_report(now, report, direct=True)
         return []
 
     def _greeted(self, now: Seconds, msg: Hello) -> None:
-        self.members.take_balancer(now, msg.id)
+        self.members.take_balancer(now, msg.id, msg.place)
         self._journal.version = max(self._journal.version, msg.version)
         if msg.idle_s:
             self._idle_s = msg.idle_s
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
@@ -42,6 +44,25 @@
 """A new flow is passed on once if another server's load is lower by this."""
 
 _SYN = int(Flag.SYN)
+_NOBODY = NodeId("")
+
+
+class Opening(msgspec.Struct, frozen=True):
+    """A SYN that looks for a server.
+
+    ``declined`` names agents that did not take it, ``via`` the balancer
+    that it came through.
+    """
+
+    flow_id: FlowId
+    segment: Segment
+    declined: tuple[NodeId, ...]
+    via: NodeId
+
+    def without(self, node: NodeId) -> "Opening":
+        """Return the same with one more agent that does not take it."""
+        declined = (*self.declined, node)
+        return msgspec.structs.replace(self, declined=declined)
 
 
 class AgentFlows:
@@ -101,7 +122,7 @@
             return self._to_other(now, event, flow_id, flow, own)
         if opening:
             return self._open(now, event, flow_id, own)
-        return self._search(now, flow_id, segment, wrapped)
+        return self._search(now, flow_id, segment, wrapped, event.src)
 
     def _to_holder(
         self,
@@ -115,7 +136,8 @@
         segment = event.segment
         unanswered = segment.flags & _SYN and not flow.answered
         if unanswered and own.state is not AgentState.READY:
-            return self._place(now, flow_id, segment, own, (self._node,))
+            opening = Opening(flow_id, segment, flow.declined, flow.via)
+            return self._place(now, opening.without(self._node), own)
         effects = self._deliver(now, flow, segment)
         if event.wrapped.why == Why.ASKED:
             effects.append(Send(event.src, FlowHeld(flow_id, self._node)))
@@ -137,9 +159,15 @@
             self.table.remove(flow_id)
             return self._search(now, flow_id, segment, event.wrapped)
         if segment.flags & _SYN and not self._takes_flows(now, flow.holder):
-            declined = (*flow.declined, flow.holder)
-            return self._place(now, flow_id, segment, own, declined)
-        return [self._pass(flow.holder, Why.PLACED, segment, flow.declined)]
+            opening = Opening(flow_id, segment, flow.declined, flow.via)
+            return self._place(now, opening.without(flow.holder), own)
+        effects: list[RelayEffect] = [
+            self._pass(flow.holder, Why.PLACED, segment, flow.declined)
+        ]
+        if event.wrapped.why == Why.ROUTED and event.src != flow.via:
+            flow.via = event.src
+            effects.append(Send(event.src, FlowHeld(flow_id, flow.holder)))
+        return effects
 
     def _deliver(
         self, now: Seconds, flow: Flow, segment: Segment
@@ -152,73 +180,78 @@
     def _open(
         self, now: Seconds, event: PassedOn, flow_id: FlowId, own: AgentReport
     ) -> list[RelayEffect]:
-        segment = event.segment
-        declined = event.wrapped.declined
-        if event.wrapped.why == Why.ROUTED or own.state != AgentState.READY:
-            return self._place(now, flow_id, segment, own, declined)
+        wrapped = event.wrapped
+        routed = wrapped.why == Why.ROUTED
+        via = event.src if routed else wrapped.via
+        opening = Opening(flow_id, event.segment, wrapped.declined, via)
+        if routed or own.state is not AgentState.READY:
+            return self._place(now, opening, own)
         # Another agent chose this one by a report that may be outdated.
-        if own.busy >= own.slots and self._node not in declined:
-            others = self._members.of(self.service)
-            best = self._choice.pick(now, own, others, declined)
+        if own.busy >= own.slots and self._node not in opening.declined:
+            best = self._pick(now, opening, own)
             gain = load(own) - self._load_of(best)
             if best != self._node and gain >= PASS_ON_GAIN:
-                return self._place(
-                    now, flow_id, segment, own, (*declined, self._node)
-                )
-        return self._take(now, flow_id, segment, declined)
+                return self._place(now, opening.without(self._node), own)
+        return self._take(now, opening)
 
     def _place(
-        self,
-        now: Seconds,
-        flow_id: FlowId,
-        segment: Segment,
-        own: AgentReport,
-        declined: tuple[NodeId, ...],
+        self, now: Seconds, opening: Opening, own: AgentReport
     ) -> list[RelayEffect]:
         """Give a new flow to the server that has most room."""
-        able = own if own.state is AgentState.READY else None
-        others = self._members.of(self.service)
-        best = self._choice.pick(now, able, others, declined)
+        best = self._pick(now, opening, own)
         if best is None:
-            return self._refuse(now, flow_id, segment, own)
+            return self._refuse(now, opening, own)
         if best == self._node:
-            return self._take(now, flow_id, segment, declined)
-        self.table.put(now, flow_id, best, declined)
-        return [self._pass(best, Why.PLACED, segment, declined)]
+            return self._take(now, opening)
+        flow_id = opening.flow_id
+        flow = self.table.put(now, flow_id, best, opening.declined)
+        flow.via = opening.via
+        wrapped = Wrapped(
+            int(Why.PLACED),
+            self.service,
+            opening.segment.data,
+            opening.declined,
+            via=opening.via,
+        )
+        effects: list[RelayEffect] = [Pass(best, wrapped)]
+        if opening.via:
+            effects.append(Send(opening.via, FlowHeld(flow_id, best)))
+        return effects
 
-    def _take(
-        self,
-        now: Seconds,
-        flow_id: FlowId,
-        segment: Segment,
-        declined: tuple[NodeId, ...],
-    ) -> list[RelayEffect]:
-        flow = self.table.put(now, flow_id, self._node, declined)
+    def _pick(
+        self, now: Seconds, opening: Opening, own: AgentReport
+    ) -> NodeId | None:
+        able = own if own.state is AgentState.READY else None
+        others = self._members.of(self.service)
+        near = self._members.places.get(opening.via)
+        return self._choice.pick(now, able, others, opening.declined, near)
+
+    def _take(self, now: Seconds, opening: Opening) -> list[RelayEffect]:
+        flow = self.table.put(
+            now, opening.flow_id, self._node, opening.declined
+        )
+        flow.via = opening.via
         note = self._journal.flow(
             Topic.PLACEMENT,
             f"flows: opened with {self.table.busy} busy, "
-            f"{self.table.open} open, declined by {len(declined)}",
-            flow_id,
+            f"{self.table.open} open, declined by {len(opening.declined)}",
+            opening.flow_id,
             self.service,
             self._node,
         )
-        return [*self._deliver(now, flow, segment), note]
+        return [*self._deliver(now, flow, opening.segment), note]
 
     def _refuse(
-        self,
-        now: Seconds,
-        flow_id: FlowId,
-        segment: Segment,
-        own: AgentReport,
+        self, now: Seconds, opening: Opening, own: AgentReport
     ) -> list[RelayEffect]:
         """Reset a flow that no server takes, if that is certain."""
-        self.table.remove(flow_id)
+        self.table.remove(opening.flow_id)
         if not self._is_settled(now):
             return []
         why = Reason.SHED
         if own.state is not AgentState.READY:
             why = Reason.NO_SERVER
-        return self._reset(flow_id, segment.ack, why)
+        return self._reset(opening.flow_id, opening.segment.ack, why)
 
     # Flows that this agent does not know
 
@@ -228,6 +261,7 @@
         flow_id: FlowId,
         segment: Segment,
         wrapped: Wrapped,
+        via: NodeId = _NOBODY,
         own_denied: bool = False,
     ) -> list[RelayEffect]:
         """Ask all who may hold a flow; keep its packets meanwhile."""
@@ -250,6 +284,7 @@
             provable=self._is_settled(now),
             waiting=[],
             acked=segment.ack,
+            via=via if wrapped.why == Why.ROUTED else _NOBODY,
         )
         self._searches.begin(flow_id, search)
         effects: list[RelayEffect] = [
@@ -293,6 +328,8 @@
             self._pass(holder, Why.PLACED, segment, ())
             for segment in search.waiting
         ]
+        if search.via:
+            effects.append(Send(search.via, FlowHeld(flow_id, holder)))
         effects.append(self._note(flow_id, "flows: found", holder))
         return effects
 
@@ -306,9 +343,7 @@
         search.awaited.discard(src)
         return self._conclude(flow_id, search)
 
-    def _conclude(
-        self, flow_id: FlowId, search: Search
-    ) -> list[RelayEffect]:
+    def _conclude(self, flow_id: FlowId, search: Search) -> list[RelayEffect]:
         if not search.proves_absence:
             return []
         self._searches.end(flow_id)
@@ -362,9 +397,9 @@
         if segment.flags & _SYN:
             if not held or flow is None:
                 return []
-            declined = (*flow.declined, self._node)
+            opening = Opening(flow_id, segment, flow.declined, flow.via)
             self.table.remove(flow_id)
-            return self._place(now, flow_id, segment, own, declined)
+            return self._place(now, opening.without(self._node), own)
         asker = self._askers.pop(flow_id, None)
         if asker is not None:
             return [Send(asker, FlowUnknown(flow_id))]
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -31,9 +31,12 @@
 from .effects import ToCaller
 from .events import CallerSent
 from .events import RoutesFetched
+from .hints import Hints
 from .journal import Journal
 from .members import Members
 from .messages import AgentReport
+from .messages import EntryMissing
+from .messages import FlowHeld
 from .messages import Goodbye
 from .messages import Hello
 from .messages import OtherService
@@ -43,6 +46,7 @@
 from .registration import Registration
 from .routes import Routes
 from .routes import RouteTable
+from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
 from .watching import Change
@@ -51,11 +55,15 @@
 from .wrapped import Why
 from .wrapped import Wrapped
 
-HELLO_EVERY_S = 0.5
-HELLO_AGENTS = 12
+HELLO_EVERY_S = 1.0
+HELLO_AGENTS = 4
 """Reports in one greeting; the rest follow in the next ones."""
-CONFIGURATION_WAIT_S = 5.0
-MEMBERS_WAIT_S = 10.0
+CONFIGURATION_WAIT_S = 10.0
+MEMBERS_WAIT_S = 20.0
+WATCHERS = 3
+"""Balancers that follow the entries of agents; they tell the others."""
+WATCHER_HEARD_S = 2.5
+"""A balancer unheard for longer is taken to watch nothing."""
 FETCH_AGAIN_S = 1.0
 CERTAIN_S = 6.0
 """An unknown address is refused if the configuration is this fresh."""
@@ -114,6 +122,7 @@
             access, Part.MEMBERS, who.members, MEMBERS_WAIT_S
         )
         self._pace = Pace(HELLO_EVERY_S)
+        self._hints = Hints()
         self._changes = 0
         self._told = 0
         self._fetch_at = 0.0
@@ -152,11 +161,13 @@
         services = self.routes.services(flow_id)
         if not services:
             return self._unknown_address(now, segment)
-        owners = self._owners.get(services[0])
-        if owners is None or not owners.ids:
-            return [self._dropped(segment, services[0], Reason.NO_SERVER)]
-        ranked = owners.ranked(flow_id.key)
-        dst = self._heard_first(now, ranked, segment)
+        dst = self._hinted(now, flow_id, segment)
+        if dst is None:
+            owners = self._owners.get(services[0])
+            if owners is None or not owners.ids:
+                return [self._dropped(segment, services[0], Reason.NO_SERVER)]
+            ranked = owners.ranked(flow_id.key)
+            dst = self._heard_first(now, ranked, segment)
         wrapped = Wrapped(
             int(Why.ROUTED),
             services[0],
@@ -166,6 +177,22 @@
         )
         return [Pass(dst, wrapped)]
 
+    def _hinted(
+        self, now: Seconds, flow_id: FlowId, segment: Segment
+    ) -> NodeId | None:
+        """Return the agent that holds an open flow, if it is known."""
+        if segment.flags & _SYN:
+            self._hints.forget(flow_id)
+            return None
+        holder = self._hints.get(flow_id)
+        if holder is None:
+            return None
+        member = self.members.agents.get(holder)
+        if member is None:
+            self._hints.forget(flow_id)
+            return None
+        return holder
+
     def _heard_first(
         self, now: Seconds, ranked: tuple[NodeId, ...], segment: Segment
     ) -> NodeId:
@@ -217,12 +244,18 @@
                 self.members.take_report(now, report, direct=True)
             case Hello():
                 return self._greeted(now, msg)
+            case EntryMissing():
+                self._registration.saw(None)
+                return self._store_calls(now)
+            case FlowHeld(flow=flow, holder=holder):
+                self._hints.take(flow, holder)
+                return []
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
         return self._update(now)
 
     def _greeted(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
-        self.members.take_balancer(now, msg.id)
+        self.members.take_balancer(now, msg.id, msg.place)
         for peer in msg.peers:
             self.members.learn_balancer(now, peer)
         for departed in msg.departed:
@@ -250,11 +283,30 @@
         self._refresh(now)
         effects += self._hello(now)
         if not self.stopping:
-            self._configuration.due(now)
-            self._entries.due(now)
             self._registration.want(self._who.node)
+        return effects + self._store_calls(now)
+
+    def _store_calls(self, now: Seconds) -> list[RelayEffect]:
+        if not self.stopping:
+            self._configuration.due(now)
+            if self._watches(now):
+                self._entries.due(now)
         self._registration.due(now)
-        return effects + list(self._access.due(now))
+        return list(self._access.due(now))
+
+    def _watches(self, now: Seconds) -> bool:
+        """Return whether this balancer is one that follows the entries.
+
+        Each does until it has read them once.
+        """
+        if self._entries.fresh_at == float("-inf"):
+            return True
+        before = sum(
+            1
+            for node, at in self.members.balancers.items()
+            if node < self._who.node and now - at <= WATCHER_HEARD_S
+        )
+        return before < WATCHERS
 
     def _hello(self, now: Seconds) -> list[RelayEffect]:
         peers = list(self.members.balancers) or list(self._who.seeds)
@@ -274,6 +326,7 @@
         table = self.routes.table
         return Hello(
             id=self._who.node,
+            place=self._who.place,
             version=self.routes.version,
             agents=tuple(shown),
             peers=tuple(self.members.balancers),
@@ -295,13 +348,11 @@
             effects += self._take_configuration(
                 now, self._configuration.answered(now, event)
             )
-            self._take_entries(now, self._entries.answered(now, event))
+            effects += self._take_entries(
+                now, self._entries.answered(now, event)
+            )
             effects += self._update(now)
-        if not self.stopping:
-            self._configuration.due(now)
-            self._entries.due(now)
-        self._registration.due(now)
-        return effects + list(self._access.due(now))
+        return effects + self._store_calls(now)
 
     def _take_configuration(
         self, now: Seconds, told: Read | Change | None
@@ -323,7 +374,9 @@
                     )
                 )
                 continue
-            effects += self._took(now, table, f"store revision {item.revision}")
+            effects += self._took(
+                now, table, f"store revision {item.revision}"
+            )
         return effects
 
     def _took(
@@ -343,21 +396,22 @@
 
     def _take_entries(
         self, now: Seconds, told: Read | Change | None
-    ) -> None:
+    ) -> list[RelayEffect]:
         if told is None:
-            return
+            return []
         for item in told.items:
             self._take_entry(now, item)
         if isinstance(told, Change):
-            for key in told.deleted:
-                self._take_deleted(now, key)
-            return
-        present = {item.key for item in told.items}
-        for node in list(self.members.agents):
-            if self._who.agents + node not in present:
-                self.members.take_missing(now, node)
-        if self._who.balancers + self._who.node not in present:
-            self._registration.saw(None)
+            missing = list(told.deleted)
+        else:
+            present = {item.key for item in told.items}
+            keys = [self._who.agents + node for node in self.members.agents]
+            keys.append(self._who.balancers + self._who.node)
+            missing = [key for key in keys if key not in present]
+        effects: list[RelayEffect] = []
+        for key in missing:
+            effects += self._take_missing(now, key)
+        return effects
 
     def _take_entry(self, now: Seconds, item: Item) -> None:
         if item.key.startswith(self._who.balancers):
@@ -373,12 +427,14 @@
         self.members.take_report(now, report, direct=False)
         self.members.take_registered(report.id)
 
-    def _take_deleted(self, now: Seconds, key: str) -> None:
-        if key.startswith(self._who.agents):
-            node = NodeId(key.removeprefix(self._who.agents))
-            self.members.take_missing(now, node)
-        elif key == self._who.balancers + self._who.node:
+    def _take_missing(self, now: Seconds, key: str) -> list[RelayEffect]:
+        """Note a missing entry; tell an agent or balancer that lives."""
+        if key == self._who.balancers + self._who.node:
             self._registration.saw(None)
+            return []
+        node = NodeId(key.rpartition("/")[2])
+        self.members.take_missing(now, node)
+        return [Send(node, EntryMissing())]
 
     # Which agent is asked
 
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -4,6 +4,7 @@
 import random
 
 from ..ids import NodeId
+from ..ids import PlaceName
 from ..ids import Seconds
 from .members import Member
 from .messages import AgentReport
@@ -16,6 +17,9 @@
 report's lifetime to one server."""
 FLOW_LOAD = 0.1
 """Load of an open flow that waits, beside one that is served."""
+FAR_LOAD = 0.3
+"""What a server at another place than the caller's balancer is heavier,
+as answers to it and uploads cross places."""
 COLD_FACTOR = 1.6
 """How much heavier the load of a server is that has just started."""
 
@@ -34,10 +38,12 @@
         own: AgentReport | None,
         members: list[Member],
         without: Collection[NodeId],
+        near: PlaceName | None,
     ) -> NodeId | None:
         """Return the agent whose server has most room, None for none.
 
-        ``own`` is this agent's report if its server takes flows.
+        ``own`` is this agent's report if its server takes flows;
+        ``near`` is the place of the caller's balancer if it is known.
         """
         peers = [m for m in members if _takes(now, m, without)]
         if len(peers) > COMPARED:
@@ -46,9 +52,10 @@
         lowest = float("inf")
         if own is not None and self._node not in without:
             best = self._node
-            lowest = load(own)
+            lowest = load(own) + _distance(own, near)
         for member in peers:
             weight = load(member.report, self._sent_since(member))
+            weight += _distance(member.report, near)
             if weight < lowest:
                 best = member.report.id
                 lowest = weight
@@ -73,9 +80,11 @@
     return work / max(1, report.slots)
 
 
-def _takes(
-    now: Seconds, member: Member, without: Collection[NodeId]
-) -> bool:
+def _distance(report: AgentReport, near: PlaceName | None) -> float:
+    return 0.0 if near is None or report.place == near else FAR_LOAD
+
+
+def _takes(now: Seconds, member: Member, without: Collection[NodeId]) -> bool:
     report = member.report
     return (
         report.state is AgentState.READY
--- a/packages/core/src/medlar_core/relay/flowtable.py
+++ b/packages/core/src/medlar_core/relay/flowtable.py
@@ -27,7 +27,8 @@
     ``sent`` is the position that the caller has sent up to, ``acked``
     what it has received. ``busy`` tells that the caller sent a request
     and has had nothing back. ``answered`` tells that the server accepted
-    the flow. ``declined`` names agents whose servers did not.
+    the flow. ``declined`` names agents whose servers did not. ``via`` is
+    the balancer that knows the holder.
     """
 
     holder: NodeId
@@ -38,6 +39,7 @@
     answered: bool = False
     ended: bool = False
     declined: tuple[NodeId, ...] = ()
+    via: NodeId = NodeId("")
 
 
 class FlowTable:
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..ids import NodeId
+from ..ids import PlaceName
 from ..ids import Seconds
 from ..ids import ServiceName
 from .messages import AgentReport
@@ -57,6 +58,7 @@
         self._node = node
         self.agents: dict[NodeId, Member] = {}
         self.balancers: dict[NodeId, float] = {}
+        self.places: dict[NodeId, PlaceName] = {}
         self.changes = 0
         self._departed: dict[NodeId, tuple[Departed, float]] = {}
 
@@ -103,10 +105,13 @@
         if member.report.incarnation <= departed.incarnation:
             self._remove(now, member.report)
 
-    def take_balancer(self, now: Seconds, node: NodeId) -> None:
-        """Note a sign of life of a balancer, or that it is new."""
+    def take_balancer(
+        self, now: Seconds, node: NodeId, place: PlaceName
+    ) -> None:
+        """Note a sign of life of a balancer."""
         if node != self._node:
             self.balancers[node] = now
+            self.places[node] = place
 
     def learn_balancer(self, now: Seconds, node: NodeId) -> None:
         """Note a balancer that another process knows."""
@@ -123,6 +128,11 @@
             for node, at in self.balancers.items()
             if now - at <= BALANCER_FORGET_S
         }
+        self.places = {
+            node: place
+            for node, place in self.places.items()
+            if node in self.balancers
+        }
         self._departed = {
             node: (departed, at)
             for node, (departed, at) in self._departed.items()
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -26,7 +26,7 @@
     """The server left for good."""
 
 
-class AgentReport(msgspec.Struct, frozen=True, tag="agent"):
+class AgentReport(msgspec.Struct, frozen=True, array_like=True, tag="a"):
     """What one agent says of itself.
 
     ``incarnation`` is of the agent's process and ``count`` grows with
@@ -56,14 +56,14 @@
         return (self.incarnation, self.count)
 
 
-class Departed(msgspec.Struct, frozen=True):
+class Departed(msgspec.Struct, frozen=True, array_like=True):
     """An agent that is gone for good, by incarnation of its process."""
 
     id: NodeId
     incarnation: int
 
 
-class Hello(msgspec.Struct, frozen=True, tag="hello"):
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """What a balancer tells: itself, its configuration, whom it knows.
 
     ``agents`` holds the latest reports, some at a time; ``peers`` other
@@ -72,6 +72,7 @@
     """
 
     id: NodeId
+    place: PlaceName
     version: int
     agents: tuple[AgentReport, ...] = ()
     peers: tuple[NodeId, ...] = ()
@@ -79,26 +80,30 @@
     idle_s: float = 0.0
 
 
-class Goodbye(msgspec.Struct, frozen=True, tag="goodbye"):
+class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
     """A balancer stops."""
 
     id: NodeId
 
 
-class FlowHeld(msgspec.Struct, frozen=True, tag="held"):
+class FlowHeld(msgspec.Struct, frozen=True, array_like=True, tag="f"):
     """The sender's server, or ``holder``'s, holds the flow."""
 
     flow: FlowId
     holder: NodeId
 
 
-class FlowUnknown(msgspec.Struct, frozen=True, tag="unknown"):
+class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="u"):
     """Neither the sender nor its server holds the flow."""
 
     flow: FlowId
 
 
-class OtherService(msgspec.Struct, frozen=True, tag="other"):
+class EntryMissing(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    """The store has no entry of the agent that gets this."""
+
+
+class OtherService(msgspec.Struct, frozen=True, array_like=True, tag="o"):
     """A packet of ``service`` came to an agent of another service."""
 
     service: ServiceName
@@ -106,22 +111,28 @@
 
 
 RelayMessage: TypeAlias = (
-    AgentReport | Hello | Goodbye | FlowHeld | FlowUnknown | OtherService
+    AgentReport
+    | Hello
+    | Goodbye
+    | FlowHeld
+    | FlowUnknown
+    | EntryMissing
+    | OtherService
 )
 
-_encoder = msgspec.json.Encoder()
-_decoder: msgspec.json.Decoder[RelayMessage] = msgspec.json.Decoder(
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[RelayMessage] = msgspec.msgpack.Decoder(
     RelayMessage
 )
 
 
 def encode(msg: RelayMessage) -> bytes:
-    """Return a message as JSON."""
+    """Return the bytes of a message."""
     return _encoder.encode(msg)
 
 
 def decode(data: bytes) -> RelayMessage:
-    """Return the message in JSON text.
+    """Return the message in bytes.
 
     :raises msgspec.DecodeError: if it is none.
     """
--- a/packages/core/src/medlar_core/relay/registration.py
+++ b/packages/core/src/medlar_core/relay/registration.py
@@ -6,8 +6,8 @@
 from ..ids import Seconds
 from ..ids import StoreCallId
 from ..store import Conflict
-from ..store import Item
 from ..store import Delete
+from ..store import Item
 from ..store import Leased
 from ..store import LeaseGrant
 from ..store import LeaseKeep
@@ -19,9 +19,10 @@
 from ..storeaccess.access import Part
 from ..storeaccess.access import StoreAccess
 
-LEASE_S = 8.0
-KEEP_S = 1.5
-"""Renewal; an entry that lapsed in an outage is back this soon."""
+LEASE_S = 20.0
+KEEP_S = 6.0
+"""Balancers tell a process at once that its entry is missing, so that
+renewals may be slow."""
 SPREAD_S = 0.1
 
 
@@ -61,6 +62,7 @@
         if self._call is None and item is None and self._written:
             self._written = ""
             self._revision = 0
+            self._lease = 0
 
     def due(self, now: Seconds) -> None:
         """Ask the store for what is to be done next, if anything."""
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/routes.py
@@ -91,9 +91,7 @@
         return (*_by_weight(route.shares, flow.key), *earlier)
 
 
-def _by_weight(
-    shares: tuple[Share, ...], key: int
-) -> tuple[ServiceName, ...]:
+def _by_weight(shares: tuple[Share, ...], key: int) -> tuple[ServiceName, ...]:
     total = sum(share.weight for share in shares)
     if total <= 0:
         return tuple(share.service for share in shares)
--- a/packages/core/src/medlar_core/relay/search.py
+++ b/packages/core/src/medlar_core/relay/search.py
@@ -33,6 +33,8 @@
     """Whether all who may hold the flow were asked."""
     waiting: list[Segment]
     acked: int
+    via: NodeId
+    """The balancer that asked, to be told the holder."""
 
     @property
     def proves_absence(self) -> bool:
--- a/packages/core/src/medlar_core/relay/wrapped.py
+++ b/packages/core/src/medlar_core/relay/wrapped.py
@@ -25,6 +25,7 @@
     ``declined`` names agents whose servers took the flow not.
     ``elsewhere`` names further services that may hold the flow, opened
     under another version of the configuration or by another weight.
+    ``via`` is the balancer that an opening packet came through.
     """
 
     why: int
@@ -32,6 +33,7 @@
     data: bytes
     declined: tuple[NodeId, ...] = ()
     elsewhere: tuple[ServiceName, ...] = ()
+    via: NodeId = NodeId("")
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -46,9 +46,7 @@
     rng = random.Random(cfg.name)
     access: StoreAccess = new_access(rng)
     registration = Registration(access, who.balancers + who.node, rng)
-    reducer = RelayBalancer(
-        who, codec, read_routes, access, registration, rng
-    )
+    reducer = RelayBalancer(who, codec, read_routes, access, registration, rng)
     process = RelayProcess(cfg, reducer, codec, ask_store)
 
     def from_caller(data: bytes, src: str) -> None:
