--- a/Makefile
+++ b/Makefile
@@ -11,27 +11,27 @@
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sort | \
 	awk -F ':.*## ' '{printf "  %-10s %s\n", $$1, $$2}'
 
-$(STAMP): constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): constraints.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PY) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/python -m pip install -q -c constraints.txt \
-	  --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	  --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%) -e platform
 	touch $(STAMP)
 
 setup: $(STAMP) ## Make the virtual environment with all packages
 
 format: $(STAMP) ## Format the code
-	$(BIN)/ruff format packages testing features
-	$(BIN)/ruff check --fix packages testing features
+	$(BIN)/ruff format packages platform testing features
+	$(BIN)/ruff check --fix packages platform testing features
 
 lint: $(STAMP) ## Check format and lint, with OpenStack's hacking
-	$(BIN)/ruff format --check packages testing features
-	$(BIN)/ruff check packages testing features
-	$(BIN)/flake8 packages testing features
+	$(BIN)/ruff format --check packages platform testing features
+	$(BIN)/ruff check packages platform testing features
+	$(BIN)/flake8 packages platform testing features
 
 types: $(STAMP) ## Check types
-	$(BIN)/mypy $(PACKAGES:%=packages/%/src) --no-error-summary
+	$(BIN)/mypy $(PACKAGES:%=packages/%/src) platform/src --no-error-summary
 
 unit: $(STAMP) ## Run the unit tests
 	$(BIN)/python -m pytest
--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -7,6 +7,7 @@
 
 from ..effects import Send
 from ..events import Received
+from ..events import ServerProbed
 from ..events import StopAsked
 from ..events import StoreAnswered
 from ..events import Tick
@@ -15,11 +16,14 @@
 from ..ids import Seconds
 from ..ids import ServiceName
 from ..packets import Flag
+from ..store import Item
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
 from .agent_flows import AgentFlows
+from .effects import ProbeServer
 from .effects import RelayEffect
 from .events import PassedOn
+from .events import SeedsChanged
 from .events import ServerAnnounced
 from .events import ServerLeft
 from .events import ServerReturned
@@ -42,6 +46,8 @@
 PEERS_EVERY_S = 0.1
 BALANCERS_EVERY_S = 0.2
 EXPIRE_EVERY_S = 1.0
+PROBE_EVERY_S = 0.5
+"""While no server has announced itself."""
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -67,6 +73,7 @@
         rng: random.Random,
     ) -> None:
         self._who = who
+        self._seeds = who.seeds
         self._incarnation = who.incarnation
         self._access = access
         self._registration = registration
@@ -89,6 +96,7 @@
         self._balancer_pace = Pace(BALANCERS_EVERY_S)
         self._idle_s = DEFAULT_IDLE_S
         self._expire_at = 0.0
+        self._probe_at = 0.0
 
     @property
     def is_leaving(self) -> bool:
@@ -110,13 +118,17 @@
                 return self._received(now, src, msg)
             case Tick():
                 return self._tick(now)
+            case ServerProbed(alive=alive):
+                self.neighbour.probed(now, alive)
+                return self._changed(now)
             case ServerAnnounced():
                 return self._announced(now, event)
             case ServerLeft():
                 return self._left(now, event)
             case StoreAnswered():
-                self._registration.answered(now, event)
-                return self._store_calls(now)
+                return self._answered(now, event)
+            case SeedsChanged(seeds=seeds):
+                self._seeds = seeds
             case StopAsked():
                 self._stopping = True
                 return self._changed(now)
@@ -145,6 +157,34 @@
             server_born=server.born_ms if server else 0,
         )
 
+    def _answered(
+        self, now: Seconds, event: StoreAnswered
+    ) -> list[RelayEffect]:
+        had = self._registration.earlier
+        self._registration.answered(now, event)
+        effects: list[RelayEffect] = []
+        earlier = self._registration.earlier
+        if earlier is not None and had is None:
+            effects += self._remembered(now, earlier)
+        return effects + self._store_calls(now)
+
+    def _remembered(self, now: Seconds, item: Item) -> list[RelayEffect]:
+        """Take over what an earlier process at this address wrote."""
+        try:
+            entry = msgspec.json.decode(item.value, type=AgentReport)
+        except msgspec.DecodeError as exc:
+            return [
+                self._journal.belief(
+                    Topic.STORE,
+                    f"store: own entry unreadable: {exc}",
+                    server=self._who.node,
+                )
+            ]
+        if entry.service == self._who.service:
+            self._refute(entry)
+            self.neighbour.remembered(now, entry)
+        return self._changed(now)
+
     # The server beside this agent
 
     def _announced(
@@ -192,7 +232,7 @@
             case AgentReport():
                 self.members.take_report(now, msg, direct=msg.id == src)
             case Hello():
-                self._greeted(now, msg)
+                return self._greeted(now, msg)
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
             case FlowHeld(flow=flow, holder=holder):
@@ -206,7 +246,10 @@
                 self.members.take_report(now, report, direct=True)
         return []
 
-    def _greeted(self, now: Seconds, msg: Hello) -> None:
+    def _greeted(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
+        if msg.id not in self.members.balancers:
+            self._balancer_pace.hurry()
+        known = self.members.changes
         self.members.take_balancer(now, msg.id, msg.place)
         self._journal.version = max(self._journal.version, msg.version)
         if msg.idle_s:
@@ -220,7 +263,11 @@
                 self._refute(report)
             else:
                 self.members.take_report(now, report, direct=False)
-        self.flows.introduced(now)
+        if msg.names_all:
+            self.flows.introduced(now)
+        if self.members.changes != known:
+            self._peer_pace.hurry()
+        return self._tell(now)
 
     def _refute(self, report: AgentReport) -> None:
         """Outdo what an earlier process at this address has said."""
@@ -231,6 +278,9 @@
 
     def _tick(self, now: Seconds) -> list[RelayEffect]:
         effects = self._changed(now)
+        if self.neighbour.server is None and now >= self._probe_at:
+            self._probe_at = now + PROBE_EVERY_S
+            effects.append(ProbeServer())
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_EVERY_S
             self.members.expire(now)
@@ -241,7 +291,7 @@
 
     def _tell(self, now: Seconds) -> list[RelayEffect]:
         peers = [m.report.id for m in self.members.of(self.flows.service)]
-        balancers = list(self.members.balancers) or list(self._who.seeds)
+        balancers = list(self.members.balancers) or list(self._seeds)
         told: list[NodeId] = []
         if self._peer_pace.due(now, len(peers)):
             told += peers
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -38,26 +38,31 @@
 from .wrapped import Why
 from .wrapped import Wrapped
 
-SETTLE_S = 0.5
-"""After its first greeting an agent knows the members of its service."""
+SETTLE_S = 0.1
+"""Time for further greetings after the first that named all members."""
 PASS_ON_GAIN = 1.0
 """A new flow is passed on once if another server's load is lower by this."""
 
+MAX_HOPS = 6
+"""Agents that a packet passes at the most."""
+
 _SYN = int(Flag.SYN)
 _NOBODY = NodeId("")
+_COMING = (AgentState.STARTING, AgentState.RESTARTING)
 
 
 class Opening(msgspec.Struct, frozen=True):
     """A SYN that looks for a server.
 
     ``declined`` names agents that did not take it, ``via`` the balancer
-    that it came through.
+    that it came through; ``hops`` counts agents passed.
     """
 
     flow_id: FlowId
     segment: Segment
     declined: tuple[NodeId, ...]
     via: NodeId
+    hops: int = 0
 
     def without(self, node: NodeId) -> "Opening":
         """Return the same with one more agent that does not take it."""
@@ -91,7 +96,7 @@
         self._introduced_at: float | None = None
 
     def introduced(self, now: Seconds) -> None:
-        """Note that a balancer told the members."""
+        """Note that a balancer told all members of the service."""
         if self._introduced_at is None:
             self._introduced_at = now
 
@@ -112,6 +117,8 @@
         flow_id = segment.inward
         flow = self.table.get(flow_id)
         opening = bool(segment.flags & _SYN)
+        if wrapped.hops > MAX_HOPS:
+            return [self._note(flow_id, "flows: dropped after too many hops")]
         if flow is not None and flow.holder == self._node:
             return self._to_holder(now, event, flow_id, flow, own)
         if opening and wrapped.service != self.service:
@@ -153,16 +160,19 @@
     ) -> list[RelayEffect]:
         """Pass a packet to the agent that holds its flow."""
         segment = event.segment
+        hops = event.wrapped.hops + 1
         flow.at = now
-        if event.src == flow.holder and not segment.flags & _SYN:
-            # The holder that is known here sends the packet back.
+        if event.src == flow.holder:
+            # The agent that holds the flow by this table sends it back.
             self.table.remove(flow_id)
+            if segment.flags & _SYN:
+                return self._open(now, event, flow_id, own)
             return self._search(now, flow_id, segment, event.wrapped)
         if segment.flags & _SYN and not self._takes_flows(now, flow.holder):
-            opening = Opening(flow_id, segment, flow.declined, flow.via)
+            opening = Opening(flow_id, segment, flow.declined, flow.via, hops)
             return self._place(now, opening.without(flow.holder), own)
         effects: list[RelayEffect] = [
-            self._pass(flow.holder, Why.PLACED, segment, flow.declined)
+            self._pass(flow.holder, Why.PLACED, segment, flow.declined, hops)
         ]
         if event.wrapped.why == Why.ROUTED and event.src != flow.via:
             flow.via = event.src
@@ -183,7 +193,9 @@
         wrapped = event.wrapped
         routed = wrapped.why == Why.ROUTED
         via = event.src if routed else wrapped.via
-        opening = Opening(flow_id, event.segment, wrapped.declined, via)
+        opening = Opening(
+            flow_id, event.segment, wrapped.declined, via, wrapped.hops
+        )
         if routed or own.state is not AgentState.READY:
             return self._place(now, opening, own)
         # Another agent chose this one by a report that may be outdated.
@@ -212,6 +224,7 @@
             opening.segment.data,
             opening.declined,
             via=opening.via,
+            hops=opening.hops + 1,
         )
         effects: list[RelayEffect] = [Pass(best, wrapped)]
         if opening.via:
@@ -244,13 +257,21 @@
     def _refuse(
         self, now: Seconds, opening: Opening, own: AgentReport
     ) -> list[RelayEffect]:
-        """Reset a flow that no server takes, if that is certain."""
+        """Reset a flow that no server takes, if that is certain.
+
+        While a member may take flows again soon, the caller's next SYN
+        finds it.
+        """
         self.table.remove(opening.flow_id)
-        if not self._is_settled(now):
+        members = self._members.of(self.service)
+        states = [own.state, *(m.report.state for m in members)]
+        if not self._is_settled(now) or any(s in _COMING for s in states):
             return []
-        why = Reason.SHED
-        if own.state is not AgentState.READY:
-            why = Reason.NO_SERVER
+        if any(member.is_silent(now) for member in members):
+            return []
+        why = Reason.NO_SERVER
+        if AgentState.READY in states:
+            why = Reason.SHED
         return self._reset(opening.flow_id, opening.segment.ack, why)
 
     # Flows that this agent does not know
@@ -276,7 +297,7 @@
         if self._searches.full():
             return [self._note(flow_id, "flows: dropped, too many searches")]
         asked = self._all_members(wrapped)
-        offers = not own_denied and not self._knows_all(now)
+        offers = not own_denied and not self._neighbour.knows_all(now)
         search = Search(
             began=now,
             awaited={m.report.id for m in asked},
@@ -307,11 +328,12 @@
         """Answer whether the own server holds a flow."""
         if flow is not None and flow.holder != event.src:
             segment = event.segment
+            hops = event.wrapped.hops + 1
             return [
-                self._pass(flow.holder, Why.PLACED, segment, ()),
+                self._pass(flow.holder, Why.PLACED, segment, (), hops),
                 Send(event.src, FlowHeld(flow_id, flow.holder)),
             ]
-        if self._knows_all(now):
+        if self._neighbour.knows_all(now):
             return [Send(event.src, FlowUnknown(flow_id))]
         self._askers[flow_id] = event.src
         return [ToServer(self._codec.offered(event.segment.data))]
@@ -426,11 +448,6 @@
         names = {self.service, wrapped.service, *wrapped.elsewhere}
         return [m for name in sorted(names) for m in self._members.of(name)]
 
-    def _knows_all(self, now: Seconds) -> bool:
-        if self._neighbour.state(now) is AgentState.DOWN:
-            return True
-        return self._neighbour.knows_all(now)
-
     def _is_settled(self, now: Seconds) -> bool:
         since = self._introduced_at
         return since is not None and now - since >= SETTLE_S
@@ -450,9 +467,12 @@
         dst: NodeId,
         why: Why,
         segment: Segment,
-        declined: tuple[NodeId, ...],
+        declined: tuple[NodeId, ...] = (),
+        hops: int = 1,
     ) -> Pass:
-        wrapped = Wrapped(int(why), self.service, segment.data, declined)
+        wrapped = Wrapped(
+            int(why), self.service, segment.data, declined, hops=hops
+        )
         return Pass(dst, wrapped)
 
     def _reset(
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -31,10 +31,13 @@
 from .effects import ToCaller
 from .events import CallerSent
 from .events import RoutesFetched
+from .events import SeedsChanged
 from .hints import Hints
 from .journal import Journal
+from .members import heard
 from .members import Members
 from .messages import AgentReport
+from .messages import AgentState
 from .messages import EntryMissing
 from .messages import FlowHeld
 from .messages import Goodbye
@@ -56,7 +59,7 @@
 from .wrapped import Wrapped
 
 HELLO_EVERY_S = 1.0
-HELLO_AGENTS = 4
+HELLO_AGENTS = 16
 """Reports in one greeting; the rest follow in the next ones."""
 CONFIGURATION_WAIT_S = 10.0
 MEMBERS_WAIT_S = 20.0
@@ -103,6 +106,7 @@
         rng: random.Random,
     ) -> None:
         self._who = who
+        self._seeds = who.seeds
         self._codec = codec
         self._read_routes = read_routes
         self._access = access
@@ -127,13 +131,17 @@
         self._told = 0
         self._fetch_at = 0.0
         self._agreed_at = float("-inf")
+        self._hears_agents = False
         self.stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Whether this balancer can carry traffic."""
-        known = self.routes.table is not None and bool(self.members.agents)
-        return known and not self.stopping
+        return (
+            self.routes.table is not None
+            and self._hears_agents
+            and not self.stopping
+        )
 
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Take one event and return the effects to carry out."""
@@ -148,6 +156,8 @@
                 return self._answered(now, event)
             case RoutesFetched(table=table, src=src):
                 return self._took(now, table, f"balancer {src}")
+            case SeedsChanged(seeds=seeds):
+                self._seeds = seeds
             case StopAsked():
                 self.stopping = True
                 self._registration.want("")
@@ -309,21 +319,29 @@
         return before < WATCHERS
 
     def _hello(self, now: Seconds) -> list[RelayEffect]:
-        peers = list(self.members.balancers) or list(self._who.seeds)
+        peers = list(self.members.balancers) or list(self._seeds)
         agents = list(self.members.agents)
         told = len(agents) + len(peers)
         if self.stopping or not self._pace.due(now, told):
             return []
-        hello = self._greeting()
-        dsts = dict.fromkeys((*agents, *peers))
-        return [Send(node, hello) for node in dsts if node != self._who.node]
-
-    def _greeting(self) -> Hello:
+        effects: list[RelayEffect] = []
+        for service in self._owners:
+            members = self.members.of(service)
+            hello = self._greeting([member.report for member in members])
+            effects += [Send(m.report.id, hello) for m in members]
         reports = [m.report for m in self.members.agents.values()]
-        start = self._told % max(1, len(reports))
-        self._told += HELLO_AGENTS
+        hello = self._greeting(reports)
+        others = (node for node in peers if node != self._who.node)
+        return effects + [Send(node, hello) for node in others]
+
+    def _greeting(self, reports: list[AgentReport]) -> Hello:
+        start = 0
+        if len(reports) > HELLO_AGENTS:
+            start = self._told % len(reports)
+            self._told += HELLO_AGENTS
         shown = (reports[start:] + reports[:start])[:HELLO_AGENTS]
         table = self.routes.table
+        has_read = self._entries.fresh_at > float("-inf")
         return Hello(
             id=self._who.node,
             place=self._who.place,
@@ -332,6 +350,7 @@
             peers=tuple(self.members.balancers),
             departed=self.members.departed(),
             idle_s=table.idle_s if table else 0.0,
+            names_all=has_read and len(shown) == len(reports),
         )
 
     def _goodbye(self) -> list[RelayEffect]:
@@ -448,6 +467,12 @@
 
     def _refresh(self, now: Seconds) -> None:
         """Rank the agents of each service anew if they changed."""
+        ready = [
+            member
+            for member in self.members.agents.values()
+            if member.report.state is AgentState.READY
+        ]
+        self._hears_agents = 2 * len(heard(ready, now)) >= max(1, len(ready))
         services = {m.report.service for m in self.members.agents.values()}
         owners: dict[ServiceName, Owners] = {}
         for service in services:
--- a/packages/core/src/medlar_core/relay/effects.py
+++ b/packages/core/src/medlar_core/relay/effects.py
@@ -32,6 +32,10 @@
     wrapped: Wrapped
 
 
+class ProbeServer(msgspec.Struct, frozen=True):
+    """See whether anything listens where the server would."""
+
+
 class FetchRoutes(msgspec.Struct, frozen=True):
     """Read the newer configuration that a balancer holds."""
 
@@ -39,5 +43,12 @@
 
 
 RelayEffect: TypeAlias = (
-    ToCaller | ToServer | Pass | FetchRoutes | CallStore | Record | Send
+    ToCaller
+    | ToServer
+    | Pass
+    | ProbeServer
+    | FetchRoutes
+    | CallStore
+    | Record
+    | Send
 )
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -38,6 +38,12 @@
     table: RouteTable
 
 
+class SeedsChanged(msgspec.Struct, frozen=True):
+    """The settings name other processes to begin with."""
+
+    seeds: tuple[NodeId, ...]
+
+
 class ServerPhase(enum.Enum):
     """What a server says of itself."""
 
--- a/packages/core/src/medlar_core/relay/flowtable.py
+++ b/packages/core/src/medlar_core/relay/flowtable.py
@@ -15,6 +15,8 @@
 """Late packets of a flow that ended still find its server."""
 BUSY_LIMIT_S = 10.0
 """A caller that waits for longer is taken to wait no more."""
+UNPROVEN_LIMIT_S = 1.0
+"""A caller that sent a SYN and no more sends nothing after this."""
 DEFAULT_IDLE_S = 60.0
 
 _END = int(Flag.FIN | Flag.RST)
@@ -27,8 +29,9 @@
     ``sent`` is the position that the caller has sent up to, ``acked``
     what it has received. ``busy`` tells that the caller sent a request
     and has had nothing back. ``answered`` tells that the server accepted
-    the flow. ``declined`` names agents whose servers did not. ``via`` is
-    the balancer that knows the holder.
+    the flow, ``proven`` that its caller went on after that. ``declined``
+    names agents whose servers did not accept it, ``via`` the balancer
+    that knows the holder.
     """
 
     holder: NodeId
@@ -37,6 +40,7 @@
     acked: int = 0
     busy: bool = False
     answered: bool = False
+    proven: bool = False
     ended: bool = False
     declined: tuple[NodeId, ...] = ()
     via: NodeId = NodeId("")
@@ -86,8 +90,11 @@
         """Note a packet that goes to the own server."""
         flow.at = now
         if segment.flags & _SYN:
+            # Callers open a flow when they have something to send.
             flow.sent = segment.seq
+            self._set_busy(flow, True)
             return
+        flow.proven = True
         flow.acked = segment.ack
         end = (segment.seq + segment.size) & 0xFFFFFFFF
         if segment.size and is_later(end, flow.sent):
@@ -119,7 +126,7 @@
             quiet = now - flow.at
             if quiet > (CLOSED_KEPT_S if flow.ended else idle_s):
                 gone.append(flow_id)
-            elif flow.busy and quiet > BUSY_LIMIT_S:
+            elif flow.busy and quiet > _busy_limit(flow):
                 self._set_busy(flow, False)
         for flow_id in gone:
             self.remove(flow_id)
@@ -133,3 +140,7 @@
         if not flow.ended:
             flow.ended = True
             self.open -= 1
+
+
+def _busy_limit(flow: Flow) -> float:
+    return BUSY_LIMIT_S if flow.proven else UNPROVEN_LIMIT_S
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -66,9 +66,10 @@
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """What a balancer tells: itself, its configuration, whom it knows.
 
-    ``agents`` holds the latest reports, some at a time; ``peers`` other
-    balancers; ``departed`` agents that went lately. ``idle_s`` is how
-    long a flow may be idle.
+    ``agents`` holds the latest reports, those of the receiver's service
+    first; ``names_all`` tells that none of that service are missing.
+    ``peers`` are other balancers; ``departed`` agents that went lately.
+    ``idle_s`` is how long a flow may be idle.
     """
 
     id: NodeId
@@ -78,6 +79,7 @@
     peers: tuple[NodeId, ...] = ()
     departed: tuple[Departed, ...] = ()
     idle_s: float = 0.0
+    names_all: bool = False
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- a/packages/core/src/medlar_core/relay/neighbour.py
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -7,6 +7,7 @@
 from .events import ServerAnnounced
 from .events import ServerLeft
 from .events import ServerPhase
+from .messages import AgentReport
 from .messages import AgentState
 
 MISSED_BEATS = 3
@@ -14,6 +15,8 @@
 FIRST_SEQUENCE = 1
 """A server whose first announcement this was has no earlier flows."""
 
+_NO_SERVER = (AgentState.DOWN, AgentState.GONE)
+
 
 class Server(msgspec.Struct):
     """One incarnation of the server, as it announced itself."""
@@ -27,6 +30,8 @@
     cold_until: float
     heard_at: float
     whole: bool
+    presumed: bool = False
+    """Not announced to this process yet."""
 
 
 class Neighbour:
@@ -34,10 +39,53 @@
 
     def __init__(self, beat_s: float) -> None:
         self._silent_s = MISSED_BEATS * beat_s
+        self._absent = False
+        self._alive = False
+        self._entry: AgentReport | None = None
         self.server: Server | None = None
 
+    def probed(self, now: Seconds, alive: bool) -> None:
+        """Note whether anything listens where the server would.
+
+        Before the first announcement only: a server that is not there
+        holds no flows.
+        """
+        if self.server is None:
+            self._absent = self._absent or not alive
+            self._alive = alive
+            self._presume(now)
+
+    def remembered(self, now: Seconds, entry: AgentReport) -> None:
+        """Note what an earlier process of this agent said in the store."""
+        if self.server is None:
+            self._entry = entry
+            self._presume(now)
+
+    def _presume(self, now: Seconds) -> None:
+        """Take a server that listens to be the one of the entry.
+
+        It announces itself soon; until then it goes on being served.
+        """
+        entry = self._entry
+        if entry is None or not self._alive:
+            return
+        if entry.state is not AgentState.READY:
+            return
+        self.server = Server(
+            entry.server,
+            entry.server_born,
+            0,
+            entry.service,
+            ServerPhase.READY,
+            entry.slots,
+            now,
+            now,
+            whole=False,
+            presumed=True,
+        )
+
     def announced(self, now: Seconds, event: ServerAnnounced) -> bool:
-        """Take an announcement; return whether a new server began.
+        """Take an announcement; return whether a known server was replaced.
 
         Late ones of an earlier incarnation, or older than the last one,
         are passed over.
@@ -52,10 +100,12 @@
             known.slots = event.slots
             known.cold_until = cold_until
             known.heard_at = now
+            known.presumed = False
             if known.phase is not ServerPhase.LEFT:
                 known.phase = event.phase
             return False
-        if known is not None and not self._replaces(now, event):
+        presumed = known is not None and known.presumed
+        if known is not None and not (presumed or self._replaces(now, event)):
             return False
         self.server = Server(
             event.server,
@@ -66,9 +116,9 @@
             event.slots,
             cold_until,
             now,
-            event.sequence <= FIRST_SEQUENCE,
+            self._absent or event.sequence <= FIRST_SEQUENCE,
         )
-        return known is not None
+        return known is not None and not presumed
 
     def left(self, event: ServerLeft) -> bool:
         """Note that the server ends; return whether it is this one."""
@@ -97,8 +147,8 @@
         """Return whether flows unknown here are unknown to the server."""
         server = self.server
         if server is None:
-            return False
-        return server.whole or self.state(now) is AgentState.GONE
+            return self._absent
+        return server.whole or self.state(now) in _NO_SERVER
 
     def _is_same(self, event: ServerAnnounced) -> bool:
         known = self.server
--- a/packages/core/src/medlar_core/relay/registration.py
+++ b/packages/core/src/medlar_core/relay/registration.py
@@ -7,6 +7,8 @@
 from ..ids import StoreCallId
 from ..store import Conflict
 from ..store import Delete
+from ..store import Found
+from ..store import Get
 from ..store import Item
 from ..store import Leased
 from ..store import LeaseGrant
@@ -19,10 +21,9 @@
 from ..storeaccess.access import Part
 from ..storeaccess.access import StoreAccess
 
-LEASE_S = 20.0
-KEEP_S = 6.0
-"""Balancers tell a process at once that its entry is missing, so that
-renewals may be slow."""
+LEASE_S = 8.0
+KEEP_S = 2.5
+"""Renewal; balancers tell a process at once that its entry is missing."""
 SPREAD_S = 0.1
 
 
@@ -40,6 +41,9 @@
         self._access = access
         self._key = key
         self._rng = rng
+        self.earlier: Item | None = None
+        """What the store held before this process wrote."""
+        self._read = False
         self._value = ""
         self._written = ""
         self._revision = 0
@@ -73,7 +77,8 @@
         op = self._next(now)
         if op is not None:
             self._op = op
-            self._call = self._access.ask(now, Part.MEMBERS, op, SPREAD_S)
+            spread_s = 0.0 if isinstance(op, Get) else SPREAD_S
+            self._call = self._access.ask(now, Part.MEMBERS, op, spread_s)
 
     def answered(self, now: Seconds, event: StoreAnswered) -> bool:
         """Take an answer if it is to this part's call."""
@@ -82,6 +87,11 @@
         answer = self._access.take(now, Part.MEMBERS, event)
         op, self._op, self._call = self._op, None, None
         match answer:
+            case Found(items=items):
+                self._read = True
+                for item in items:
+                    self.earlier = item
+                    self._revision = item.revision
             case Leased(lease=lease):
                 self._lease = lease
                 self._keep_at = now + KEEP_S * self._rng.uniform(0.8, 1.0)
@@ -102,6 +112,8 @@
         return True
 
     def _next(self, now: Seconds) -> StoreOp | None:
+        if not self._read:
+            return Get(self._key)
         if not self._value:
             return self._removal()
         if not self._lease:
--- a/packages/core/src/medlar_core/relay/watching.py
+++ b/packages/core/src/medlar_core/relay/watching.py
@@ -51,9 +51,10 @@
         if self._call is not None and self._access.waits(self._call):
             return
         op: List | Watch = List(self._prefix)
+        spread_s = 0.0 if self._call is None else SPREAD_S
         if self._after is not None:
             op = Watch(self._prefix, self._after, self._wait_s)
-        self._call = self._access.ask(now, self._part, op, SPREAD_S)
+        self._call = self._access.ask(now, self._part, op, spread_s)
 
     def answered(
         self, now: Seconds, event: StoreAnswered
--- a/packages/core/src/medlar_core/relay/wrapped.py
+++ b/packages/core/src/medlar_core/relay/wrapped.py
@@ -25,7 +25,8 @@
     ``declined`` names agents whose servers took the flow not.
     ``elsewhere`` names further services that may hold the flow, opened
     under another version of the configuration or by another weight.
-    ``via`` is the balancer that an opening packet came through.
+    ``via`` is the balancer that an opening packet came through and
+    ``hops`` counts the agents that handed the packet on.
     """
 
     why: int
@@ -34,6 +35,7 @@
     declined: tuple[NodeId, ...] = ()
     elsewhere: tuple[ServiceName, ...] = ()
     via: NodeId = NodeId("")
+    hops: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -22,6 +22,8 @@
 from .process import AskStore
 from .process import RelayProcess
 from .process import running
+from .reload import Reloader
+from .reload import SettingsSource
 from .settings import RelaySettings
 from .udp import udp_port
 
@@ -38,6 +40,7 @@
 
 
 async def serve(
+    source: SettingsSource,
     cfg: RelaySettings,
     prefix: str,
     codec: SegmentCodec,
@@ -61,6 +64,7 @@
     registration = Registration(access, prefix + cfg.node, rng)
     reducer = RelayAgent(who, codec, access, registration, rng)
     process = RelayProcess(cfg, reducer, codec, ask_store)
+    reloader = Reloader(source, cfg, process)
 
     def from_server(data: bytes, src: str) -> None:
         try:
@@ -86,7 +90,7 @@
         process.callers = process.server
         await stack.enter_async_context(serving(cfg.readiness, ready))
         await stack.enter_async_context(serving(cfg.control, control))
-        await stack.enter_async_context(running(process))
+        await stack.enter_async_context(running(process, reloader.watching()))
         log.info("started", extra={"at": cfg.node, "service": cfg.service})
         await process.stop_asked.wait()
         await _linger(reducer)
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -21,6 +21,8 @@
 from .process import peer_answer
 from .process import RelayProcess
 from .process import running
+from .reload import Reloader
+from .reload import SettingsSource
 from .settings import RelaySettings
 from .udp import udp_port
 
@@ -33,6 +35,7 @@
 
 
 async def serve(
+    source: SettingsSource,
     cfg: RelaySettings,
     who: BalancerIdentity,
     codec: SegmentCodec,
@@ -48,6 +51,7 @@
     registration = Registration(access, who.balancers + who.node, rng)
     reducer = RelayBalancer(who, codec, read_routes, access, registration, rng)
     process = RelayProcess(cfg, reducer, codec, ask_store)
+    reloader = Reloader(source, cfg, process)
 
     def from_caller(data: bytes, src: str) -> None:
         try:
@@ -69,8 +73,8 @@
         process.callers = enter(udp_port(cfg.packets, from_caller))
         await stack.enter_async_context(serving(cfg.node, peer))
         await stack.enter_async_context(serving(cfg.readiness, ready))
-        await stack.enter_async_context(running(process))
+        await stack.enter_async_context(running(process, reloader.watching()))
         log.info("started", extra={"at": cfg.node})
         await process.stop_asked.wait()
         await asyncio.sleep(min(LINGER_S, cfg.grace_s - MARGIN_S))
-    log.info("stopped", extra={"lost_lines": 0})
+    log.info("stopped")
--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -38,6 +38,9 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+_Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
 class _Connection:
     """One connection of either side."""
 
@@ -56,7 +59,7 @@
             self._writer.write(self.h11.send(event) or b"")
         await self._writer.drain()
 
-    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def next_event(self) -> _Event:
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -1,8 +1,10 @@
 """One process of the relay: carries out what its reducer decides."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
 import signal
 import time
@@ -15,22 +17,26 @@
 from medlar_core.effects import Send
 from medlar_core.events import Received
 from medlar_core.events import Reducer
+from medlar_core.events import ServerProbed
 from medlar_core.events import StopAsked
 from medlar_core.events import StoreAnswered
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
 from medlar_core.ids import Seconds
-from medlar_core.relay import messages
-from medlar_core.relay import wrapped as wrapping
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import Pass
+from medlar_core.relay.effects import ProbeServer
 from medlar_core.relay.effects import ToCaller
 from medlar_core.relay.effects import ToServer
 from medlar_core.relay.events import PassedOn
 from medlar_core.relay.events import RoutesFetched
+from medlar_core.relay.messages import decode as decode_message
+from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.routes import RouteTable
 from medlar_core.relay.segment import host_of
 from medlar_core.relay.segment import SegmentCodec
+from medlar_core.relay.wrapped import decode as decode_wrapped
+from medlar_core.relay.wrapped import encode as encode_wrapped
 from medlar_core.store import StoreAnswer
 from medlar_core.store import StoreOp
 from medlar_core.timeline.events import TimelineEvent
@@ -46,6 +52,7 @@
 
 TICK_S = 0.1
 FETCH_LIMIT_S = 1.0
+PROBE_LIMIT_S = 0.3
 EVENTS_KEPT = 1_200
 PACKET_MARK = b"P"
 CONTROL_MARK = b"C"
@@ -117,7 +124,7 @@
 
     def _packet(self, data: bytes, src: NodeId) -> None:
         try:
-            wrapped = wrapping.decode(data)
+            wrapped = decode_wrapped(data)
             segment = self._codec.decode(wrapped.data)
         except (msgspec.DecodeError, ValueError) as exc:
             log.warning("unreadable packet", extra={"src": src, "why": exc})
@@ -126,7 +133,7 @@
 
     def _message(self, data: bytes, src: NodeId) -> None:
         try:
-            msg = messages.decode(data)
+            msg = decode_message(data)
         except msgspec.DecodeError as exc:
             log.warning("unreadable message", extra={"src": src, "why": exc})
             return
@@ -135,7 +142,7 @@
     def _carry(self, effect: Any) -> None:
         match effect:
             case Pass(dst=dst, wrapped=wrapped):
-                self._to_peer(dst, PACKET_MARK + wrapping.encode(wrapped))
+                self._to_peer(dst, PACKET_MARK + encode_wrapped(wrapped))
             case ToServer(data=data):
                 assert self.server is not None
                 self.server.send(data, *self._server)
@@ -143,11 +150,13 @@
                 assert self.callers is not None
                 self.callers.send(data, host_of(caller), self._cfg.caller_port)
             case Send(dst=dst, msg=msg):
-                self._to_peer(dst, CONTROL_MARK + messages.encode(msg))
+                self._to_peer(dst, CONTROL_MARK + encode_message(msg))
             case Record(event=event):
                 self._record(event)
             case CallStore(call=call, op=op):
                 self._spawn(self._call(call, op))
+            case ProbeServer():
+                self._spawn(self._probe())
             case FetchRoutes(src=src):
                 self._spawn(self._fetch(src))
             case _:
@@ -169,6 +178,20 @@
         answer = await self._ask_store(op)
         self.give(StoreAnswered(call, answer))
 
+    async def _probe(self) -> None:
+        """Connect to the server; it need not answer any request."""
+        try:
+            async with asyncio.timeout(PROBE_LIMIT_S):
+                _, writer = await asyncio.open_connection(*self._server)
+        except ConnectionRefusedError:
+            self.give(ServerProbed(alive=False, ready=False))
+            return
+        except (OSError, TimeoutError) as exc:
+            log.warning("server not reached", extra={"why": str(exc)})
+            return
+        writer.close()
+        self.give(ServerProbed(alive=True, ready=False))
+
     async def _fetch(self, src: NodeId) -> None:
         try:
             req = Request("GET", ROUTES_PATH)
@@ -198,14 +221,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running(process: RelayProcess) -> Any:
-    """Give ticks and take signals while the context is open."""
+async def running(
+    process: RelayProcess, *others: Coroutine[Any, Any, None]
+) -> AsyncIterator[None]:
+    """Give ticks, take signals and run others while the context is open."""
     process.listen_to_signals()
-    task = asyncio.create_task(process.ticking())
+    coros = (process.ticking(), *others)
+    tasks = [asyncio.create_task(coro) for coro in coros]
     try:
         yield
     finally:
-        task.cancel()
+        for task in tasks:
+            task.cancel()
 
 
 def now() -> Seconds:
