Notice agents that never had an entry; log unanswered searches

Ruled out: agents that start without a server do answer (the connection is refused and they say so).

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -119,8 +119,7 @@
             case Tick():
                 return self._tick(now)
             case ServerProbed(alive=alive):
-                self.neighbour.probed(now, alive)
-                return self._changed(now)
+                return self._probed(now, alive)
             case ServerAnnounced():
                 return self._announced(now, event)
             case ServerLeft():
@@ -187,6 +186,18 @@
 
     # The server beside this agent
 
+    def _probed(self, now: Seconds, alive: bool) -> list[RelayEffect]:
+        if not self.neighbour.probed(now, alive):
+            return []
+        text = "listens" if alive else "does not listen"
+        note = self._journal.belief(
+            Topic.MEMBERSHIP,
+            f"members: server {text}, not announced yet",
+            self.flows.service,
+            self._who.node,
+        )
+        return [note, *self._changed(now)]
+
     def _announced(
         self, now: Seconds, event: ServerAnnounced
     ) -> list[RelayEffect]:
@@ -284,7 +295,7 @@
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_EVERY_S
             self.members.expire(now)
-            self.flows.expire(now, self._idle_s)
+            effects += self.flows.expire(now, self._idle_s)
         effects += self._tell(now)
         effects += self._store_calls(now)
         return effects
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -100,11 +100,18 @@
         if self._introduced_at is None:
             self._introduced_at = now
 
-    def expire(self, now: Seconds, idle_s: float) -> None:
+    def expire(self, now: Seconds, idle_s: float) -> list[RelayEffect]:
         """Forget what is no longer needed."""
         self.table.expire(now, idle_s)
-        self._searches.expire(now)
         self._askers.clear()
+        return [
+            self._note(
+                late.flow_id,
+                "flows: search ended without an answer of "
+                f"{', '.join(late.awaited) or 'the own server'}",
+            )
+            for late in self._searches.expire(now)
+        ]
 
     # Packets from balancers and other agents
 
@@ -446,7 +453,12 @@
 
     def _all_members(self, wrapped: Wrapped) -> list[Member]:
         names = {self.service, wrapped.service, *wrapped.elsewhere}
-        return [m for name in sorted(names) for m in self._members.of(name)]
+        return [
+            member
+            for name in sorted(names)
+            for member in self._members.of(name)
+            if not _has_no_server(member)
+        ]
 
     def _is_settled(self, now: Seconds) -> bool:
         since = self._introduced_at
@@ -490,3 +502,9 @@
         return self._journal.flow(
             Topic.HANDOVER, text, flow_id, self.service, server
         )
+
+
+def _has_no_server(member: Member) -> bool:
+    """Return whether an agent found nothing where its server would be."""
+    report = member.report
+    return report.state is AgentState.STARTING and report.whole
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -127,6 +127,7 @@
         )
         self._pace = Pace(HELLO_EVERY_S)
         self._hints = Hints()
+        self._present: set[str] = set()
         self._changes = 0
         self._told = 0
         self._fetch_at = 0.0
@@ -290,6 +291,8 @@
             )
             for report in self.members.expire(now)
         ]
+        if self._watches(now) and self._entries.fresh_at > float("-inf"):
+            effects += self._tell_missing(now)
         self._refresh(now)
         effects += self._hello(now)
         if not self.stopping:
@@ -418,18 +421,26 @@
     ) -> list[RelayEffect]:
         if told is None:
             return []
+        if isinstance(told, Read):
+            self._present = set()
         for item in told.items:
+            self._present.add(item.key)
             self._take_entry(now, item)
         if isinstance(told, Change):
-            missing = list(told.deleted)
-        else:
-            present = {item.key for item in told.items}
-            keys = [self._who.agents + node for node in self.members.agents]
-            keys.append(self._who.balancers + self._who.node)
-            missing = [key for key in keys if key not in present]
+            self._present.difference_update(told.deleted)
+        return self._tell_missing(now)
+
+    def _tell_missing(self, now: Seconds) -> list[RelayEffect]:
+        """Note missing entries; tell the processes whose entries they are."""
+        if self._who.balancers + self._who.node not in self._present:
+            self._registration.saw(None)
         effects: list[RelayEffect] = []
-        for key in missing:
-            effects += self._take_missing(now, key)
+        for node, member in self.members.agents.items():
+            if self._who.agents + node in self._present:
+                continue
+            if member.missing_at is None:
+                effects.append(Send(node, EntryMissing()))
+            self.members.take_missing(now, node)
         return effects
 
     def _take_entry(self, now: Seconds, item: Item) -> None:
@@ -446,15 +457,6 @@
         self.members.take_report(now, report, direct=False)
         self.members.take_registered(report.id)
 
-    def _take_missing(self, now: Seconds, key: str) -> list[RelayEffect]:
-        """Note a missing entry; tell an agent or balancer that lives."""
-        if key == self._who.balancers + self._who.node:
-            self._registration.saw(None)
-            return []
-        node = NodeId(key.rpartition("/")[2])
-        self.members.take_missing(now, node)
-        return [Send(node, EntryMissing())]
-
     # Which agent is asked
 
     def _update(self, now: Seconds) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/neighbour.py
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -40,20 +40,23 @@
     def __init__(self, beat_s: float) -> None:
         self._silent_s = MISSED_BEATS * beat_s
         self._absent = False
-        self._alive = False
+        self._alive: bool | None = None
         self._entry: AgentReport | None = None
         self.server: Server | None = None
 
-    def probed(self, now: Seconds, alive: bool) -> None:
+    def probed(self, now: Seconds, alive: bool) -> bool:
         """Note whether anything listens where the server would.
 
         Before the first announcement only: a server that is not there
-        holds no flows.
+        holds no flows. Returns whether this is news.
         """
-        if self.server is None:
-            self._absent = self._absent or not alive
-            self._alive = alive
-            self._presume(now)
+        if self.server is not None:
+            return False
+        is_news = alive is not self._alive
+        self._absent = self._absent or not alive
+        self._alive = alive
+        self._presume(now)
+        return is_news
 
     def remembered(self, now: Seconds, entry: AgentReport) -> None:
         """Note what an earlier process of this agent said in the store."""
--- a/packages/core/src/medlar_core/relay/search.py
+++ b/packages/core/src/medlar_core/relay/search.py
@@ -15,7 +15,7 @@
 
 ANSWER_S = 0.3
 """A search without all answers is begun anew by the next packet."""
-FORGET_S = 2.0
+FORGET_S = 1.0
 PACKETS_KEPT = 24
 """Packets of one flow that wait for the answers: more than a caller has
 in flight."""
@@ -42,6 +42,14 @@
         return self.provable and not self.awaited and not self.own
 
 
+class Unanswered(msgspec.Struct, frozen=True):
+    """A search that ended without all answers, and who gave none."""
+
+    flow_id: FlowId
+    awaited: tuple[NodeId, ...]
+    own: bool
+
+
 class Searches:
     """The searches of one agent."""
 
@@ -71,10 +79,13 @@
         """Forget and return the search of a flow."""
         return self._open.pop(flow_id, None)
 
-    def expire(self, now: Seconds) -> None:
-        """Forget searches that nobody answered."""
-        self._open = {
-            flow_id: search
+    def expire(self, now: Seconds) -> list[Unanswered]:
+        """Forget and return searches that not all have answered."""
+        late = [
+            Unanswered(flow_id, tuple(sorted(search.awaited)), search.own)
             for flow_id, search in self._open.items()
-            if now - search.began <= FORGET_S
-        }
+            if now - search.began > FORGET_S
+        ]
+        for found in late:
+            del self._open[found.flow_id]
+        return late
