--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -43,7 +43,11 @@
 PASS_ON_GAIN = 1.0
 """A new flow is passed on once if another server's load is lower by this."""
 
-MAX_HOPS = 6
+MAX_OFFERS = 8
+"""Servers that may decline a new flow before it is refused."""
+TRUSTED_HOPS = 3
+"""A packet that was passed on more often is searched for anew."""
+MAX_HOPS = 12
 """Agents that a packet passes at the most."""
 
 _SYN = int(Flag.SYN)
@@ -131,7 +135,7 @@
         if opening and wrapped.service != self.service:
             return [Send(event.src, OtherService(wrapped.service, own))]
         if wrapped.why == Why.ASKED:
-            return self._asked(now, event, flow_id, flow)
+            return self._asked(now, event, flow_id)
         if flow is not None:
             return self._to_other(now, event, flow_id, flow, own)
         if opening:
@@ -169,11 +173,14 @@
         segment = event.segment
         hops = event.wrapped.hops + 1
         flow.at = now
-        if event.src == flow.holder:
-            # The agent that holds the flow by this table sends it back.
+        if segment.flags & _SYN and flow.holder in event.wrapped.declined:
+            self.table.remove(flow_id)
+            return self._open(now, event, flow_id, own)
+        if not segment.flags & _SYN and (
+            event.src == flow.holder or hops > TRUSTED_HOPS
+        ):
+            # The agents' tables send the packet in a circle.
             self.table.remove(flow_id)
-            if segment.flags & _SYN:
-                return self._open(now, event, flow_id, own)
             return self._search(now, flow_id, segment, event.wrapped)
         if segment.flags & _SYN and not self._takes_flows(now, flow.holder):
             opening = Opening(flow_id, segment, flow.declined, flow.via, hops)
@@ -218,7 +225,7 @@
     ) -> list[RelayEffect]:
         """Give a new flow to the server that has most room."""
         best = self._pick(now, opening, own)
-        if best is None:
+        if best is None or len(opening.declined) >= MAX_OFFERS:
             return self._refuse(now, opening, own)
         if best == self._node:
             return self._take(now, opening)
@@ -326,20 +333,13 @@
         return effects + self._conclude(flow_id, search)
 
     def _asked(
-        self,
-        now: Seconds,
-        event: PassedOn,
-        flow_id: FlowId,
-        flow: Flow | None,
+        self, now: Seconds, event: PassedOn, flow_id: FlowId
     ) -> list[RelayEffect]:
-        """Answer whether the own server holds a flow."""
-        if flow is not None and flow.holder != event.src:
-            segment = event.segment
-            hops = event.wrapped.hops + 1
-            return [
-                self._pass(flow.holder, Why.PLACED, segment, (), hops),
-                Send(event.src, FlowHeld(flow_id, flow.holder)),
-            ]
+        """Answer whether the own server holds a flow.
+
+        What this agent believes of others is no answer: they are asked
+        too.
+        """
         if self._neighbour.knows_all(now):
             return [Send(event.src, FlowUnknown(flow_id))]
         self._askers[flow_id] = event.src
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -14,7 +14,9 @@
 from medlar_core.events import StoreAnswered
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
+from medlar_core.ids import StoreCallId
 from medlar_core.packets import Flag
+from medlar_core.relay.access import CALL_LIMIT_S
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import Pass
 from medlar_core.relay.effects import ToCaller
@@ -26,6 +28,10 @@
 from medlar_core.relay.routes import RouteTable
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
+from medlar_core.store import StoreAnswer
+from medlar_core.store import StoreOp
+from medlar_core.store import Unavailable
+from medlar_core.store import Watch
 from medlar_core.timeline.events import TimelineEvent
 
 from .clock import Clock
@@ -67,7 +73,6 @@
         self.room = room
         self.flows: set[FlowId] = set()
         self.taken: list[FlowId] = []
-        self.strangers = 0
 
     def take(self, segment: Segment) -> list[Segment]:
         """Return what the server sends for a packet."""
@@ -77,22 +82,17 @@
             self.taken.append(flow)
             return [self._answer(flow, Flag.SYN | Flag.ACK)]
         if flow not in self.flows:
-            self.strangers += 1
-            flags = segment.flags | Flag.BOUNCED
-            return [msgspec.structs.replace(segment, flags=int(flags))]
+            flags = int(segment.flags | Flag.BOUNCED)
+            return [msgspec.structs.replace(segment, flags=flags)]
         return [self._answer(flow, Flag.ACK, 100)] if segment.size else []
 
     def _answer(self, flow: FlowId, flags: Flag, size: int = 0) -> Segment:
-        return Segment(
-            b"", int(flags), flow.address, flow.caller, size, 500, 7
-        )
+        ends = (flow.address, flow.caller)
+        return Segment(b"", int(flags), *ends, size, 500, 7)
 
 
 class RelayWorld:
-    """Carries effects between reducers; ``away`` nodes hear nothing.
-
-    ``answers`` holds what callers got, ``events`` the time line.
-    """
+    """Carries effects between reducers; ``away`` nodes hear nothing."""
 
     def __init__(self, seed: int = 1) -> None:
         self.clock = Clock()
@@ -148,11 +148,7 @@
             case ToCaller(data=data):
                 self.answers.append(self._codec.decode(data))
             case CallStore(call=call, op=op):
-                if src in self.storeless:
-                    return
-                self.store.call(
-                    op, lambda a: self.give(src, StoreAnswered(call, a))
-                )
+                self._ask_store(src, call, op)
             case FetchRoutes(src=peer):
                 table = self.tables(peer)
                 if table is not None and peer not in self.away:
@@ -160,5 +156,20 @@
             case Record(event=event):
                 self.events.append(event)
 
+    def _ask_store(self, src: NodeId, call: StoreCallId, op: StoreOp) -> None:
+        """Call the store; give up after the limit of a call."""
+        answers: list[StoreAnswer] = []
+
+        def answered(answer: StoreAnswer) -> None:
+            if not answers:
+                answers.append(answer)
+                self.give(src, StoreAnswered(call, answer))
+
+        wait_s = op.wait_s if isinstance(op, Watch) else 0.0
+        late = Unavailable("no answer")
+        self.clock.after(CALL_LIMIT_S + wait_s, lambda: answered(late))
+        if src not in self.storeless:
+            self.store.call(op, answered)
+
     def _later(self, dst: NodeId, event: Any) -> None:
         self.clock.after(HOP_S, lambda: self.give(dst, event))
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+from medlar_core.relay.access import new_access
 from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
 from medlar_core.relay.events import ServerReturned
@@ -15,7 +16,6 @@
 from medlar_core.relay.segment import SegmentCodec
 
 from ..logs import part_logger
-from .access import new_access
 from .http import Request
 from .http import Response
 from .http import serving
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -4,16 +4,15 @@
 import contextlib
 import random
 
+from medlar_core.relay.access import new_access
 from medlar_core.relay.balancer import BalancerIdentity
 from medlar_core.relay.balancer import RelayBalancer
 from medlar_core.relay.balancer import RouteReader
 from medlar_core.relay.events import CallerSent
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.segment import SegmentCodec
-from medlar_core.storeaccess.access import StoreAccess
 
 from ..logs import part_logger
-from .access import new_access
 from .http import Request
 from .http import Response
 from .http import serving
@@ -47,7 +46,7 @@
     :raises OSError: if an address cannot be listened on.
     """
     rng = random.Random(cfg.name)
-    access: StoreAccess = new_access(rng)
+    access = new_access(rng)
     registration = Registration(access, who.balancers + who.node, rng)
     reducer = RelayBalancer(who, codec, read_routes, access, registration, rng)
     process = RelayProcess(cfg, reducer, codec, ask_store)
