--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -113,6 +113,11 @@
         except (OSError, h11.ProtocolError) as exc:
             raise HttpError(str(exc) or type(exc).__name__) from exc
 
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        while self._idle:
+            self._idle.pop().close()
+
     async def _call(self, req: Request) -> Response:
         conn = self._idle.pop() if self._idle else await self._connect()
         kept = False
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -193,13 +193,16 @@
         self.give(ServerProbed(alive=True, ready=False))
 
     async def _fetch(self, src: NodeId) -> None:
+        client = HttpClient(src)
         try:
             req = Request("GET", ROUTES_PATH)
-            res = await HttpClient(src).call(req, FETCH_LIMIT_S)
+            res = await client.call(req, FETCH_LIMIT_S)
             table = msgspec.json.decode(res.body, type=RouteTable)
         except (HttpError, msgspec.DecodeError) as exc:
             log.warning("no routes", extra={"src": src, "why": str(exc)})
             return
+        finally:
+            client.close()
         self.give(RoutesFetched(src, table))
 
     def _spawn(self, coro: Any) -> None:
--- /dev/null
+++ b/testing/platform/test_config.py
@@ -0,0 +1,63 @@
+import pytest
+
+from medlar_core.relay.routes import Routes
+from medlar_core.relay.segment import endpoint
+from medlar_core.relay.segment import FlowId
+from medlar_platform.config import read_routes
+
+TEXT = """{"version":7,"routes":[
+{"name":"r","host":"198.18.0.1","prefix":"/8443/","route_type":"idempotent",
+"timeout_ms":2000,"target_latency_ms":143,"priority":2,"max_attempts":2,
+"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+{"name":"q","host":"198.18.0.2","prefix":"/443/","route_type":"upload",
+"timeout_ms":8000,"target_latency_ms":505,"priority":2,"service":"b",
+"max_attempts":2}],"services":[{"name":"a","health_check_path":"/h"}],
+"limits":{"idle_timeout_ms":15000},"new":{"field":1}}"""
+
+
+def flow(caller: int, host: str, port: int) -> FlowId:
+    return FlowId(endpoint("100.64.0.1", caller), endpoint(host, port))
+
+
+def test_routes_lead_from_address_and_port_to_a_service():
+    routes = Routes()
+    routes.take(read_routes(TEXT))
+    assert routes.version == 7
+    assert routes.services(flow(1, "198.18.0.2", 443)) == ("b",)
+    assert routes.services(flow(1, "198.18.0.2", 444)) == ()
+
+
+def test_weights_share_flows_between_services():
+    routes = Routes()
+    routes.take(read_routes(TEXT))
+    first = [
+        routes.services(flow(number, "198.18.0.1", 8443))[0]
+        for number in range(2_000)
+    ]
+    assert 0.85 < first.count("a") / len(first) < 0.95
+
+
+def test_the_idle_time_is_in_seconds():
+    assert read_routes(TEXT).idle_s == 15.0
+
+
+def test_services_that_an_address_led_to_before_are_kept():
+    routes = Routes()
+    routes.take(read_routes(TEXT))
+    moved = TEXT.replace('"service":"b",\n', '"service":"a",\n')
+    routes.take(read_routes(moved.replace('"version":7', '"version":9')))
+    assert routes.services(flow(1, "198.18.0.2", 443)) == ("a", "b")
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('"version":7', '"version":"7"'),
+        ('"/443/"', '"/x/"'),
+        ('"198.18.0.2"', '"no.address"'),
+        ("{", ""),
+    ],
+)
+def test_an_unreadable_configuration_is_refused(old, new):
+    with pytest.raises(ValueError):
+        read_routes(TEXT.replace(old, new, 1))
--- /dev/null
+++ b/testing/platform/test_control.py
@@ -0,0 +1,83 @@
+import asyncio
+import json
+
+import pytest
+
+from medlar_core.relay.events import ServerAnnounced
+from medlar_core.relay.events import ServerLeft
+from medlar_core.relay.events import ServerPhase
+from medlar_node.relay.http import Request
+from medlar_platform.control import read_control
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def call(path: str, body: bytes):
+    return asyncio.run(read_control(Request("POST", path, body)))
+
+
+def beat(**changes):
+    body = json.dumps({**BEAT, **changes}).encode()
+    return call("/-/Instances.Heartbeat/i-7f", body)
+
+
+def test_a_heartbeat_is_taken():
+    res, event = beat()
+    assert res.status == 200
+    assert event == ServerAnnounced(
+        "i-7f",
+        1_700_000_000_000,
+        4,
+        "huvo11a",
+        ServerPhase.READY,
+        2,
+        1.5,
+    )
+
+
+def test_a_draining_server_is_taken_as_such():
+    assert beat(state="draining")[1].phase is ServerPhase.DRAINING
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "gone"},
+        {"slots": "two"},
+        {"service": None},
+        {"born": 1.5},
+        {"sequence": None},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_server(changes):
+    res, event = beat(**changes)
+    assert res.status == 400
+    assert event is None
+    assert b"error" in res.body
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"{"])
+def test_a_heartbeat_that_cannot_be_read_names_no_server(body):
+    res, event = call("/-/Instances.Heartbeat/i-7f", body)
+    assert (res.status, event) == (400, None)
+
+
+def test_a_leave_is_taken_with_and_without_a_body():
+    path = "/-/Instances.Leave/i-7f"
+    assert call(path, b"")[1] == ServerLeft("i-7f", 0)
+    assert call(path, b'{"born":9}')[1] == ServerLeft("i-7f", 9)
+
+
+def test_another_path_is_refused():
+    res, event = call("/-/Other/x", b"{}")
+    assert (res.status, event) == (404, None)
--- /dev/null
+++ b/testing/platform/test_head.py
@@ -0,0 +1,65 @@
+import pytest
+
+from medlar_core.packets import Flag
+from medlar_core.relay.segment import endpoint
+from medlar_core.relay.segment import FlowId
+from medlar_platform.head import HeadCodec
+
+SYN = bytes.fromhex(
+    "0000000004a1b2c3d50000c61200019c416440000701bb1122334400000000"
+)
+RESET = bytes.fromhex(
+    "00000000400000000000006440000701bbc61200019c410000000000000000"
+)
+CALLER = endpoint("100.64.0.7", 40001)
+ADDRESS = endpoint("198.18.0.1", 443)
+
+
+def test_the_head_of_a_syn_is_read():
+    segment = HeadCodec().decode(SYN)
+    assert segment.inward == FlowId(CALLER, ADDRESS)
+    assert segment.flags == Flag.SYN
+    assert segment.seq == 0x11223344
+    assert (segment.ack, segment.size, segment.tag) == (0, 0, 0)
+    assert segment.data == SYN
+
+
+def test_a_reset_is_addressed_to_the_caller():
+    assert HeadCodec().reset(FlowId(CALLER, ADDRESS), 0) == RESET
+
+
+def test_a_reset_carries_the_position_that_the_caller_expects():
+    data = HeadCodec().reset(FlowId(CALLER, ADDRESS), 0x01020304)
+    assert HeadCodec().decode(data).seq == 0x01020304
+
+
+@pytest.mark.parametrize(
+    ("wire", "flag"),
+    [
+        (4, Flag.SYN),
+        (8, Flag.ACK),
+        (16, Flag.FIN),
+        (64, Flag.RST),
+        (1, Flag.BOUNCED),
+    ],
+)
+def test_each_flag_is_read(wire, flag):
+    data = SYN[:4] + bytes([wire]) + SYN[5:]
+    assert HeadCodec().decode(data).flags == flag
+
+
+def test_a_bounced_packet_is_offered_as_its_sender_wrote_it():
+    payload = b"x" * 10
+    sent = SYN[:9] + b"\x00\x0a" + SYN[11:] + payload
+    bounced = b"\x00\x00\x00\x09" + bytes([sent[4] | 1]) + sent[5:]
+    assert HeadCodec().offered(bounced) == sent
+
+
+def test_an_unmarked_packet_is_offered_unchanged():
+    assert HeadCodec().offered(SYN) is SYN
+
+
+@pytest.mark.parametrize("data", [b"", SYN[:-1], SYN + b"x"])
+def test_a_datagram_of_a_wrong_length_is_refused(data):
+    with pytest.raises(ValueError, match="expected"):
+        HeadCodec().decode(data)
--- /dev/null
+++ b/testing/platform/test_settings.py
@@ -0,0 +1,75 @@
+import pytest
+
+from medlar_node.relay.settings import Role
+from medlar_platform.settings import read_settings
+from medlar_platform.settings import SettingsError
+from medlar_platform.settings import SettingsFile
+
+BALANCER = """
+node_name = "front-1"
+ip = "10.1.0.10"
+zone = "z1"
+serves = ["frontend", "control"]
+internal_port_range = [7720, 7735]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+heartbeat_interval_ms = 1200
+unknown = "ignored"
+[listen]
+datagram_address = "10.1.0.10:8172"
+readiness_address = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+[bounds]
+grace_period_s = 6
+[platform]
+address = "10.200.1.7:8169"
+"""
+AGENT = (
+    BALANCER.replace('["frontend", "control"]', '["side"]')
+    .replace('zone = "z1"', 'zone = "z1"\napp = "10.1.0.10:8165"')
+    .replace("control =", 'outbound = "10.1.0.10:8162"\ncontrol =')
+)
+
+
+def written(tmp_path, text: str) -> str:
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_settings_of_a_balancer(tmp_path):
+    cfg = read_settings(written(tmp_path, BALANCER))
+    assert cfg.role is Role.BALANCER
+    assert cfg.node == "10.1.0.10:7720"
+    assert cfg.packets == "10.1.0.10:8172"
+    assert cfg.caller_port == 8172
+    assert cfg.seeds == ("10.1.0.10:7720", "10.2.0.40:7720")
+    assert (cfg.beat_s, cfg.grace_s) == (1.2, 6.0)
+
+
+def test_settings_of_an_agent(tmp_path):
+    cfg = read_settings(written(tmp_path, AGENT))
+    assert cfg.role is Role.AGENT
+    assert cfg.server == "10.1.0.10:8165"
+    assert cfg.outbound == "10.1.0.10:8162"
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (BALANCER.replace("zone", "zoo"), "zone"),
+        (BALANCER.replace('"10.1.0.10:8172"', "5"), "datagram_address"),
+        (BALANCER + "]", "node.toml"),
+        (AGENT.replace('outbound = "10.1.0.10:8162"', ""), "outbound"),
+        (BALANCER.replace("10.1.0.10:8172", "10.1.0.10"), "port"),
+    ],
+)
+def test_wrong_settings_say_what_is_wrong(tmp_path, text, said):
+    with pytest.raises(SettingsError, match=said):
+        read_settings(written(tmp_path, text))
+
+
+def test_a_file_that_is_away_is_an_error_and_has_a_stamp(tmp_path):
+    source = SettingsFile(str(tmp_path / "none"))
+    assert source.stamp() == 0.0
+    with pytest.raises(SettingsError):
+        source.read()
