Leave SYNs to be repeated while all servers are full

Ruled out: uneven servers (8 to 10 busy on each). Change: with three callers waiting a slot at the best of the compared servers a SYN is not taken; its caller repeats it after 200 and 600 ms.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -251,7 +251,7 @@
             case FlowUnknown(flow=flow):
                 return self.flows.denied(now, flow, src)
             case EntryMissing():
-                self._registration.saw(None)
+                self._registration.missing(now)
                 return self._store_calls(now)
             case OtherService(report=report):
                 self.members.take_report(now, report, direct=True)
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -13,6 +13,7 @@
 from ..verdict import Reason
 from .choice import Choice
 from .choice import load
+from .choice import Pick
 from .effects import Pass
 from .effects import RelayEffect
 from .effects import ToCaller
@@ -215,9 +216,12 @@
         # Another agent chose this one by a report that may be outdated.
         if own.busy >= own.slots and self._node not in opening.declined:
             best = self._pick(now, opening, own)
-            gain = load(own) - self._load_of(best)
-            if best != self._node and gain >= PASS_ON_GAIN:
-                return self._place(now, opening.without(self._node), own)
+            if best is not None and best.node != self._node:
+                gain = load(own) - self._load_of(best.node)
+                if gain >= PASS_ON_GAIN:
+                    return self._place(now, opening.without(self._node), own)
+            if best is not None and best.full:
+                return self._leave(opening)
         return self._take(now, opening)
 
     def _place(
@@ -227,10 +231,12 @@
         best = self._pick(now, opening, own)
         if best is None or len(opening.declined) >= MAX_OFFERS:
             return self._refuse(now, opening, own)
-        if best == self._node:
+        if best.full:
+            return self._leave(opening)
+        if best.node == self._node:
             return self._take(now, opening)
         flow_id = opening.flow_id
-        flow = self.table.put(now, flow_id, best, opening.declined)
+        flow = self.table.put(now, flow_id, best.node, opening.declined)
         flow.via = opening.via
         wrapped = Wrapped(
             int(Why.PLACED),
@@ -240,14 +246,14 @@
             via=opening.via,
             hops=opening.hops + 1,
         )
-        effects: list[RelayEffect] = [Pass(best, wrapped)]
+        effects: list[RelayEffect] = [Pass(best.node, wrapped)]
         if opening.via:
-            effects.append(Send(opening.via, FlowHeld(flow_id, best)))
+            effects.append(Send(opening.via, FlowHeld(flow_id, best.node)))
         return effects
 
     def _pick(
         self, now: Seconds, opening: Opening, own: AgentReport
-    ) -> NodeId | None:
+    ) -> Pick | None:
         able = own if own.state is AgentState.READY else None
         others = self._members.of(self.service)
         near = self._members.places.get(opening.via)
@@ -268,6 +274,22 @@
         )
         return [*self._deliver(now, flow, opening.segment), note]
 
+    def _leave(self, opening: Opening) -> list[RelayEffect]:
+        """Leave a SYN unanswered, as all servers have their fill.
+
+        Its caller repeats it, which spreads a rush over time; taken now,
+        it would make those late that wait already.
+        """
+        return [
+            self._journal.flow(
+                Topic.ADMISSION,
+                "flows: left to be repeated",
+                opening.flow_id,
+                self.service,
+                why=Reason.QUEUE_FULL,
+            )
+        ]
+
     def _refuse(
         self, now: Seconds, opening: Opening, own: AgentReport
     ) -> list[RelayEffect]:
@@ -470,8 +492,8 @@
             return False
         return member.report.state is AgentState.READY
 
-    def _load_of(self, node: NodeId | None) -> float:
-        member = self._members.agents.get(node) if node else None
+    def _load_of(self, node: NodeId) -> float:
+        member = self._members.agents.get(node)
         return load(member.report) if member else float("inf")
 
     def _pass(
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -256,7 +256,7 @@
             case Hello():
                 return self._greeted(now, msg)
             case EntryMissing():
-                self._registration.saw(None)
+                self._registration.missing(now)
                 return self._store_calls(now)
             case FlowHeld(flow=flow, holder=holder):
                 self._hints.take(flow, holder)
@@ -433,10 +433,11 @@
     def _tell_missing(self, now: Seconds) -> list[RelayEffect]:
         """Note missing entries; tell the processes whose entries they are."""
         if self._who.balancers + self._who.node not in self._present:
-            self._registration.saw(None)
+            self._registration.missing(now)
         effects: list[RelayEffect] = []
         for node, member in self.members.agents.items():
             if self._who.agents + node in self._present:
+                self.members.take_registered(node)
                 continue
             if member.missing_at is None:
                 effects.append(Send(node, EntryMissing()))
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -3,6 +3,8 @@
 from collections.abc import Collection
 import random
 
+import msgspec
+
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import Seconds
@@ -20,10 +22,20 @@
 FAR_LOAD = 0.3
 """What a server at another place than the caller's balancer is heavier,
 as answers to it and uploads cross places."""
+FULL_BUSY = 3.0
+"""Flows a slot whose callers wait, from which on a further caller would
+wait for longer than it is worth."""
 COLD_FACTOR = 1.6
 """How much heavier the load of a server is that has just started."""
 
 
+class Pick(msgspec.Struct, frozen=True):
+    """The agent that gets a flow, and whether its server is full too."""
+
+    node: NodeId
+    full: bool
+
+
 class Choice:
     """Compares the own server with some others."""
 
@@ -39,7 +51,7 @@
         members: list[Member],
         without: Collection[NodeId],
         near: PlaceName | None,
-    ) -> NodeId | None:
+    ) -> Pick | None:
         """Return the agent whose server has most room, None for none.
 
         ``own`` is this agent's report if its server takes flows;
@@ -48,20 +60,21 @@
         peers = [m for m in members if _takes(now, m, without)]
         if len(peers) > COMPARED:
             peers = self._rng.sample(peers, COMPARED)
-        best = None
-        lowest = float("inf")
+        found: list[tuple[float, AgentReport, int]] = []
         if own is not None and self._node not in without:
-            best = self._node
-            lowest = load(own) + _distance(own, near)
+            found.append((load(own) + _distance(own, near), own, 0))
         for member in peers:
-            weight = load(member.report, self._sent_since(member))
-            weight += _distance(member.report, near)
-            if weight < lowest:
-                best = member.report.id
-                lowest = weight
-        if best is not None and best != self._node:
-            self._given.setdefault(best, []).append(now)
-        return best
+            report = member.report
+            sent = self._sent_since(member)
+            weight = load(report, sent) + _distance(report, near)
+            found.append((weight, report, sent))
+        if not found:
+            return None
+        _, best, sent = min(found, key=lambda entry: entry[0])
+        if best.id != self._node:
+            self._given.setdefault(best.id, []).append(now)
+        full = best.busy + sent >= FULL_BUSY * best.slots
+        return Pick(best.id, full)
 
     def _sent_since(self, member: Member) -> int:
         """Return the flows given to an agent since its last report."""
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -83,7 +83,6 @@
         member.report = report
         if direct:
             member.heard_at = now
-            member.missing_at = None
 
     def take_missing(self, now: Seconds, node: NodeId) -> None:
         """Note that the store has no entry of an agent."""
--- a/packages/core/src/medlar_core/relay/registration.py
+++ b/packages/core/src/medlar_core/relay/registration.py
@@ -25,6 +25,8 @@
 KEEP_S = 2.5
 """Renewal; balancers tell a process at once that its entry is missing."""
 SPREAD_S = 0.1
+SEEN_S = 1.0
+"""Those that follow the store have seen a write by then."""
 
 
 class Registration:
@@ -51,6 +53,7 @@
         self._call: StoreCallId | None = None
         self._op: StoreOp | None = None
         self._keep_at = 0.0
+        self._written_at = float("-inf")
 
     @property
     def is_written(self) -> bool:
@@ -61,12 +64,16 @@
         """Say what the entry shall hold; empty for no entry."""
         self._value = value
 
-    def saw(self, item: Item | None) -> None:
-        """Note what the store was seen to hold under the key."""
-        if self._call is None and item is None and self._written:
-            self._written = ""
-            self._revision = 0
-            self._lease = 0
+    def missing(self, now: Seconds) -> None:
+        """Note that the entry was seen to be missing; write it again.
+
+        Who follows the store may not have seen the latest write yet.
+        """
+        if self._call is not None or now - self._written_at < SEEN_S:
+            return
+        self._written = ""
+        self._revision = 0
+        self._lease = 0
 
     def due(self, now: Seconds) -> None:
         """Ask the store for what is to be done next, if anything."""
@@ -101,6 +108,7 @@
                 self._revision = 0
             case Written(revision=revision):
                 self._revision = revision
+                self._written_at = now
                 self._written = op.value if isinstance(op, Put) else ""
             case Conflict(actual=actual):
                 self._revision = actual
