Follow the store by few balancers with short watches

Ruled out: a lost read (the range of 2.8 s was complete), the circuit (closed). Change: three balancers that hear the store follow it with watches of 2 s and tell the others at once; greetings say how long ago the store was heard, so that others step in where the three are cut off, and an unknown address is refused only by a balancer whose configuration is known to be fresh.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -61,12 +61,16 @@
 HELLO_EVERY_S = 1.0
 HELLO_AGENTS = 16
 """Reports in one greeting; the rest follow in the next ones."""
-CONFIGURATION_WAIT_S = 10.0
+CONFIGURATION_WAIT_S = 2.0
+"""A watch that hangs hides a change for no longer than this and the
+limit of a call."""
 MEMBERS_WAIT_S = 20.0
 WATCHERS = 3
-"""Balancers that follow the entries of agents; they tell the others."""
+"""Balancers that follow the store; they tell the others."""
 WATCHER_HEARD_S = 2.5
-"""A balancer unheard for longer is taken to watch nothing."""
+WATCHER_FOLLOWED_S = 4.0
+"""A balancer that was not heard, or did not hear the store, for longer is
+taken to watch nothing."""
 FETCH_AGAIN_S = 1.0
 CERTAIN_S = 6.0
 """An unknown address is refused if the configuration is this fresh."""
@@ -266,7 +270,9 @@
         return self._update(now)
 
     def _greeted(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
+        followed_at = now - msg.followed_s
         self.members.take_balancer(now, msg.id, msg.place)
+        self.members.followed_at[msg.id] = followed_at
         for peer in msg.peers:
             self.members.learn_balancer(now, peer)
         for departed in msg.departed:
@@ -275,7 +281,7 @@
             self.members.take_report(now, report, direct=False)
         effects = self._update(now)
         if msg.version == self.routes.version:
-            self._agreed_at = now
+            self._agreed_at = max(self._agreed_at, followed_at)
         if msg.version > self.routes.version and now >= self._fetch_at:
             self._fetch_at = now + FETCH_AGAIN_S
             effects.append(FetchRoutes(msg.id))
@@ -300,24 +306,28 @@
         return effects + self._store_calls(now)
 
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
-        if not self.stopping:
+        if not self.stopping and self._watches(now):
             self._configuration.due(now)
-            if self._watches(now):
-                self._entries.due(now)
+            self._entries.due(now)
         self._registration.due(now)
         return list(self._access.due(now))
 
     def _watches(self, now: Seconds) -> bool:
-        """Return whether this balancer is one that follows the entries.
+        """Return whether this balancer is one that follows the store.
 
-        Each does until it has read them once.
+        Each does until it has read all once.
         """
-        if self._entries.fresh_at == float("-inf"):
+        never = float("-inf")
+        if never in (self._entries.fresh_at, self._configuration.fresh_at):
             return True
+        members = self.members
         before = sum(
             1
-            for node, at in self.members.balancers.items()
-            if node < self._who.node and now - at <= WATCHER_HEARD_S
+            for node, at in members.balancers.items()
+            if node < self._who.node
+            and now - at <= WATCHER_HEARD_S
+            and now - members.followed_at.get(node, never)
+            <= WATCHER_FOLLOWED_S
         )
         return before < WATCHERS
 
@@ -330,14 +340,14 @@
         effects: list[RelayEffect] = []
         for service in self._owners:
             members = self.members.of(service)
-            hello = self._greeting([member.report for member in members])
+            hello = self._greeting(now, [m.report for m in members])
             effects += [Send(m.report.id, hello) for m in members]
         reports = [m.report for m in self.members.agents.values()]
-        hello = self._greeting(reports)
+        hello = self._greeting(now, reports)
         others = (node for node in peers if node != self._who.node)
         return effects + [Send(node, hello) for node in others]
 
-    def _greeting(self, reports: list[AgentReport]) -> Hello:
+    def _greeting(self, now: Seconds, reports: list[AgentReport]) -> Hello:
         start = 0
         if len(reports) > HELLO_AGENTS:
             start = self._told % len(reports)
@@ -354,6 +364,7 @@
             departed=self.members.departed(),
             idle_s=table.idle_s if table else 0.0,
             names_all=has_read and len(shown) == len(reports),
+            followed_s=now - self._configuration.fresh_at,
         )
 
     def _goodbye(self) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -59,6 +59,8 @@
         self.agents: dict[NodeId, Member] = {}
         self.balancers: dict[NodeId, float] = {}
         self.places: dict[NodeId, PlaceName] = {}
+        self.followed_at: dict[NodeId, float] = {}
+        """When a balancer last heard the store, as it said itself."""
         self.changes = 0
         self._departed: dict[NodeId, tuple[Departed, float]] = {}
 
@@ -132,6 +134,11 @@
             for node, place in self.places.items()
             if node in self.balancers
         }
+        self.followed_at = {
+            node: at
+            for node, at in self.followed_at.items()
+            if node in self.balancers
+        }
         self._departed = {
             node: (departed, at)
             for node, (departed, at) in self._departed.items()
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -69,7 +69,8 @@
     ``agents`` holds the latest reports, those of the receiver's service
     first; ``names_all`` tells that none of that service are missing.
     ``peers`` are other balancers; ``departed`` agents that went lately.
-    ``idle_s`` is how long a flow may be idle.
+    ``idle_s`` is how long a flow may be idle; ``followed_s`` how long ago
+    the store told this balancer its newest configuration.
     """
 
     id: NodeId
@@ -80,6 +81,7 @@
     departed: tuple[Departed, ...] = ()
     idle_s: float = 0.0
     names_all: bool = False
+    followed_s: float = float("inf")
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -163,6 +163,38 @@
     assert fleet.balancers[node("balancer", 1)].routes.version == 2
 
 
+def test_a_watch_that_hangs_hides_no_configuration_for_long():
+    fleet = Fleet()
+    fleet.run(5.0)
+    fleet.world.store._waiting.clear()
+    fleet.configure(table(2, DESK, OFFICE))
+    fleet.run(4.0)
+    for balancer in fleet.balancers.values():
+        assert balancer.routes.version == 2
+
+
+def test_others_follow_the_store_for_balancers_cut_from_it():
+    fleet = Fleet(balancers=6)
+    fleet.run(5.0)
+    first = sorted(fleet.balancers)[:3]
+    fleet.world.storeless.update(first)
+    fleet.run(7.0)
+    fleet.configure(table(2, DESK, OFFICE))
+    fleet.run(1.5)
+    for balancer in fleet.balancers.values():
+        assert balancer.routes.version == 2
+
+
+def test_few_balancers_follow_the_store():
+    fleet = Fleet(balancers=9)
+    store = fleet.world.store
+    fleet.run(5.0)
+    before = sum(n for (_, kind), n in store.calls.items() if kind == "read")
+    fleet.run(20.0)
+    after = sum(n for (_, kind), n in store.calls.items() if kind == "read")
+    assert after - before <= 20.0 / 2.0 * 3 + 6
+
+
 def test_an_older_configuration_never_returns():
     fleet = Fleet()
     fleet.configure(table(5, DESK))
