--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -165,7 +165,7 @@
 
 def test_a_watch_that_hangs_hides_no_configuration_for_long():
     fleet = Fleet()
-    fleet.run(5.0)
+    fleet.run(0.5)
     fleet.world.store._waiting.clear()
     fleet.configure(table(2, DESK, OFFICE))
     fleet.run(4.0)
