Serve metrics of the relay; log each lost and regained store

Counters by outcome and reason, histograms of decisions, store calls, loop lag and age of beliefs, gauges of flows, members and configuration.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -133,6 +133,17 @@
                 return self._changed(now)
         return []
 
+    def gauges(self, now: Seconds) -> dict[str, float]:
+        """Return figures of the moment by name."""
+        return {
+            "flows_open": self.flows.table.open,
+            "flows_waiting": self.flows.table.busy,
+            "flows_known": len(self.flows.table),
+            "configuration_version": self._journal.version,
+            "store_failing": float(self._access.failing),
+            **self.members.gauges(now),
+        }
+
     def report(self, now: Seconds) -> AgentReport:
         """Return what this agent says of itself now."""
         server = self.neighbour.server
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -148,6 +148,17 @@
             and not self.stopping
         )
 
+    def gauges(self, now: Seconds) -> dict[str, float]:
+        """Return figures of the moment by name."""
+        told_at = max(self._configuration.fresh_at, self._agreed_at)
+        return {
+            "hints": len(self._hints),
+            "configuration_version": self.routes.version,
+            "configuration_age_seconds": now - told_at,
+            "store_failing": float(self._access.failing),
+            **self.members.gauges(now),
+        }
+
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Take one event and return the effects to carry out."""
         match event:
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -154,6 +154,25 @@
             if member.report.service == service
         ]
 
+    def gauges(self, now: Seconds) -> dict[str, float]:
+        """Return how many processes are known, by state."""
+        states = [member.report.state for member in self.agents.values()]
+        return {
+            "agents": len(states),
+            "agents_heard": len(heard(self.agents.values(), now)),
+            "agents_draining": states.count(AgentState.DRAINING),
+            "agents_down": states.count(AgentState.DOWN),
+            "balancers": len(self.balancers),
+        }
+
+    def ages(self, now: Seconds) -> list[float]:
+        """Return how old the last word of each agent heard is."""
+        return [
+            now - member.heard_at
+            for member in self.agents.values()
+            if member.heard_at > _NEVER
+        ]
+
     def departed(self) -> tuple[Departed, ...]:
         """Return the agents that went lately."""
         return tuple(departed for departed, _ in self._departed.values())
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -19,7 +19,10 @@
 from .http import Request
 from .http import Response
 from .http import serving
+from .log import LogPipe
 from .process import AskStore
+from .process import metrics
+from .process import now
 from .process import RelayProcess
 from .process import running
 from .reload import Reloader
@@ -46,6 +49,7 @@
     codec: SegmentCodec,
     read_control: Control,
     ask_store: AskStore,
+    pipe: LogPipe,
 ) -> None:
     """Relay the flows of the server beside this agent until stopped.
 
@@ -63,14 +67,20 @@
     )
     registration = Registration(access, prefix + cfg.node, rng)
     reducer = RelayAgent(who, codec, access, registration, rng)
-    process = RelayProcess(cfg, reducer, codec, ask_store)
+    process = RelayProcess(
+        cfg, reducer, codec, ask_store, reducer.members.ages
+    )
+    process.tally.gauges = lambda: {
+        **reducer.gauges(now()),
+        "log_lines_lost": pipe.lost,
+    }
     reloader = Reloader(source, cfg, process)
 
     def from_server(data: bytes, src: str) -> None:
         try:
             segment = codec.decode(data)
         except ValueError as exc:
-            log.warning("unreadable packet", extra={"src": src, "why": exc})
+            process.unreadable("packet", src, str(exc))
             return
         process.give(ServerReturned(segment))
 
@@ -90,6 +100,7 @@
         process.callers = process.server
         await stack.enter_async_context(serving(cfg.readiness, ready))
         await stack.enter_async_context(serving(cfg.control, control))
+        await stack.enter_async_context(metrics(cfg.metrics, process.tally))
         await stack.enter_async_context(running(process, reloader.watching()))
         log.info("started", extra={"at": cfg.node, "service": cfg.service})
         await process.stop_asked.wait()
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -16,7 +16,10 @@
 from .http import Request
 from .http import Response
 from .http import serving
+from .log import LogPipe
 from .process import AskStore
+from .process import metrics
+from .process import now
 from .process import peer_answer
 from .process import RelayProcess
 from .process import running
@@ -40,6 +43,7 @@
     codec: SegmentCodec,
     read_routes: RouteReader,
     ask_store: AskStore,
+    pipe: LogPipe,
 ) -> None:
     """Relay flows until asked to stop.
 
@@ -49,14 +53,20 @@
     access = new_access(rng)
     registration = Registration(access, who.balancers + who.node, rng)
     reducer = RelayBalancer(who, codec, read_routes, access, registration, rng)
-    process = RelayProcess(cfg, reducer, codec, ask_store)
+    process = RelayProcess(
+        cfg, reducer, codec, ask_store, reducer.members.ages
+    )
+    process.tally.gauges = lambda: {
+        **reducer.gauges(now()),
+        "log_lines_lost": pipe.lost,
+    }
     reloader = Reloader(source, cfg, process)
 
     def from_caller(data: bytes, src: str) -> None:
         try:
             segment = codec.decode(data)
         except ValueError as exc:
-            log.warning("unreadable packet", extra={"src": src, "why": exc})
+            process.unreadable("packet", src, str(exc))
             return
         process.give(CallerSent(segment))
 
@@ -72,6 +82,7 @@
         process.callers = enter(udp_port(cfg.packets, from_caller))
         await stack.enter_async_context(serving(cfg.node, peer))
         await stack.enter_async_context(serving(cfg.readiness, ready))
+        await stack.enter_async_context(metrics(cfg.metrics, process.tally))
         await stack.enter_async_context(running(process, reloader.watching()))
         log.info("started", extra={"at": cfg.node})
         await process.stop_asked.wait()
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -39,7 +39,10 @@
 from medlar_core.relay.wrapped import encode as encode_wrapped
 from medlar_core.store import StoreAnswer
 from medlar_core.store import StoreOp
+from medlar_core.store import Unavailable
+from medlar_core.store import Watch
 from medlar_core.timeline.events import TimelineEvent
+from medlar_core.timeline.events import Topic
 from medlar_core.timeline.recorder import Recorder
 
 from ..logs import part_logger
@@ -47,7 +50,10 @@
 from .http import HttpError
 from .http import Request
 from .http import Response
+from .http import serving
 from .settings import RelaySettings
+from .tally import CONTENT_TYPE
+from .tally import Tally
 from .udp import UdpPort
 
 TICK_S = 0.1
@@ -57,6 +63,7 @@
 PACKET_MARK = b"P"
 CONTROL_MARK = b"C"
 ROUTES_PATH = "/v1/routes"
+METRICS_PATH = "/metrics"
 
 log = part_logger("process")
 
@@ -66,7 +73,8 @@
 class RelayProcess:
     """Gives events to a reducer and carries out its effects.
 
-    The ports are set by the composition root before the first event.
+    ``ages`` tells how old what is believed is. The composition root sets
+    the ports before the first event.
     """
 
     def __init__(
@@ -75,13 +83,17 @@
         reducer: Reducer,
         codec: SegmentCodec,
         ask_store: AskStore,
+        ages: Callable[[Seconds], list[float]],
     ) -> None:
         self._cfg = cfg
         self._reducer = reducer
         self._codec = codec
         self._ask_store = ask_store
+        self._ages = ages
+        self._store_lost = False
         self._tasks: set[asyncio.Task[None]] = set()
         self.recorder = Recorder(cfg.node, EVENTS_KEPT)
+        self.tally = Tally()
         self.peers: UdpPort | None = None
         self.callers: UdpPort | None = None
         self.server: UdpPort | None = None
@@ -91,7 +103,10 @@
 
     def give(self, event: Any) -> None:
         """Let the reducer take an event and carry out its effects."""
-        for effect in self._reducer.reduce(now(), event):
+        began = now()
+        effects = self._reducer.reduce(began, event)
+        self.tally.decision_s.observe(now() - began)
+        for effect in effects:
             self._carry(effect)
 
     def from_peer(self, data: bytes, src: str) -> None:
@@ -102,13 +117,28 @@
             case b"C":
                 self._message(data[1:], NodeId(src))
             case _:
-                log.warning("unreadable datagram", extra={"src": src})
+                self.unreadable("datagram", src, "unknown mark")
 
     async def ticking(self) -> None:
         """Give ticks until cancelled."""
         while True:
+            began = now()
             self.give(Tick())
+            for age in self._ages(began):
+                self.tally.belief_s.observe(age)
             await asyncio.sleep(TICK_S)
+            self.tally.lag_s.observe(max(0.0, now() - began - TICK_S))
+
+    def unreadable(self, kind: str, src: str, why: str) -> None:
+        """Count input that cannot be read, and log it within a budget."""
+        self.tally.unreadable[kind] += 1
+        self._record(
+            TimelineEvent(
+                Topic.PROCESS,
+                f"input: unreadable {kind} from {src}: {why}",
+                reason=f"unreadable {kind}",
+            )
+        )
 
     def listen_to_signals(self) -> None:
         """Stop in good order when asked to."""
@@ -127,7 +157,7 @@
             wrapped = decode_wrapped(data)
             segment = self._codec.decode(wrapped.data)
         except (msgspec.DecodeError, ValueError) as exc:
-            log.warning("unreadable packet", extra={"src": src, "why": exc})
+            self.unreadable("packet", src, str(exc))
             return
         self.give(PassedOn(src, wrapped, segment))
 
@@ -135,21 +165,25 @@
         try:
             msg = decode_message(data)
         except msgspec.DecodeError as exc:
-            log.warning("unreadable message", extra={"src": src, "why": exc})
+            self.unreadable("message", src, str(exc))
             return
         self.give(Received(src, msg))
 
     def _carry(self, effect: Any) -> None:
         match effect:
             case Pass(dst=dst, wrapped=wrapped):
+                self.tally.packets["passed"] += 1
                 self._to_peer(dst, PACKET_MARK + encode_wrapped(wrapped))
             case ToServer(data=data):
+                self.tally.packets["to server"] += 1
                 assert self.server is not None
                 self.server.send(data, *self._server)
             case ToCaller(caller=caller, data=data):
+                self.tally.packets["to caller"] += 1
                 assert self.callers is not None
                 self.callers.send(data, host_of(caller), self._cfg.caller_port)
             case Send(dst=dst, msg=msg):
+                self.tally.messages[type(msg).__name__] += 1
                 self._to_peer(dst, CONTROL_MARK + encode_message(msg))
             case Record(event=event):
                 self._record(event)
@@ -164,20 +198,43 @@
 
     def _to_peer(self, dst: NodeId, data: bytes) -> None:
         assert self.peers is not None
+        self.tally.peer_bytes += len(data)
         host, _, port = dst.rpartition(":")
         self.peers.send(data, host, int(port))
 
     def _record(self, event: TimelineEvent) -> None:
         wall_ms = time.time_ns() // 1_000_000
-        if self.recorder.record(wall_ms, event):
-            told = msgspec.to_builtins(event)
-            text = told.pop("text")
-            log.info(text, extra=told)
+        self.tally.decisions[(event.topic.value, event.reason)] += 1
+        if not self.recorder.record(wall_ms, event):
+            self.tally.held_back += 1
+            return
+        told = msgspec.to_builtins(event)
+        text = told.pop("text")
+        log.info(text, extra=told)
 
     async def _call(self, call: Any, op: StoreOp) -> None:
+        began = now()
         answer = await self._ask_store(op)
+        result = type(answer).__name__
+        if isinstance(answer, Unavailable):
+            result = answer.why
+        self.tally.store_calls[(type(op).__name__, result)] += 1
+        if not isinstance(op, Watch):
+            self.tally.store_s.observe(now() - began)
+        self._note_store(answer)
         self.give(StoreAnswered(call, answer))
 
+    def _note_store(self, answer: StoreAnswer) -> None:
+        """Log that the store was lost or is back."""
+        lost = isinstance(answer, Unavailable)
+        if lost is self._store_lost:
+            return
+        self._store_lost = lost
+        if isinstance(answer, Unavailable):
+            log.warning("store lost", extra={"why": answer.why})
+        else:
+            log.info("store is back", extra={"by": type(answer).__name__})
+
     async def _probe(self) -> None:
         """Connect to the server; it need not answer any request."""
         try:
@@ -238,6 +295,21 @@
             task.cancel()
 
 
+@contextlib.asynccontextmanager
+async def metrics(address: str, tally: Tally) -> AsyncIterator[None]:
+    """Serve metrics at ``ip:port`` while the context is open."""
+
+    async def answer(req: Request) -> Response:
+        if req.target != METRICS_PATH:
+            return Response(404)
+        return Response(200, tally.text(), CONTENT_TYPE)
+
+    async with contextlib.AsyncExitStack() as stack:
+        if address:
+            await stack.enter_async_context(serving(address, answer))
+        yield
+
+
 def now() -> Seconds:
     """Return monotonic time."""
     return Seconds(time.monotonic())
--- a/packages/node/src/medlar_node/relay/settings.py
+++ b/packages/node/src/medlar_node/relay/settings.py
@@ -43,3 +43,5 @@
     server: str = ""
     """Where an agent's server gets its packets."""
     service: ServiceName = ServiceName("")
+    metrics: str = ""
+    """Where metrics are served; empty for nowhere."""
