--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -201,7 +201,16 @@
             (),
             services[1:],
         )
-        return [Pass(dst, wrapped)]
+        if not segment.flags & _SYN:
+            return [Pass(dst, wrapped)]
+        note = self._journal.flow(
+            Topic.PLACEMENT,
+            f"flows: new, copy {segment.ack}, asked its owner",
+            flow_id,
+            services[0],
+            dst,
+        )
+        return [Pass(dst, wrapped), note]
 
     def _hinted(
         self, now: Seconds, flow_id: FlowId, segment: Segment
--- a/packages/core/src/medlar_core/timeline/recorder.py
+++ b/packages/core/src/medlar_core/timeline/recorder.py
@@ -42,15 +42,16 @@
 class _Limit:
     """A token bucket that counts what it held back."""
 
-    def __init__(self, wall_ms: int) -> None:
+    def __init__(self, wall_ms: int, rate_per_s: float) -> None:
         self.tokens = BURST
         self.held_back = 0
+        self._rate_per_s = rate_per_s
         self._last_ms = wall_ms
 
     def take(self, wall_ms: int) -> bool:
         elapsed_ms = max(0, wall_ms - self._last_ms)
         self._last_ms = wall_ms
-        refill = elapsed_ms / 1_000 * RATE_PER_S
+        refill = elapsed_ms / 1_000 * self._rate_per_s
         self.tokens = min(BURST, self.tokens + refill)
         if self.tokens < 1.0:
             self.held_back += 1
@@ -66,8 +67,14 @@
     are wall milliseconds given by the caller.
     """
 
-    def __init__(self, node: NodeId, capacity: int = CAPACITY) -> None:
+    def __init__(
+        self,
+        node: NodeId,
+        capacity: int = CAPACITY,
+        rate_per_s: float = RATE_PER_S,
+    ) -> None:
         self.node = node
+        self._rate_per_s = rate_per_s
         self.clock = Hlc()
         self.recorded = 0
         self.held_back = 0
@@ -123,7 +130,7 @@
         key = LimitKey(event.topic, event.reason)
         if key not in self._limits and len(self._limits) >= MAX_LIMITS:
             key = LimitKey(event.topic, "")
-        return self._limits.setdefault(key, _Limit(wall_ms))
+        return self._limits.setdefault(key, _Limit(wall_ms, self._rate_per_s))
 
 
 def _left_out(event: TimelineEvent, count: int) -> TimelineEvent:
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -60,6 +60,8 @@
 FETCH_LIMIT_S = 1.0
 PROBE_LIMIT_S = 0.3
 EVENTS_KEPT = 1_200
+LINES_PER_S = 30.0
+"""Log lines of one topic and reason; more are counted, not written."""
 PACKET_MARK = b"P"
 CONTROL_MARK = b"C"
 ROUTES_PATH = "/v1/routes"
@@ -92,7 +94,7 @@
         self._ages = ages
         self._store_lost = False
         self._tasks: set[asyncio.Task[None]] = set()
-        self.recorder = Recorder(cfg.node, EVENTS_KEPT)
+        self.recorder = Recorder(cfg.node, EVENTS_KEPT, LINES_PER_S)
         self.tally = Tally()
         self.peers: UdpPort | None = None
         self.callers: UdpPort | None = None
--- a/packages/ops/src/medlar_ops/timeline_cli.py
+++ b/packages/ops/src/medlar_ops/timeline_cli.py
@@ -23,6 +23,7 @@
 from medlar_core.timeline.wire import encode_lines
 
 from . import explain_flow
+from . import log_story
 from . import timeline as gathering
 from . import timeline_html
 from . import timeline_text
@@ -92,7 +93,12 @@
     _show_silent(found)
 
 
-def explain(about: About, *what: str, nodes: str = "") -> None:
+def explain(
+    about: About,
+    *what: str,
+    nodes: str = "",
+    from_logs: Sequence[pathlib.Path] = (),
+) -> None:
     """Tell why a flow, request or server is where it is.
 
     :param about: flow, request, server, or version for the versions of
@@ -101,8 +107,13 @@
         id, or the server's ip:port; nothing for version.
     :param nodes: ip:port of processes to ask, with commas, or
         MEDLARSTAGE_NODES; others are found there.
+    :param from_logs: files of logs of processes; a flow is explained from
+        these alone and no process is asked.
     """
     asked = question(about, what)
+    if from_logs:
+        _explain_from_logs(asked, from_logs)
+        return
     gathered = asyncio.run(gathering.gather_once(some_nodes(nodes)))
     answer = answer_to(asked, gathered)
     routed = _routed(asked, gathered)
@@ -116,6 +127,24 @@
     sys.exit(1 if nothing else 0)
 
 
+def _explain_from_logs(asked: Question, paths: Sequence[pathlib.Path]) -> None:
+    """Tell the story of a flow from log files.
+
+    :raises ValueError: if a file cannot be read or no flow is asked for.
+    """
+    if not isinstance(asked, WhyFlow):
+        raise ValueError("expected flow CALLER ADDRESS with --from-logs")
+    flow = f"{asked.caller}>{asked.address}"
+    try:
+        story = log_story.tell(flow, log_story.read(paths))
+    except OSError as exc:
+        raise ValueError(str(exc)) from exc
+    print(log_story.text(story))
+    if story.unreadable:
+        print(f"{story.unreadable} lines passed over", file=sys.stderr)
+    sys.exit(0 if story.lines else 1)
+
+
 def question(about: About, what: Sequence[str]) -> Question:
     """Return the question that the command's words ask.
 
