Shorten the stay of stopping balancers; throw stale packets away

Change: a stop lasts 1.1 s, two misses of a poll each 0.5 s; a balancer that stood still for 0.8 s throws away what came meanwhile.

--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -28,8 +28,12 @@
 from .settings import RelaySettings
 from .udp import udp_port
 
-LINGER_S = 2.0
-"""Routers notice within this that a balancer is out of rotation."""
+LINGER_S = 1.1
+"""Routers that ask twice a second notice within this that a balancer is
+out of rotation. A longer stay would overlap the stop of the next one."""
+STALE_S = 0.8
+"""Packets that waited for longer while this process stood still were
+sent again by their callers, or belong to flows given up."""
 MARGIN_S = 1.0
 """Time left for the process to end before it would be killed."""
 
@@ -79,7 +83,7 @@
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_context
         process.peers = enter(udp_port(cfg.node, process.from_peer))
-        process.callers = enter(udp_port(cfg.packets, from_caller))
+        process.callers = enter(udp_port(cfg.packets, from_caller, STALE_S))
         await stack.enter_async_context(serving(cfg.node, peer))
         await stack.enter_async_context(serving(cfg.readiness, ready))
         await stack.enter_async_context(metrics(cfg.metrics, process.tally))
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -125,6 +125,8 @@
         """Give ticks until cancelled."""
         while True:
             began = now()
+            if self.callers is not None:
+                self.callers.runs()
             self.give(Tick())
             for age in self._ages(began):
                 self.tally.belief_s.observe(age)
--- a/packages/ops/src/medlar_ops/log_story.py
+++ b/packages/ops/src/medlar_ops/log_story.py
@@ -70,10 +70,9 @@
         )
 
     def _end(self) -> str:
-        ends = [line for line in self.lines if line.reason]
-        if not ends:
+        last = self.lines[-1]
+        if not last.reason:
             return "no line tells of an end"
-        last = ends[-1]
         words = last.message.rpartition(": ")[2]
         return f"{words} by {last.node}, reason {last.reason}"
 
