--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -125,14 +125,24 @@
         """Give ticks until cancelled."""
         while True:
             began = now()
-            if self.callers is not None:
-                self.callers.runs()
+            self._note_stale()
             self.give(Tick())
             for age in self._ages(began):
                 self.tally.belief_s.observe(age)
             await asyncio.sleep(TICK_S)
             self.tally.lag_s.observe(max(0.0, now() - began - TICK_S))
 
+    def _note_stale(self) -> None:
+        """Log what was thrown away after the process stood still."""
+        if self.callers is None:
+            return
+        self.callers.runs()
+        thrown = self.callers.stale - self.tally.packets["stale"]
+        if thrown:
+            self.tally.packets["stale"] += thrown
+            text = f"input: stood still, threw {thrown} packets away"
+            self._record(TimelineEvent(Topic.PROCESS, text, reason="stale"))
+
     def unreadable(self, kind: str, src: str, why: str) -> None:
         """Count input that cannot be read, and log it within a budget."""
         self.tally.unreadable[kind] += 1
--- a/testing/node/relay/test_tally.py
+++ b/testing/node/relay/test_tally.py
@@ -7,7 +7,7 @@
 from medlar_node.relay.tally import Histogram
 from medlar_node.relay.tally import Tally
 
-PAGE = pathlib.Path(__file__).parents[3] / "docs/reference/metrics.md"
+PAGE = pathlib.Path(__file__).parents[3] / "docs/reference/relay-metrics.md"
 
 
 @pytest.fixture
