Split the relay's reducers by concern; let a standstill age no server

agent_flows into packets, placement and search with a shared context; balancer into packets, the view of the store and greetings. Reports are made for SYNs and bounces alone, not for each packet. A question of another agent is kept for a second and not cleared at a tick's whim. An agent that stood still for seconds held its server dead until the next announcement and denied flows: the silence while nobody could hear is left out; the test fails without that.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -27,6 +27,7 @@
 from .events import ServerAnnounced
 from .events import ServerLeft
 from .events import ServerReturned
+from .flow_context import FlowContext
 from .flowtable import DEFAULT_IDLE_S
 from .journal import Journal
 from .members import Members
@@ -48,6 +49,10 @@
 EXPIRE_EVERY_S = 1.0
 PROBE_EVERY_S = 0.5
 """While no server has announced itself."""
+STANDSTILL_S = 1.0
+"""Ticks further apart tell that the process stood still."""
+
+_SYN = int(Flag.SYN)
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -80,15 +85,15 @@
         self.members = Members(who.node)
         self.neighbour = Neighbour(who.beat_s)
         self._journal = Journal(who.node)
-        self.flows = AgentFlows(
+        self._ctx = FlowContext(
             who.node,
             who.service,
             codec,
             self.members,
             self.neighbour,
             self._journal,
-            rng,
         )
+        self._flows = AgentFlows(self._ctx, rng)
         self._count = 0
         self._state = AgentState.STARTING
         self._stopping = False
@@ -97,6 +102,7 @@
         self._idle_s = DEFAULT_IDLE_S
         self._expire_at = 0.0
         self._probe_at = 0.0
+        self._ticked_at = float("inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -107,13 +113,14 @@
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Take one event and return the effects to carry out."""
         match event:
+            case PassedOn(segment=segment) if segment.flags & _SYN:
+                return self._flows.opened(now, event, self.report(now))
             case PassedOn():
-                return self.flows.passed_on(now, event, self.report(now))
+                return self._flows.passed_on(now, event)
             case ServerReturned(segment=segment):
-                own = (
-                    self.report(now) if segment.flags & Flag.BOUNCED else None
-                )
-                return self.flows.returned(now, segment, own)
+                if segment.flags & Flag.BOUNCED:
+                    return self._flows.bounced(now, segment, self.report(now))
+                return self._flows.returned(now, segment)
             case Received(src=src, msg=msg):
                 return self._received(now, src, msg)
             case Tick():
@@ -136,9 +143,9 @@
     def gauges(self, now: Seconds) -> dict[str, float]:
         """Return figures of the moment by name."""
         return {
-            "flows_open": self.flows.table.open,
-            "flows_waiting": self.flows.table.busy,
-            "flows_known": len(self.flows.table),
+            "flows_open": self._ctx.table.open,
+            "flows_waiting": self._ctx.table.busy,
+            "flows_known": len(self._ctx.table),
             "configuration_version": self._journal.version,
             "store_failing": float(self._access.failing),
             **self.members.gauges(now),
@@ -154,13 +161,13 @@
         return AgentReport(
             id=self._who.node,
             place=self._who.place,
-            service=self.flows.service,
+            service=self._ctx.service,
             incarnation=self._incarnation,
             count=self._count,
             state=state,
             slots=server.slots if server else 1,
-            busy=self.flows.table.busy,
-            flows=self.flows.table.open,
+            busy=self._ctx.table.busy,
+            flows=self._ctx.table.open,
             cold=server is not None and server.cold_until > now,
             whole=self.neighbour.knows_all(now),
             server=server.name if server else "",
@@ -204,7 +211,7 @@
         note = self._journal.belief(
             Topic.MEMBERSHIP,
             f"members: server {text}, not announced yet",
-            self.flows.service,
+            self._ctx.service,
             self._who.node,
         )
         return [note, *self._changed(now)]
@@ -216,15 +223,15 @@
         effects: list[RelayEffect] = []
         server = self.neighbour.server
         if server is not None:
-            self.flows.service = server.service
+            self._ctx.service = server.service
         if is_new:
-            effects += self.flows.server_replaced(now)
+            effects += self._flows.server_replaced()
         return effects + self._changed(now)
 
     def _left(self, now: Seconds, event: ServerLeft) -> list[RelayEffect]:
         if not self.neighbour.left(event):
             return []
-        return [*self.flows.server_replaced(now), *self._changed(now)]
+        return [*self._flows.server_replaced(), *self._changed(now)]
 
     def _changed(self, now: Seconds) -> list[RelayEffect]:
         """Tell a change of state at once."""
@@ -258,9 +265,9 @@
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
             case FlowHeld(flow=flow, holder=holder):
-                return self.flows.found(now, flow, holder)
+                return self._flows.finder.found(now, flow, holder)
             case FlowUnknown(flow=flow):
-                return self.flows.denied(now, flow, src)
+                return self._flows.finder.denied(now, flow, src)
             case EntryMissing():
                 self._registration.missing(now)
                 return self._store_calls(now)
@@ -286,7 +293,7 @@
             else:
                 self.members.take_report(now, report, direct=False)
         if msg.names_all:
-            self.flows.introduced(now)
+            self._ctx.introduced(now)
         if self.members.changes != known:
             self._peer_pace.hurry()
         return self._tell(now)
@@ -299,6 +306,10 @@
             self._balancer_pace.hurry()
 
     def _tick(self, now: Seconds) -> list[RelayEffect]:
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap > STANDSTILL_S:
+            self.neighbour.stood_still(gap)
         effects = self._changed(now)
         if self.neighbour.server is None and now >= self._probe_at:
             self._probe_at = now + PROBE_EVERY_S
@@ -306,13 +317,13 @@
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_EVERY_S
             self.members.expire(now)
-            effects += self.flows.expire(now, self._idle_s)
+            effects += self._flows.expire(now, self._idle_s)
         effects += self._tell(now)
         effects += self._store_calls(now)
         return effects
 
     def _tell(self, now: Seconds) -> list[RelayEffect]:
-        peers = [m.report.id for m in self.members.of(self.flows.service)]
+        peers = [m.report.id for m in self.members.of(self._ctx.service)]
         balancers = list(self.members.balancers) or list(self._seeds)
         told: list[NodeId] = []
         if self._peer_pace.due(now, len(peers)):
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/finder.py
@@ -0,0 +1,197 @@
+"""Finds the holder of flows that an agent does not know."""
+
+import msgspec
+
+from ..effects import Send
+from ..ids import NodeId
+from ..ids import Seconds
+from ..packets import Flag
+from ..verdict import Reason
+from .effects import RelayEffect
+from .events import PassedOn
+from .flow_context import FlowContext
+from .flowtable import Flow
+from .members import Member
+from .messages import AgentState
+from .messages import FlowHeld
+from .messages import FlowUnknown
+from .search import PACKETS_KEPT
+from .search import Search
+from .search import Searches
+from .segment import FlowId
+from .segment import Segment
+from .wrapped import Why
+from .wrapped import Wrapped
+
+ASKER_KEPT_S = 1.0
+"""A server bounces what it does not hold long before this."""
+NOBODY = NodeId("")
+
+
+class _Asker(msgspec.Struct, frozen=True):
+    """An agent that waits for the own server's answer on a flow."""
+
+    node: NodeId
+    at: float
+
+
+class Finder:
+    """Asks others about flows, and answers what others ask."""
+
+    def __init__(self, ctx: FlowContext) -> None:
+        self._ctx = ctx
+        self._searches = Searches()
+        self._askers: dict[FlowId, _Asker] = {}
+
+    def expire(self, now: Seconds) -> list[RelayEffect]:
+        """Forget questions without an answer; note who gave none."""
+        self._askers = {
+            flow_id: asker
+            for flow_id, asker in self._askers.items()
+            if now - asker.at <= ASKER_KEPT_S
+        }
+        return [
+            self._ctx.note(
+                late.flow_id,
+                "flows: search ended without an answer of "
+                f"{', '.join(late.awaited) or 'the own server'}",
+            )
+            for late in self._searches.expire(now)
+        ]
+
+    def search(
+        self,
+        now: Seconds,
+        segment: Segment,
+        wrapped: Wrapped,
+        via: NodeId = NOBODY,
+        own_denied: bool = False,
+    ) -> list[RelayEffect]:
+        """Ask all who may hold a flow; keep its packets meanwhile.
+
+        ``via`` is the balancer to be told the holder; ``own_denied``
+        tells that the own server has bounced the packet.
+        """
+        flow_id = segment.inward
+        if segment.flags & Flag.RST:
+            return []
+        running = self._searches.running(now, flow_id)
+        if running is not None:
+            if len(running.waiting) < PACKETS_KEPT:
+                running.waiting.append(segment)
+            running.acked = segment.ack
+            return []
+        if self._searches.full():
+            text = "flows: dropped, too many searches"
+            return [self._ctx.note(flow_id, text)]
+        asked = self._all_members(wrapped)
+        offers = not own_denied and not self._ctx.neighbour.knows_all(now)
+        search = Search(
+            began=now,
+            awaited={member.report.id for member in asked},
+            own=offers,
+            provable=self._ctx.is_settled(now),
+            waiting=[],
+            acked=segment.ack,
+            via=via if wrapped.why == Why.ROUTED else NOBODY,
+        )
+        self._searches.begin(flow_id, search)
+        effects: list[RelayEffect] = [
+            self._ctx.pass_on(member.report.id, Why.ASKED, segment)
+            for member in asked
+        ]
+        if offers:
+            effects.append(self._ctx.offer(segment))
+        text = f"flows: unknown, asked {len(asked)} agents"
+        effects.append(self._ctx.note(flow_id, text))
+        return effects + self._conclude(flow_id, search)
+
+    def asked(self, now: Seconds, event: PassedOn) -> list[RelayEffect]:
+        """Answer whether the own server holds a flow.
+
+        What this agent believes of others is no answer: they are asked
+        too.
+        """
+        flow_id = event.segment.inward
+        if self._ctx.neighbour.knows_all(now):
+            return [Send(event.src, FlowUnknown(flow_id))]
+        self._askers[flow_id] = _Asker(event.src, now)
+        return [self._ctx.offer(event.segment)]
+
+    def found(
+        self, now: Seconds, flow_id: FlowId, holder: NodeId
+    ) -> list[RelayEffect]:
+        """Take the word of the agent whose server holds a flow."""
+        search = self._searches.end(flow_id)
+        if search is None or holder == self._ctx.node:
+            return []
+        self._ctx.table.put(now, flow_id, holder)
+        effects: list[RelayEffect] = [
+            self._ctx.pass_on(holder, Why.PLACED, segment)
+            for segment in search.waiting
+        ]
+        if search.via:
+            effects.append(Send(search.via, FlowHeld(flow_id, holder)))
+        effects.append(self._ctx.note(flow_id, "flows: found", holder))
+        return effects
+
+    def denied(
+        self, now: Seconds, flow_id: FlowId, src: NodeId
+    ) -> list[RelayEffect]:
+        """Take the word of an agent whose server does not hold a flow."""
+        search = self._searches.get(flow_id)
+        if search is None:
+            return []
+        search.awaited.discard(src)
+        return self._conclude(flow_id, search)
+
+    def bounced(self, now: Seconds, segment: Segment) -> list[RelayEffect]:
+        """Take the own server's word that it does not hold a flow."""
+        flow_id = segment.inward
+        asker = self._askers.pop(flow_id, None)
+        if asker is not None:
+            return [Send(asker.node, FlowUnknown(flow_id))]
+        search = self._searches.get(flow_id)
+        if search is not None:
+            search.own = False
+            return self._conclude(flow_id, search)
+        wrapped = Wrapped(Why.ROUTED, self._ctx.service, segment.data)
+        return self.search(now, segment, wrapped, own_denied=True)
+
+    def came_back(
+        self, now: Seconds, flow_id: FlowId, flow: Flow
+    ) -> list[RelayEffect]:
+        """Take back a flow that the own server's packet proves."""
+        ctx = self._ctx
+        effects: list[RelayEffect] = []
+        asker = self._askers.pop(flow_id, None)
+        if asker is not None:
+            effects.append(Send(asker.node, FlowHeld(flow_id, ctx.node)))
+        search = self._searches.end(flow_id)
+        if search is not None:
+            for waiting in search.waiting:
+                effects += ctx.deliver(now, flow, waiting)
+        text = "flows: known again by the server's packet"
+        effects.append(ctx.note(flow_id, text))
+        return effects
+
+    def _conclude(self, flow_id: FlowId, search: Search) -> list[RelayEffect]:
+        if not search.proves_absence:
+            return []
+        self._searches.end(flow_id)
+        return self._ctx.reset(flow_id, search.acked, Reason.NO_FLOW)
+
+    def _all_members(self, wrapped: Wrapped) -> list[Member]:
+        names = {self._ctx.service, wrapped.service, *wrapped.elsewhere}
+        return [
+            member
+            for name in sorted(names)
+            for member in self._ctx.members.of(name)
+            if not _has_no_server(member)
+        ]
+
+
+def _has_no_server(member: Member) -> bool:
+    """Return whether an agent found nothing where its server would be."""
+    report = member.report
+    return report.state is AgentState.STARTING and report.whole
--- a/packages/core/src/medlar_core/relay/neighbour.py
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -133,6 +133,11 @@
         known.phase = ServerPhase.LEFT
         return True
 
+    def stood_still(self, seconds: float) -> None:
+        """Leave out of the server's silence that nobody could hear it."""
+        if self.server is not None:
+            self.server.heard_at += seconds
+
     def state(self, now: Seconds) -> AgentState:
         """Return the state that the agent reports."""
         server = self.server
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -5,12 +5,12 @@
 import random
 
 from medlar_core.relay.access import new_access
-from medlar_core.relay.balancer import BalancerIdentity
 from medlar_core.relay.balancer import RelayBalancer
-from medlar_core.relay.balancer import RouteReader
 from medlar_core.relay.events import CallerSent
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.segment import SegmentCodec
+from medlar_core.relay.storeview import BalancerIdentity
+from medlar_core.relay.storeview import RouteReader
 
 from ..logs import part_logger
 from .http import Request
@@ -56,7 +56,7 @@
     rng = random.Random(cfg.name)
     access = new_access(rng)
     registration = Registration(access, who.balancers + who.node, rng)
-    reducer = RelayBalancer(who, codec, read_routes, access, registration, rng)
+    reducer = RelayBalancer(who, codec, read_routes, access, registration)
     process = RelayProcess(
         cfg, reducer, codec, ask_store, reducer.members.ages
     )
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -12,7 +12,6 @@
 from medlar_core.relay.access import new_access
 from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
-from medlar_core.relay.balancer import BalancerIdentity
 from medlar_core.relay.balancer import RelayBalancer
 from medlar_core.relay.events import ServerAnnounced
 from medlar_core.relay.events import ServerPhase
@@ -23,6 +22,7 @@
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
+from medlar_core.relay.storeview import BalancerIdentity
 from medlar_core.store import Delete
 from medlar_core.store import Put
 from medlar_fakes.relay import FakeCodec
@@ -109,7 +109,6 @@
             read_table,
             access,
             Registration(access, BALANCERS + where, rng),
-            rng,
         )
         self.balancers[where] = made
         self.world.nodes[where] = made
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -128,6 +128,18 @@
     assert found.report.state is AgentState.DOWN
 
 
+def test_an_agent_that_stood_still_does_not_hold_its_server_dead():
+    fleet = Fleet()
+    where = node("agent", 0)
+    fleet.run(0.3)
+    fleet.world.away.add(where)
+    fleet.run(5.0)
+    fleet.world.away.clear()
+    fleet.run(0.15)
+    now = fleet.world.clock.now
+    assert fleet.agents[where].report(now).state is AgentState.READY
+
+
 def test_a_balancer_that_hears_no_agent_is_not_ready():
     fleet = Fleet()
     balancer = fleet.balancers[node("balancer", 0)]
--- a/testing/ops/test_log_story.py
+++ b/testing/ops/test_log_story.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from medlar_ops import log_story
 from medlar_ops.cli import run
+from medlar_ops.log_story import read
+from medlar_ops.log_story import tell
 
 FLOW = "100.64.0.7:1050>198.18.0.1:8443"
 
@@ -48,7 +49,7 @@
 
 
 def test_the_story_is_in_order_and_names_server_hops_and_end(logs):
-    story = log_story.tell(FLOW, log_story.read(logs))
+    story = tell(FLOW, read(logs))
     assert [found.asctime[-6:] for found in story.lines] == [
         "10,050",
         "10,100",
@@ -62,14 +63,14 @@
 
 
 def test_beliefs_before_the_end_are_shown_and_later_ones_are_not(logs):
-    story = log_story.tell(FLOW, log_story.read(logs))
+    story = tell(FLOW, read(logs))
     assert [found.message for found in story.beliefs] == [
         "process: members: server is ready"
     ]
 
 
 def test_a_flow_that_no_line_names_is_said_to_be_unknown(logs):
-    story = log_story.tell("x>y", log_story.read(logs))
+    story = tell("x>y", read(logs))
     assert "no line tells of it" in story.sentence
 
 
