--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -260,6 +260,7 @@
         match msg:
             case AgentReport():
                 self.members.take_report(now, msg, direct=msg.id == src)
+                return self._meet(now)
             case Hello():
                 return self._greeted(now, msg)
             case Goodbye(id=node):
@@ -278,7 +279,6 @@
     def _greeted(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
         if msg.id not in self.members.balancers:
             self._balancer_pace.hurry()
-        known = self.members.changes
         self.members.take_balancer(now, msg.id, msg.place)
         self._journal.version = max(self._journal.version, msg.version)
         if msg.idle_s:
@@ -292,11 +292,22 @@
                 self._refute(report)
             else:
                 self.members.take_report(now, report, direct=False)
-        if msg.names_all:
+        known = len(self.members.of(self._ctx.service)) + 1
+        if msg.size and known >= msg.size:
             self._ctx.introduced(now)
-        if self.members.changes != known:
-            self._peer_pace.hurry()
-        return self._tell(now)
+        return [*self._meet(now), *self._tell(now)]
+
+    def _meet(self, now: Seconds) -> list[RelayEffect]:
+        """Tell agents of the own service that are new."""
+        came = [
+            report.id
+            for report in self.members.take_newcomers()
+            if report.service == self._ctx.service
+        ]
+        if not came:
+            return []
+        own = self.report(now)
+        return [Send(node, own) for node in came]
 
     def _refute(self, report: AgentReport) -> None:
         """Outdo what an earlier process at this address has said."""
@@ -325,15 +336,17 @@
     def _tell(self, now: Seconds) -> list[RelayEffect]:
         peers = [m.report.id for m in self.members.of(self._ctx.service)]
         balancers = list(self.members.balancers) or list(self._seeds)
-        told: list[NodeId] = []
-        if self._peer_pace.due(now, len(peers)):
-            told += peers
-        if self._balancer_pace.due(now, len(balancers)):
-            told += balancers
-        if not told:
-            return []
-        report = self.report(now)
-        return [Send(node, report) for node in told]
+        effects: list[RelayEffect] = []
+        for pace, nodes in (
+            (self._peer_pace, peers),
+            (self._balancer_pace, balancers),
+        ):
+            if pace.due(now, len(nodes)):
+                report = msgspec.structs.replace(
+                    self.report(now), period_s=pace.period_s(len(nodes))
+                )
+                effects += [Send(node, report) for node in nodes]
+        return effects
 
     def _register(self, report: AgentReport) -> None:
         if report.state in (AgentState.GONE, AgentState.STARTING):
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -295,13 +295,12 @@
         if not self.routes.take(table):
             return []
         self._journal.version = table.version
-        self._greeter.hurry()
         note = self._journal.belief(
             Topic.CONFIGURATION,
             f"configuration: in force, {len(table.routes)} routes, "
             f"was version {old}, from {whence}",
         )
-        return [note, *self._greet(now)]
+        return [note, *self._greeter.tell_balancers(now)]
 
     # Which agent is asked
 
@@ -309,9 +308,10 @@
         if self.members.changes == self._changes:
             return []
         self._changes = self.members.changes
-        self._greeter.hurry()
         self._refresh(now)
-        return self._greet(now)
+        if self.stopping:
+            return []
+        return list(self._greeter.newcomers(now))
 
     def _refresh(self, now: Seconds) -> None:
         """Rank the agents of each service anew if they changed."""
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -18,7 +18,10 @@
 from .messages import Departed
 
 SILENT_S = 0.7
-"""An agent unheard for longer is passed over: seven missed reports."""
+"""An agent unheard for longer is passed over."""
+SILENT_REPORTS = 3.5
+"""Reports missed before an agent is passed over, where there are so many
+peers that each gets a report seldom."""
 UNREGISTERED_S = 2.5
 """A silent agent without an entry in the store is gone after this: an
 agent that lives has written its entry again by then."""
@@ -43,8 +46,13 @@
     missing_at: float | None = None
 
     def is_silent(self, now: Seconds, limit_s: float = SILENT_S) -> bool:
-        """Return whether its own word is older than a limit."""
-        return now - self.heard_at > limit_s
+        """Return whether its own word is older than a limit.
+
+        The limit is stretched to what the agent's own reports say of how
+        often they come.
+        """
+        missed_s = SILENT_REPORTS * self.report.period_s
+        return now - self.heard_at > max(limit_s, missed_s)
 
 
 class Members:
@@ -62,6 +70,8 @@
         self.followed_at: dict[NodeId, float] = {}
         """When a balancer last heard the store, as it said itself."""
         self.changes = 0
+        self.newcomers: list[NodeId] = []
+        """Agents that came and were not greeted yet."""
         self._departed: dict[NodeId, tuple[Departed, float]] = {}
 
     def take_report(
@@ -80,12 +90,22 @@
             member = Member(report, known_at=now)
             self.agents[report.id] = member
             self.changes += 1
+            self.newcomers.append(report.id)
+        elif report.incarnation != member.report.incarnation:
+            self.changes += 1
+            self.newcomers.append(report.id)
         elif _place_of(report) != _place_of(member.report):
             self.changes += 1
         member.report = report
         if direct:
             member.heard_at = now
 
+    def take_newcomers(self) -> list[AgentReport]:
+        """Return the reports of agents that came since the last call."""
+        came = [self.agents[n] for n in self.newcomers if n in self.agents]
+        self.newcomers = []
+        return [member.report for member in came]
+
     def take_missing(self, now: Seconds, node: NodeId) -> None:
         """Note that the store has no entry of an agent."""
         member = self.agents.get(node)
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -33,7 +33,8 @@
     each report of it. ``busy`` counts flows whose caller waits for an
     answer, ``flows`` all open ones. ``server_born`` tells incarnations
     of the server apart. ``whole`` tells whether the agent knows every
-    flow that its server holds.
+    flow that its server holds; ``period_s`` how often each peer gets a
+    report.
     """
 
     id: NodeId
@@ -49,6 +50,7 @@
     whole: bool = False
     server: str = ""
     server_born: int = 0
+    period_s: float = 0.0
 
     @property
     def stamp(self) -> tuple[int, int]:
@@ -67,7 +69,7 @@
     """What a balancer tells: itself, its configuration, whom it knows.
 
     ``agents`` holds the latest reports, those of the receiver's service
-    first; ``names_all`` tells that none of that service are missing.
+    first; ``size`` counts those known, 0 if the store was not read.
     ``peers`` are other balancers; ``departed`` agents that went lately.
     ``idle_s`` is how long a flow may be idle; ``followed_s`` how long ago
     the store told this balancer its newest configuration.
@@ -80,7 +82,7 @@
     peers: tuple[NodeId, ...] = ()
     departed: tuple[Departed, ...] = ()
     idle_s: float = 0.0
-    names_all: bool = False
+    size: int = 0
     followed_s: float = float("inf")
 
 
--- a/packages/core/src/medlar_core/relay/pace.py
+++ b/packages/core/src/medlar_core/relay/pace.py
@@ -17,11 +17,15 @@
         self._period_s = period_s
         self._next = 0.0
 
+    def period_s(self, peers: int) -> float:
+        """Return how often each of so many peers gets a report."""
+        return max(self._period_s, peers / REPORTS_PER_S)
+
     def due(self, now: Seconds, peers: int) -> bool:
         """Return whether a round of reports goes now."""
         if now < self._next:
             return False
-        self._next = now + max(self._period_s, peers / REPORTS_PER_S)
+        self._next = now + self.period_s(peers)
         return True
 
     def hurry(self) -> None:
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -250,3 +250,20 @@
     unknown = flow(1, port=9999)
     fleet.syn(unknown)
     assert fleet.got(unknown, Flag.RST) == 0
+
+
+def test_many_agents_are_fresh_though_each_reports_seldom():
+    fleet = Fleet(agents=60, balancers=3)
+    fleet.run(3.0)
+    opened = [fleet.open(number, by=number % 3) for number in range(60)]
+    assert all(fleet.answered(flow_id) == 1 for flow_id in opened)
+    counts = [len(s.taken) for s in fleet.world.servers.values()]
+    assert max(counts) <= 4
+
+
+def test_agents_of_a_large_service_know_all_members():
+    fleet = Fleet(agents=60, balancers=3)
+    fleet.run(8.0)
+    fleet.data(flow(7))
+    fleet.run(0.2)
+    assert fleet.got(flow(7), Flag.RST) == 1
