Greet with fewer reports and less often

Cause: greetings were most of what a balancer sent. Change: balancers greet each other each second and agents each 3 s, with 3 reports and 4 balancers; newcomers get all members of their service at once.

--- a/packages/core/src/medlar_core/relay/greeter.py
+++ b/packages/core/src/medlar_core/relay/greeter.py
@@ -15,10 +15,15 @@
 from .storeview import BalancerIdentity
 from .storeview import StoreView
 
-HELLO_EVERY_S = 1.0
-HELLO_AGENTS = 8
+BALANCERS_EVERY_S = 1.0
+AGENTS_EVERY_S = 3.0
+"""Agents hear of each other by their own reports."""
+HELLO_AGENTS = 3
 """Reports in one greeting; the rest follow in the next ones, and in those
 of other balancers, which begin elsewhere."""
+HELLO_BALANCERS = 4
+INTRODUCED_AGENTS = 16
+"""Reports in one greeting of a newcomer: one datagram."""
 
 
 class Greeter:
@@ -36,7 +41,8 @@
         self._members = members
         self._routes = routes
         self._view = view
-        self._pace = Pace(HELLO_EVERY_S)
+        self._balancer_pace = Pace(BALANCERS_EVERY_S)
+        self._agent_pace = Pace(AGENTS_EVERY_S)
         self._told = sum(who.node.encode())
 
     def due(self, now: Seconds, services: Iterable[ServiceName]) -> list[Send]:
@@ -44,16 +50,16 @@
 
         Agents are told of the agents of their own service.
         """
-        peers = list(self._members.balancers) or list(self.seeds)
-        told = len(self._members.agents) + len(peers)
-        if not self._pace.due(now, told):
-            return []
         effects: list[Send] = []
+        if self._balancer_pace.due(now, len(self._members.balancers)):
+            effects += self.tell_balancers(now)
+        if not self._agent_pace.due(now, len(self._members.agents)):
+            return effects
         for service in services:
             members = self._members.of(service)
             hello = self._greeting(now, [m.report for m in members])
             effects += [Send(m.report.id, hello) for m in members]
-        return effects + self.tell_balancers(now)
+        return effects
 
     def newcomers(self, now: Seconds) -> list[Send]:
         """Greet agents that are new; the others need not hear of them."""
@@ -76,27 +82,41 @@
         dsts: list[NodeId] = [*self._members.agents, *self._members.balancers]
         return [Send(node, Goodbye(self._who.node)) for node in dsts]
 
+    def _some_balancers(self) -> tuple[NodeId, ...]:
+        peers = list(self._members.balancers)
+        start = self._told % max(1, len(peers))
+        self._told += 1
+        return tuple((peers[start:] + peers[:start])[:HELLO_BALANCERS])
+
     def _introductions(
         self, now: Seconds, service: ServiceName
     ) -> list[Hello]:
         """Return as many greetings as name all agents of a service."""
         reports = [member.report for member in self._members.of(service)]
-        count = -(-len(reports) // HELLO_AGENTS)
-        return [self._greeting(now, reports) for _ in range(count)]
+        count = -(-len(reports) // INTRODUCED_AGENTS)
+        return [
+            self._greeting(now, reports, INTRODUCED_AGENTS)
+            for _ in range(count)
+        ]
 
-    def _greeting(self, now: Seconds, reports: list[AgentReport]) -> Hello:
+    def _greeting(
+        self,
+        now: Seconds,
+        reports: list[AgentReport],
+        most: int = HELLO_AGENTS,
+    ) -> Hello:
         start = 0
-        if len(reports) > HELLO_AGENTS:
+        if len(reports) > most:
             start = self._told % len(reports)
-            self._told += HELLO_AGENTS
-        shown = (reports[start:] + reports[:start])[:HELLO_AGENTS]
+            self._told += most
+        shown = (reports[start:] + reports[:start])[:most]
         table = self._routes.table
         return Hello(
             id=self._who.node,
             place=self._who.place,
             version=self._routes.version,
             agents=tuple(shown),
-            peers=tuple(self._members.balancers),
+            peers=self._some_balancers(),
             departed=self._members.departed(),
             idle_s=table.idle_s if table else 0.0,
             size=len(reports) if self._view.has_read_entries else 0,
