--- a/packages/core/src/medlar_core/relay/storeview.py
+++ b/packages/core/src/medlar_core/relay/storeview.py
@@ -136,7 +136,7 @@
         )
         entries = self._entries.answered(now, event)
         if entries is not None:
-            self._take_entries(now, entries)
+            self._take_entries(now, entries, told)
             told.effects += self.tell_missing(now)
         return told
 
@@ -197,16 +197,18 @@
                     )
                 )
 
-    def _take_entries(self, now: Seconds, found: Read | Change) -> None:
+    def _take_entries(
+        self, now: Seconds, found: Read | Change, told: Told
+    ) -> None:
         if isinstance(found, Read):
             self._present = set()
         else:
             self._present.difference_update(found.deleted)
         for item in found.items:
             self._present.add(item.key)
-            self._take_entry(now, item)
+            self._take_entry(now, item, told)
 
-    def _take_entry(self, now: Seconds, item: Item) -> None:
+    def _take_entry(self, now: Seconds, item: Item, told: Told) -> None:
         if item.key.startswith(self._who.balancers):
             self._members.learn_balancer(now, NodeId(item.value))
             return
@@ -214,6 +216,12 @@
             return
         try:
             report = msgspec.json.decode(item.value, type=AgentReport)
-        except msgspec.DecodeError:
-            return  # another program's entry names no agent
+        except msgspec.DecodeError as exc:
+            text = f"members: entry {item.key} names no agent: {exc}"
+            told.effects.append(
+                self._journal.belief(
+                    Topic.MEMBERSHIP, text, reason="unreadable"
+                )
+            )
+            return
         self._members.take_report(now, report, direct=False)
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -22,7 +22,6 @@
 from .log import LogPipe
 from .process import AskStore
 from .process import metrics
-from .process import now
 from .process import RelayProcess
 from .process import running
 from .reload import Reloader
@@ -67,22 +66,13 @@
     )
     registration = Registration(access, prefix + cfg.node, rng)
     reducer = RelayAgent(who, codec, access, registration, rng)
-    process = RelayProcess(
-        cfg, reducer, codec, ask_store, reducer.members.ages
-    )
-    process.tally.gauges = lambda: {
-        **reducer.gauges(now()),
-        "log_lines_lost": pipe.lost,
-    }
+    process = RelayProcess(cfg, reducer, codec, ask_store, pipe)
     reloader = Reloader(source, cfg, process)
 
     def from_server(data: bytes, src: str) -> None:
-        try:
-            segment = codec.decode(data)
-        except ValueError as exc:
-            process.unreadable("packet", src, str(exc))
-            return
-        process.give(ServerReturned(segment))
+        segment = process.read(data, src)
+        if segment is not None:
+            process.give(ServerReturned(segment))
 
     async def ready(req: Request) -> Response:
         return Response(503 if process.stop_asked.is_set() else 200)
@@ -91,6 +81,9 @@
         res, event = await read_control(req)
         if event is not None:
             process.give(event)
+        else:
+            said = res.body.decode(errors="replace")
+            process.unreadable("announcement", "the server", said)
         return res
 
     async with contextlib.AsyncExitStack() as stack:
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -19,7 +19,6 @@
 from .log import LogPipe
 from .process import AskStore
 from .process import metrics
-from .process import now
 from .process import peer_answer
 from .process import RelayProcess
 from .process import running
@@ -57,22 +56,13 @@
     access = new_access(rng)
     registration = Registration(access, who.balancers + who.node, rng)
     reducer = RelayBalancer(who, codec, read_routes, access, registration)
-    process = RelayProcess(
-        cfg, reducer, codec, ask_store, reducer.members.ages
-    )
-    process.tally.gauges = lambda: {
-        **reducer.gauges(now()),
-        "log_lines_lost": pipe.lost,
-    }
+    process = RelayProcess(cfg, reducer, codec, ask_store, pipe)
     reloader = Reloader(source, cfg, process)
 
     def from_caller(data: bytes, src: str) -> None:
-        try:
-            segment = codec.decode(data)
-        except ValueError as exc:
-            process.unreadable("packet", src, str(exc))
-            return
-        process.give(CallerSent(segment))
+        segment = process.read(data, src)
+        if segment is not None:
+            process.give(CallerSent(segment))
 
     async def ready(req: Request) -> Response:
         return Response(200 if reducer.is_ready else 503)
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -9,6 +9,7 @@
 import signal
 import time
 from typing import Any
+from typing import Protocol
 
 import msgspec
 
@@ -30,10 +31,12 @@
 from medlar_core.relay.effects import ToServer
 from medlar_core.relay.events import PassedOn
 from medlar_core.relay.events import RoutesFetched
+from medlar_core.relay.members import Members
 from medlar_core.relay.messages import decode as decode_message
 from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.routes import RouteTable
 from medlar_core.relay.segment import host_of
+from medlar_core.relay.segment import Segment
 from medlar_core.relay.segment import SegmentCodec
 from medlar_core.relay.wrapped import decode as decode_wrapped
 from medlar_core.relay.wrapped import encode as encode_wrapped
@@ -51,6 +54,7 @@
 from .http import Request
 from .http import Response
 from .http import serving
+from .log import LogPipe
 from .settings import RelaySettings
 from .tally import CONTENT_TYPE
 from .tally import Tally
@@ -72,30 +76,40 @@
 AskStore = Callable[[StoreOp], Awaitable[StoreAnswer]]
 
 
+class RelayReducer(Reducer, Protocol):
+    """A reducer of either role."""
+
+    members: Members
+
+    def gauges(self, now: Seconds) -> dict[str, float]:
+        """Return figures of the moment by name."""
+        ...
+
+
 class RelayProcess:
     """Gives events to a reducer and carries out its effects.
 
-    ``ages`` tells how old what is believed is. The composition root sets
-    the ports before the first event.
+    The composition root sets the ports before the first event.
     """
 
     def __init__(
         self,
         cfg: RelaySettings,
-        reducer: Reducer,
+        reducer: RelayReducer,
         codec: SegmentCodec,
         ask_store: AskStore,
-        ages: Callable[[Seconds], list[float]],
+        pipe: LogPipe,
     ) -> None:
         self._cfg = cfg
         self._reducer = reducer
         self._codec = codec
         self._ask_store = ask_store
-        self._ages = ages
+        self._pipe = pipe
         self._store_lost = False
         self._tasks: set[asyncio.Task[None]] = set()
         self.recorder = Recorder(cfg.node, EVENTS_KEPT, LINES_PER_S)
         self.tally = Tally()
+        self.tally.gauges = self._gauges
         self.peers: UdpPort | None = None
         self.callers: UdpPort | None = None
         self.server: UdpPort | None = None
@@ -111,6 +125,14 @@
         for effect in effects:
             self._carry(effect)
 
+    def read(self, data: bytes, src: str) -> Segment | None:
+        """Return the segment in a datagram, None if it holds none."""
+        try:
+            return self._codec.decode(data)
+        except ValueError as exc:
+            self.unreadable("packet", src, str(exc))
+            return None
+
     def from_peer(self, data: bytes, src: str) -> None:
         """Take a datagram of another process."""
         match data[:1]:
@@ -125,15 +147,23 @@
         """Give ticks until cancelled."""
         while True:
             began = now()
-            self._note_stale()
+            self._note_ports()
             self.give(Tick())
-            for age in self._ages(began):
+            for age in self._reducer.members.ages(began):
                 self.tally.belief_s.observe(age)
             await asyncio.sleep(TICK_S)
             self.tally.lag_s.observe(max(0.0, now() - began - TICK_S))
 
-    def _note_stale(self) -> None:
-        """Log what was thrown away after the process stood still."""
+    def _gauges(self) -> dict[str, float]:
+        gauges = self._reducer.gauges(now())
+        return {**gauges, "log_lines_lost": self._pipe.lost}
+
+    def _note_ports(self) -> None:
+        """Count what the ports dropped; log what became stale."""
+        ports = (self.peers, self.callers, self.server)
+        opened = {id(port): port for port in ports if port is not None}
+        dropped = sum(port.dropped for port in opened.values())
+        self.tally.packets["unsent"] = dropped
         if self.callers is None:
             return
         self.callers.runs()
@@ -169,11 +199,12 @@
     def _packet(self, data: bytes, src: NodeId) -> None:
         try:
             wrapped = decode_wrapped(data)
-            segment = self._codec.decode(wrapped.data)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except msgspec.DecodeError as exc:
             self.unreadable("packet", src, str(exc))
             return
-        self.give(PassedOn(src, wrapped, segment))
+        segment = self.read(wrapped.data, src)
+        if segment is not None:
+            self.give(PassedOn(src, wrapped, segment))
 
     def _message(self, data: bytes, src: NodeId) -> None:
         try:
