--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -68,6 +68,7 @@
     reducer = RelayAgent(who, codec, access, registration, rng)
     process = RelayProcess(cfg, reducer, codec, ask_store, pipe)
     reloader = Reloader(source, cfg, process)
+    reloader.listen()
 
     def from_server(data: bytes, src: str) -> None:
         segment = process.read(data, src)
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -58,6 +58,7 @@
     reducer = RelayBalancer(who, codec, read_routes, access, registration)
     process = RelayProcess(cfg, reducer, codec, ask_store, pipe)
     reloader = Reloader(source, cfg, process)
+    reloader.listen()
 
     def from_caller(data: bytes, src: str) -> None:
         segment = process.read(data, src)
--- a/packages/node/src/medlar_node/relay/reload.py
+++ b/packages/node/src/medlar_node/relay/reload.py
@@ -30,8 +30,8 @@
         """
         ...
 
-    def stamp(self) -> float:
-        """Return a number that differs once the settings changed."""
+    def has_changed(self) -> bool:
+        """Return whether the settings changed since they were read."""
         ...
 
 
@@ -44,11 +44,14 @@
         self._source = source
         self._cfg = cfg
         self._process = process
-        self._stamp = source.stamp()
+
+    def listen(self) -> None:
+        """Read the settings again at each hangup signal."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
 
     def reload(self, cause: str) -> None:
         """Read the settings and put what changed in force."""
-        self._stamp = self._source.stamp()
         try:
             cfg = self._source.read()
         except ValueError as exc:
@@ -69,11 +72,9 @@
 
     async def watching(self) -> None:
         """Look for changes until cancelled."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         while True:
             await asyncio.sleep(LOOK_EVERY_S)
-            if self._source.stamp() != self._stamp:
+            if self._source.has_changed():
                 self.reload("file")
 
 
--- a/testing/node/relay/test_reload.py
+++ b/testing/node/relay/test_reload.py
@@ -30,8 +30,8 @@
             raise ValueError("unreadable")
         return self.cfg
 
-    def stamp(self) -> float:
-        return 0.0
+    def has_changed(self) -> bool:
+        return False
 
 
 class Process:
--- /dev/null
+++ b/testing/users_platform/standin.py
@@ -0,0 +1,135 @@
+"""Stand-ins of the platform for whole processes on loopback."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import socket
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from medlar_node.relay.http import Request
+from medlar_node.relay.http import Response
+from medlar_platform.head import HeadCodec
+
+HEAD_BYTES = 31
+SYN, ACK, BOUNCED = 4, 8, 1
+
+
+class StoreStandin:
+    """Answers the store's calls from a dictionary; leases never end."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[str, int]] = {}
+        self.revision = 1
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: str) -> None:
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, req: Request) -> Response:
+        parts = urlsplit(req.target)
+        query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+        match (req.method, parts.path):
+            case ("GET", "/-/kv-key"):
+                if query["key"] not in self.items:
+                    return Response(404)
+                return _json(self._item(query["key"]))
+            case ("GET", "/-/kv-range"):
+                found = self._under(query["prefix"], 0)
+                return _json({"items": found, "as_of": self.revision})
+            case ("GET", "/-/kv-watch"):
+                return await self._watch(query)
+            case ("POST", "/-/kv-txn"):
+                return self._txn(json.loads(req.body))
+            case ("POST", "/-/kv-lease"):
+                return _json({"lease": 7, "ttl_ms": 8_000})
+        return _json({"ttl_ms": 8_000})
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        limit_s = int(query["wait_ms"]) / 1_000
+        found = self._under(query["prefix"], after)
+        if not found:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), limit_s)
+            found = self._under(query["prefix"], after)
+        return _json({"events": found, "as_of": self.revision})
+
+    def _txn(self, txn) -> Response:
+        for row in txn["expected_revision"]:
+            _, held = self.items.get(row["key"], ("", 0))
+            if held != row["revision"]:
+                items = [self._item(row["key"])] if held else []
+                return _json({"items": items}, 412)
+        for row in txn["set_keys"]:
+            self.put(row["key"], base64.b64decode(row["value"]).decode())
+        for key in txn["remove"]:
+            self.items.pop(key, None)
+        return _json({"revision": self.revision})
+
+    def _item(self, key: str):
+        value, revision = self.items[key]
+        coded = base64.b64encode(value.encode()).decode()
+        return {"key": key, "value": coded, "revision": revision}
+
+    def _under(self, prefix: str, after: int):
+        return [
+            self._item(key)
+            for key, (_, revision) in self.items.items()
+            if key.startswith(prefix) and revision > after
+        ]
+
+
+class ServerStandin:
+    """A server's packets: takes SYNs, answers data, bounces the rest."""
+
+    def __init__(self, app: str, outbound: tuple[str, int]) -> None:
+        host, _, port = app.rpartition(":")
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind((host, int(port)))
+        self.sock.setblocking(False)
+        self.flows: set[tuple[int, int]] = set()
+        self._outbound = outbound
+
+    def read(self) -> None:
+        data = self.sock.recv(2_048)
+        segment = HeadCodec().decode(data)
+        flow = tuple(segment.inward)
+        if segment.flags & 1:
+            self.flows.add(flow)
+            self._send(segment, SYN | ACK, b"")
+        elif flow not in self.flows:
+            bounced = data[:4] + bytes([data[4] | BOUNCED]) + data[5:]
+            self.sock.sendto(bounced, self._outbound)
+        elif segment.size:
+            self._send(segment, ACK, b"answer")
+
+    def _send(self, segment, flags: int, payload: bytes) -> None:
+        self.sock.sendto(
+            packet(segment.dst, segment.src, flags, payload), self._outbound
+        )
+
+
+def packet(src: int, dst: int, flags: int, payload: bytes = b"") -> bytes:
+    """Return a packet between two endpoints, with a sum of no meaning."""
+    parts = (
+        (0, 4),
+        (flags, 1),
+        (77, 4),
+        (len(payload), 2),
+        (dst >> 16, 4),
+        (src & 0xFFFF, 2),
+        (src >> 16, 4),
+        (dst & 0xFFFF, 2),
+        (100, 4),
+        (0, 4),
+    )
+    return b"".join(n.to_bytes(w, "big") for n, w in parts) + payload
+
+
+def _json(body, status: int = 200) -> Response:
+    return Response(status, json.dumps(body).encode())
--- /dev/null
+++ b/testing/users_platform/test_process.py
@@ -0,0 +1,269 @@
+"""Whole processes on loopback, against stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+
+import pytest
+
+from medlar_core.relay.segment import endpoint
+from medlar_node.relay.http import HttpClient
+from medlar_node.relay.http import Request
+from medlar_node.relay.http import serving
+from medlar_platform.head import HeadCodec
+
+from .standin import ACK
+from .standin import packet
+from .standin import ServerStandin
+from .standin import StoreStandin
+from .standin import SYN
+
+BALANCER, AGENT, CALLER = "127.0.0.2", "127.0.0.3", "127.0.0.4"
+CONFIGURATION = json.dumps(
+    {
+        "version": 3,
+        "routes": [
+            {"host": "198.18.0.1", "prefix": "/443/", "service": "desk"}
+        ],
+        "services": [],
+        "limits": {"idle_timeout_ms": 15_000},
+    }
+)
+
+
+class Ports:
+    """Free ports, the same on all addresses."""
+
+    def __init__(self) -> None:
+        with contextlib.ExitStack() as stack:
+            socks = [stack.enter_context(socket.socket()) for _ in range(8)]
+            for sock in socks:
+                sock.bind(("127.0.0.1", 0))
+            found = [sock.getsockname()[1] for sock in socks]
+        (
+            self.store,
+            self.peers,
+            self.packets,
+            self.ready,
+            self.control,
+            self.outbound,
+            self.app,
+            self.metrics,
+        ) = found
+
+
+def settings(ports: Ports, ip: str, serves: str) -> str:
+    return f"""
+node_name = "{serves}-1"
+ip = "{ip}"
+zone = "z"
+serves = ["{serves}"]
+internal_port_range = [{ports.peers}, {ports.peers + 5}]
+heartbeat_interval_ms = 1000
+app = "{AGENT}:{ports.app}"
+service = "desk"
+[listen]
+datagram_address = "{ip}:{ports.packets}"
+readiness_address = "{ip}:{ports.ready}"
+control = "{ip}:{ports.control}"
+outbound = "{ip}:{ports.outbound}"
+[bounds]
+grace_period_s = 6
+[platform]
+address = "127.0.0.1:{ports.store}"
+"""
+
+
+@contextlib.asynccontextmanager
+async def running(path: str, ports: Ports, ip: str):
+    """Run a process; end it, and only it, if it has not ended."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "medlar_platform",
+        stdout=asyncio.subprocess.PIPE,
+        env={
+            **os.environ,
+            "MEDLARSTAGE_SETTINGS": path,
+            "MEDLARSTAGE_METRICS": f"{ip}:{ports.metrics}",
+        },
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.communicate()
+
+
+async def get(address: str, path: str):
+    client = HttpClient(address)
+    try:
+        return await client.call(Request("GET", path), 2.0)
+    finally:
+        client.close()
+
+
+async def until(check, limit_s: float = 15.0) -> None:
+    """Wait until a check holds."""
+    async with asyncio.timeout(limit_s):
+        while not await check():
+            await asyncio.sleep(0.05)
+
+
+async def is_ready(address: str) -> bool:
+    try:
+        return (await get(address, "/-/readiness")).status == 200
+    except Exception:  # not listening yet
+        return False
+
+
+def test_wrong_settings_end_the_process_with_a_clear_line(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text("zone = 5")
+
+    async def run():
+        async with running(str(path), Ports(), BALANCER) as process:
+            out, _ = await process.communicate()
+            return process.returncode, out
+
+    code, out = asyncio.run(run())
+    assert code == 2
+    line = json.loads(out.splitlines()[-1])
+    assert "settings unusable" in line["message"]
+    assert "node.toml" in line["why"]
+
+
+def test_a_flow_is_carried_to_its_server_and_back(tmp_path):
+    ports = Ports()
+    paths = {}
+    for ip, serves in ((BALANCER, "frontend"), (AGENT, "side")):
+        paths[ip] = str(tmp_path / f"{serves}.toml")
+        with open(paths[ip], "w") as file:
+            file.write(settings(ports, ip, serves))
+    asyncio.run(_carry(ports, paths))
+
+
+async def _carry(ports: Ports, paths: dict[str, str]) -> None:
+    store = StoreStandin()
+    store.put("op/config", CONFIGURATION)
+    server = ServerStandin(f"{AGENT}:{ports.app}", (AGENT, ports.outbound))
+    asyncio.get_running_loop().add_reader(server.sock, server.read)
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    caller.setblocking(False)
+    caller.bind((CALLER, ports.packets))
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        stack.callback(caller.close)
+        stack.callback(server.sock.close)
+        await enter(serving(f"127.0.0.1:{ports.store}", store.answer))
+        balancer = await enter(running(paths[BALANCER], ports, BALANCER))
+        agent = await enter(running(paths[AGENT], ports, AGENT))
+        await until(lambda: _announced(ports))
+        await until(lambda: is_ready(f"{BALANCER}:{ports.ready}"))
+        await _flow_is_carried(caller, ports)
+        text = (await get(f"{AGENT}:{ports.metrics}", "/metrics")).body
+        assert b"medlarstage_relay_flows_open 1.0" in text
+        balancer.send_signal(signal.SIGTERM)
+        agent.send_signal(signal.SIGTERM)
+        assert not await is_ready(f"{BALANCER}:{ports.ready}")
+        out, _ = await balancer.communicate()
+        await agent.communicate()
+        assert (balancer.returncode, agent.returncode) == (0, 0)
+        messages = [json.loads(line)["message"] for line in out.splitlines()]
+        assert messages[0] == "balancer: started"
+        assert messages[-1] == "balancer: stopped"
+
+
+async def _announced(ports: Ports) -> bool:
+    beat = {
+        "service": "desk",
+        "state": "ready",
+        "slots": 2,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    }
+    client = HttpClient(f"{AGENT}:{ports.control}")
+    path = "/-/Instances.Heartbeat/i-1"
+    try:
+        body = json.dumps(beat).encode()
+        res = await client.call(Request("POST", path, body), 2.0)
+        return res.status == 200
+    except Exception:  # not listening yet
+        return False
+    finally:
+        client.close()
+
+
+async def _flow_is_carried(caller: socket.socket, ports: Ports) -> None:
+    src = endpoint(CALLER, 40_001)
+    dst = endpoint("198.18.0.1", 443)
+    loop = asyncio.get_running_loop()
+    to = (BALANCER, ports.packets)
+    async with asyncio.timeout(10.0):
+        caller.sendto(packet(src, dst, SYN), to)
+        answer = HeadCodec().decode(await loop.sock_recv(caller, 2_048))
+        assert answer.outward == (src, dst)
+        caller.sendto(packet(src, dst, ACK, b"question"), to)
+        data = await loop.sock_recv(caller, 2_048)
+    assert data.endswith(b"answer")
+
+
+def test_a_hangup_rereads_the_settings(tmp_path):
+    ports = Ports()
+    path = tmp_path / "node.toml"
+    path.write_text(settings(ports, BALANCER, "frontend"))
+
+    async def run():
+        async with running(str(path), ports, BALANCER) as process:
+            await process.stdout.readline()
+            text = path.read_text()
+            path.write_text('seeds = ["127.0.0.9:1"]\n' + text)
+            process.send_signal(signal.SIGHUP)
+            while True:
+                line = json.loads(await process.stdout.readline())
+                if "reloaded" in line["message"]:
+                    return line
+
+    line = asyncio.run(asyncio.wait_for(run(), 20.0))
+    assert (line["cause"], line["changed"]) == ("signal", ["seeds"])
+
+
+def test_a_hangup_at_any_moment_of_the_start_ends_nothing(tmp_path):
+    ports = Ports()
+    path = tmp_path / "node.toml"
+    path.write_text(settings(ports, BALANCER, "frontend"))
+
+    async def run():
+        async with running(str(path), ports, BALANCER) as process:
+            await process.stdout.readline()
+            for _ in range(20):
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+            return process.returncode
+
+    assert asyncio.run(asyncio.wait_for(run(), 20.0)) == 0
+
+
+@pytest.mark.parametrize("ip", [BALANCER])
+def test_a_port_in_use_ends_the_process(tmp_path, ip):
+    ports = Ports()
+    path = tmp_path / "node.toml"
+    path.write_text(settings(ports, ip, "frontend"))
+
+    async def run():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind((ip, ports.packets))
+            async with running(str(path), ports, ip) as process:
+                out, _ = await process.communicate()
+                return process.returncode, out
+
+    code, out = asyncio.run(asyncio.wait_for(run(), 20.0))
+    assert code == 1
+    assert b"cannot listen" in out
--- a/testing/platform/test_settings.py
+++ b/testing/users_platform/test_settings.py
@@ -1,3 +1,5 @@
+import os
+
 import pytest
 
 from medlar_node.relay.settings import Role
@@ -68,8 +70,19 @@
         read_settings(written(tmp_path, text))
 
 
-def test_a_file_that_is_away_is_an_error_and_has_a_stamp(tmp_path):
+def test_a_file_that_is_away_is_an_error_and_not_a_change(tmp_path):
     source = SettingsFile(str(tmp_path / "none"))
-    assert source.stamp() == 0.0
     with pytest.raises(SettingsError):
         source.read()
+    assert not source.has_changed()
+
+
+def test_a_change_is_told_once_it_is_there_and_until_it_is_read(tmp_path):
+    path = written(tmp_path, BALANCER)
+    source = SettingsFile(path)
+    source.read()
+    assert not source.has_changed()
+    os.utime(path, (1, 1))
+    assert source.has_changed()
+    source.read()
+    assert not source.has_changed()
