Show rows of the benchmark as they are done

make bench printed nothing for minutes and an interrupted run left nothing. Each measurement now prints its rows, the time spent and the time left, and build/bench.json is written as rows come, marked partial until the end.

--- a/packages/bench/src/medlar_bench/__main__.py
+++ b/packages/bench/src/medlar_bench/__main__.py
@@ -9,6 +9,7 @@
 from . import plots
 from . import report
 from . import run
+from .progress import Progress
 from .rows import Size
 
 MOST_JOBS = 4
@@ -26,7 +27,9 @@
     """
     size = Size.FAST if fast else Size.FULL
     jobs = jobs or min(MOST_JOBS, os.cpu_count() or 1)
-    outcomes = run.measure_all(rows, size, jobs)
+    print(f"needs {jobs} cores and no ports", flush=True)
+    progress = Progress(rows, size)
+    outcomes = run.measure_all(rows, size, jobs, progress.done)
     found = report.judge(outcomes, known.read(), rows, size)
     report.write_json(found)
     for error in found.errors:
--- a/packages/bench/src/medlar_bench/report.py
+++ b/packages/bench/src/medlar_bench/report.py
@@ -125,9 +125,17 @@
     )
 
 
-def write_json(report: Report, path: pathlib.Path = JSON_FILE) -> None:
-    """Write the measured rows as a JSON list of objects."""
-    rows = [_plain(line) for line in report.lines if line.row is not None]
+def write_json(
+    report: Report, path: pathlib.Path = JSON_FILE, partial: bool = False
+) -> None:
+    """Write the measured rows as a JSON list of objects.
+
+    Rows of a run that has not ended are marked as partial.
+    """
+    mark = True if partial else msgspec.UNSET
+    rows = [
+        _plain(line, mark) for line in report.lines if line.row is not None
+    ]
     path.parent.mkdir(parents=True, exist_ok=True)
     text = msgspec.json.format(msgspec.json.encode(rows), indent=1)
     path.write_bytes(text + b"\n")
@@ -144,9 +152,10 @@
     baseline: float | None
     seed: int
     holds: bool
+    partial: bool | msgspec.UnsetType = msgspec.UNSET
 
 
-def _plain(line: Line) -> _Plain:
+def _plain(line: Line, partial: bool | msgspec.UnsetType) -> _Plain:
     row = line.row
     assert row is not None
     return _Plain(
@@ -158,6 +167,7 @@
         baseline=row.baseline,
         seed=row.seed,
         holds=line.result.passed,
+        partial=partial,
     )
 
 
--- a/packages/bench/src/medlar_bench/run.py
+++ b/packages/bench/src/medlar_bench/run.py
@@ -1,7 +1,10 @@
 """Runs measurements, in processes of their own or one by one."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from concurrent import futures
+import itertools
 import multiprocessing
 import traceback
 
@@ -23,7 +26,13 @@
     error: str = ""
 
 
-def measure_all(prefix: str, size: Size, jobs: int) -> list[Outcome]:
+Done = Callable[[Outcome, int], None]
+"""Takes an outcome as it comes and how many measurements are left."""
+
+
+def measure_all(
+    prefix: str, size: Size, jobs: int, done: Done = lambda _, __: None
+) -> list[Outcome]:
     """Run the measurements under a prefix and return their outcomes.
 
     Rows that time real code run last and alone, so that nothing else of
@@ -32,11 +41,21 @@
     found = registry.gather(prefix)
     counted = [m for m in found if not m.wall]
     timed = [m for m in found if m.wall and size is Size.FULL]
-    outcomes = _pooled(counted, size, jobs) if jobs > 1 else []
-    if jobs <= 1:
-        outcomes = [measure(m, size) for m in counted]
-    outcomes += [measure(m, size) for m in timed]
-    return outcomes
+    outcomes: list[Outcome] = []
+    count = len(counted) + len(timed)
+    pooled = _pooled(counted, size, jobs) if jobs > 1 else _each(counted, size)
+    for outcome in itertools.chain(pooled, _each(timed, size)):
+        outcomes.append(outcome)
+        done(outcome, count - len(outcomes))
+    order = [measurement.names for measurement in (*counted, *timed)]
+    return sorted(outcomes, key=lambda outcome: order.index(outcome.names))
+
+
+def _each(
+    measurements: Iterable[Measurement], size: Size
+) -> Iterator[Outcome]:
+    for measurement in measurements:
+        yield measure(measurement, size)
 
 
 def measure(measurement: Measurement, size: Size) -> Outcome:
@@ -55,12 +74,13 @@
 
 def _pooled(
     counted: Iterable[Measurement], size: Size, jobs: int
-) -> list[Outcome]:
+) -> Iterator[Outcome]:
     """Run measurements in a pool; they are found again by their names."""
     context = multiprocessing.get_context("spawn")
     with futures.ProcessPoolExecutor(jobs, mp_context=context) as pool:
         tasks = [pool.submit(_named, m.names, size) for m in counted]
-        return [task.result() for task in tasks]
+        for task in futures.as_completed(tasks):
+            yield task.result()
 
 
 def _named(names: tuple[str, ...], size: Size) -> Outcome:
