--- a/packages/node/src/medlar_node/relay/log.py
+++ b/packages/node/src/medlar_node/relay/log.py
@@ -11,7 +11,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+from ..logs import FIELDS
+
 LINES_KEPT = 500
 
 
