--- a/testing/bench/test_progress.py
+++ b/testing/bench/test_progress.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from medlar_bench import report
+import medlar_bench.progress
 from medlar_bench.progress import Progress
+from medlar_bench.report import write_json
 from medlar_bench.rows import Row
 from medlar_bench.rows import Sense
 from medlar_bench.rows import Size
@@ -20,12 +21,11 @@
 @pytest.fixture
 def written(tmp_path, monkeypatch):
     path = tmp_path / "bench.json"
-    write = report.write_json
 
     def write_here(found, partial=False):
-        write(found, path, partial)
+        write_json(found, path, partial)
 
-    monkeypatch.setattr(report, "write_json", write_here)
+    monkeypatch.setattr(medlar_bench.progress.report, "write_json", write_here)
     return path
 
 
