--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -167,6 +167,7 @@
             state=state,
             slots=server.slots if server else 1,
             busy=self._ctx.table.busy,
+            waiting=self._ctx.table.waiting(now),
             flows=self._ctx.table.open,
             cold=server is not None and server.cold_until > now,
             whole=self.neighbour.knows_all(now),
@@ -352,7 +353,9 @@
         if report.state in (AgentState.GONE, AgentState.STARTING):
             self._registration.want("")
             return
-        lasting = msgspec.structs.replace(report, busy=0, flows=0, cold=False)
+        lasting = msgspec.structs.replace(
+            report, busy=0, waiting=0, flows=0, cold=False
+        )
         self._registration.want(msgspec.json.encode(lasting).decode())
 
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -100,6 +100,7 @@
             flow = table.put(now, flow_id, self._ctx.node)
             flow.answered = True
             flow.sent = segment.ack
+            flow.asked = segment.ack
             flow.acked = segment.seq
             effects += self.finder.came_back(now, flow_id, flow)
         table.returned(now, flow, segment)
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -22,7 +22,7 @@
 FAR_LOAD = 0.3
 """What a server at another place than the caller's balancer is heavier,
 as answers to it and uploads cross places."""
-FULL_BUSY = 3.0
+FULL_WAITING = 3.0
 """Flows a slot whose callers wait, from which on a further caller would
 wait for longer than it is worth."""
 COLD_FACTOR = 1.6
@@ -73,7 +73,7 @@
         _, best, sent = min(found, key=lambda entry: entry[0])
         if best.id != self._node:
             self._given.setdefault(best.id, []).append(now)
-        full = best.busy + sent >= FULL_BUSY * best.slots
+        full = best.waiting + sent >= FULL_WAITING * best.slots
         return Pick(best.id, full)
 
     def _sent_since(self, member: Member) -> int:
--- a/packages/core/src/medlar_core/relay/flowtable.py
+++ b/packages/core/src/medlar_core/relay/flowtable.py
@@ -13,6 +13,10 @@
 
 CLOSED_KEPT_S = 5.0
 """Late packets of a flow that ended still find its server."""
+FED_S = 0.015
+"""A caller that sent nothing for this long has sent its whole request."""
+SMALL_BYTES = 4_000
+"""A request of up to this size comes at once."""
 BUSY_LIMIT_S = 10.0
 """A caller that waits for longer is taken to wait no more."""
 UNPROVEN_LIMIT_S = 1.0
@@ -27,17 +31,21 @@
     """One flow and its holder.
 
     ``sent`` is the position that the caller has sent up to, ``acked``
-    what it has received. ``busy`` tells that the caller sent a request
-    and has had nothing back. ``answered`` tells that the server accepted
-    the flow, ``proven`` that its caller went on after that. ``declined``
-    names agents whose servers did not accept it, ``via`` the balancer
-    that knows the holder.
+    what it has received; ``fed_at`` is when it last sent something new
+    and ``asked`` the position where its request began.
+    ``busy`` tells that the caller sent a request and has had nothing
+    back, ``answered`` that the server accepted the flow, ``proven`` that
+    its caller went on after that. ``declined`` names agents whose
+    servers did not accept it, ``via`` the balancer that knows the
+    holder.
     """
 
     holder: NodeId
     at: float
     sent: int = 0
     acked: int = 0
+    fed_at: float = 0.0
+    asked: int = 0
     busy: bool = False
     answered: bool = False
     proven: bool = False
@@ -52,9 +60,18 @@
     def __init__(self, node: NodeId) -> None:
         self._node = node
         self._flows: dict[FlowId, Flow] = {}
-        self.busy = 0
+        self._busy: dict[int, Flow] = {}
         self.open = 0
 
+    @property
+    def busy(self) -> int:
+        """Flows of the own server whose callers have had no answer yet."""
+        return len(self._busy)
+
+    def waiting(self, now: Seconds) -> int:
+        """Return how many of the busy ones send no more: they wait."""
+        return sum(_waits(now, flow) for flow in self._busy.values())
+
     def __len__(self) -> int:
         return len(self._flows)
 
@@ -92,6 +109,8 @@
         if segment.flags & _SYN:
             # Callers open a flow when they have something to send.
             flow.sent = segment.seq
+            flow.asked = segment.seq
+            flow.fed_at = now
             self._set_busy(flow, True)
             return
         flow.proven = True
@@ -99,6 +118,7 @@
         end = (segment.seq + segment.size) & 0xFFFFFFFF
         if segment.size and is_later(end, flow.sent):
             flow.sent = end
+            flow.fed_at = now
             self._set_busy(flow, True)
         if segment.flags & Flag.RST:
             self._end(flow)
@@ -109,6 +129,7 @@
         if segment.flags & _SYN:
             flow.answered = True
         if segment.size or segment.flags & _END:
+            flow.asked = flow.sent
             self._set_busy(flow, False)
         if segment.flags & _END:
             self._end(flow)
@@ -132,9 +153,11 @@
             self.remove(flow_id)
 
     def _set_busy(self, flow: Flow, busy: bool) -> None:
-        if flow.busy is not busy:
-            flow.busy = busy
-            self.busy += 1 if busy else -1
+        flow.busy = busy
+        if busy:
+            self._busy[id(flow)] = flow
+        else:
+            self._busy.pop(id(flow), None)
 
     def _end(self, flow: Flow) -> None:
         if not flow.ended:
@@ -142,5 +165,10 @@
             self.open -= 1
 
 
+def _waits(now: Seconds, flow: Flow) -> bool:
+    size = (flow.sent - flow.asked) & 0xFFFFFFFF
+    return size <= SMALL_BYTES or now - flow.fed_at > FED_S
+
+
 def _busy_limit(flow: Flow) -> float:
     return BUSY_LIMIT_S if flow.proven else UNPROVEN_LIMIT_S
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -31,7 +31,8 @@
 
     ``incarnation`` is of the agent's process and ``count`` grows with
     each report of it. ``busy`` counts flows whose caller waits for an
-    answer, ``flows`` all open ones. ``server_born`` tells incarnations
+    answer, ``waiting`` those of them that have sent all that they send,
+    ``flows`` all open ones. ``server_born`` tells incarnations
     of the server apart. ``whole`` tells whether the agent knows every
     flow that its server holds; ``period_s`` how often each peer gets a
     report.
@@ -51,6 +52,7 @@
     server: str = ""
     server_born: int = 0
     period_s: float = 0.0
+    waiting: int = 0
 
     @property
     def stamp(self) -> tuple[int, int]:
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -67,10 +67,11 @@
 
 
 class FakeServer:
-    """Takes flows up to ``room``; bounces what it does not hold."""
+    """Takes up to ``room`` flows; bounces others; mute, answers none."""
 
     def __init__(self, room: int = 1_000) -> None:
         self.room = room
+        self.mute = False
         self.flows: set[FlowId] = set()
         self.taken: list[FlowId] = []
 
@@ -82,13 +83,14 @@
             self.taken.append(flow)
             return [self._answer(flow, Flag.SYN | Flag.ACK)]
         if flow not in self.flows:
-            flags = int(segment.flags | Flag.BOUNCED)
-            return [msgspec.structs.replace(segment, flags=flags)]
-        return [self._answer(flow, Flag.ACK, 100)] if segment.size else []
+            back = int(segment.flags | Flag.BOUNCED)
+            return [msgspec.structs.replace(segment, flags=back)]
+        if not segment.size or self.mute:
+            return []
+        return [self._answer(flow, Flag.ACK, 100)]
 
     def _answer(self, flow: FlowId, flags: Flag, size: int = 0) -> Segment:
-        ends = (flow.address, flow.caller)
-        return Segment(b"", int(flags), *ends, size, 500, 7)
+        return Segment(b"", int(flags), *flow[::-1], size, 500, 7)
 
 
 class RelayWorld:
@@ -150,8 +152,7 @@
             case CallStore(call=call, op=op):
                 self._ask_store(src, call, op)
             case FetchRoutes(src=peer):
-                table = self.tables(peer)
-                if table is not None and peer not in self.away:
+                if (table := self.tables(peer)) and peer not in self.away:
                     self._later(src, RoutesFetched(peer, table))
             case Record(event=event):
                 self.events.append(event)
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -192,3 +192,27 @@
         fleet.open(number, by=number % 3)
     counts = [len(s.taken) for s in fleet.world.servers.values()]
     assert max(counts) / (sum(counts) / len(counts)) <= 1.15
+
+
+def test_callers_that_still_send_do_not_make_a_server_full():
+    fleet = Fleet(agents=1)
+    fleet.world.servers[node("agent", 0)].mute = True
+    for step in range(20):
+        fleet.syn(flow(step))
+        fleet.run(0.005)
+        for number in range(step + 1):
+            fleet.data(flow(number), seq=5_000 + 50 * step)
+        fleet.run(0.005)
+    assert all(fleet.got(flow(number), Flag.SYN) for number in range(20))
+
+
+def test_callers_that_wait_make_a_server_full():
+    fleet = Fleet(agents=1)
+    fleet.world.servers[node("agent", 0)].mute = True
+    for number in range(30):
+        fleet.syn(flow(number))
+        fleet.run(0.05)
+        fleet.data(flow(number))
+        fleet.run(0.05)
+    opened = sum(fleet.got(flow(n), Flag.SYN) for n in range(30))
+    assert opened <= 7
