Ask agents that know all their flows by name

Change: an agent whose report says that it knows all flows of its server is asked with the flow's name; only the others get the packet to offer.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -34,6 +34,7 @@
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import EntryMissing
+from .messages import FlowAsked
 from .messages import FlowHeld
 from .messages import FlowUnknown
 from .messages import Goodbye
@@ -266,6 +267,8 @@
                 return self._greeted(now, msg)
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
+            case FlowAsked(flow=flow):
+                return self._flows.finder.asked_by_name(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.finder.found(now, flow, holder)
             case FlowUnknown(flow=flow):
--- a/packages/core/src/medlar_core/relay/finder.py
+++ b/packages/core/src/medlar_core/relay/finder.py
@@ -13,6 +13,7 @@
 from .flowtable import Flow
 from .members import Member
 from .messages import AgentState
+from .messages import FlowAsked
 from .messages import FlowHeld
 from .messages import FlowUnknown
 from .search import PACKETS_KEPT
@@ -86,20 +87,21 @@
             return [self._ctx.note(flow_id, text)]
         asked = self._all_members(wrapped)
         offers = not own_denied and not self._ctx.neighbour.knows_all(now)
+        given = {m.report.id for m in asked if not m.report.whole}
+        if offers:
+            given.add(self._ctx.node)
         search = Search(
             began=now,
             awaited={member.report.id for member in asked},
             own=offers,
             provable=self._ctx.is_settled(now),
-            waiting=[],
+            waiting=[segment],
+            given=given,
             acked=segment.ack,
             via=via if wrapped.why == Why.ROUTED else NOBODY,
         )
         self._searches.begin(flow_id, search)
-        effects: list[RelayEffect] = [
-            self._ctx.pass_on(member.report.id, Why.ASKED, segment)
-            for member in asked
-        ]
+        effects = [self._question(member, segment) for member in asked]
         if offers:
             effects.append(self._ctx.offer(segment))
         text = f"flows: unknown, asked {len(asked)} agents"
@@ -118,6 +120,21 @@
         self._askers[flow_id] = _Asker(event.src, now)
         return [self._ctx.offer(event.segment)]
 
+    def asked_by_name(
+        self, now: Seconds, flow_id: FlowId, src: NodeId
+    ) -> list[RelayEffect]:
+        """Answer whether the own server holds a flow, by the table alone.
+
+        An agent that has lost its table since is silent; it is asked
+        with a packet once its reports have told so.
+        """
+        flow = self._ctx.table.get(flow_id)
+        if flow is not None and flow.holder == self._ctx.node:
+            return [Send(src, FlowHeld(flow_id, self._ctx.node))]
+        if self._ctx.neighbour.knows_all(now):
+            return [Send(src, FlowUnknown(flow_id))]
+        return []
+
     def found(
         self, now: Seconds, flow_id: FlowId, holder: NodeId
     ) -> list[RelayEffect]:
@@ -128,7 +145,7 @@
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
             self._ctx.pass_on(holder, Why.PLACED, segment)
-            for segment in search.waiting
+            for segment in search.left_for(holder)
         ]
         if search.via:
             effects.append(Send(search.via, FlowHeld(flow_id, holder)))
@@ -169,12 +186,19 @@
             effects.append(Send(asker.node, FlowHeld(flow_id, ctx.node)))
         search = self._searches.end(flow_id)
         if search is not None:
-            for waiting in search.waiting:
+            for waiting in search.left_for(ctx.node):
                 effects += ctx.deliver(now, flow, waiting)
         text = "flows: known again by the server's packet"
         effects.append(ctx.note(flow_id, text))
         return effects
 
+    def _question(self, member: Member, segment: Segment) -> RelayEffect:
+        """Ask by name where that is enough; packets are larger."""
+        node = member.report.id
+        if member.report.whole:
+            return Send(node, FlowAsked(segment.inward))
+        return self._ctx.pass_on(node, Why.ASKED, segment)
+
     def _conclude(self, flow_id: FlowId, search: Search) -> list[RelayEffect]:
         if not search.proves_absence:
             return []
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -94,6 +94,12 @@
     id: NodeId
 
 
+class FlowAsked(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """The sender asks an agent that knows all its flows for this one."""
+
+    flow: FlowId
+
+
 class FlowHeld(msgspec.Struct, frozen=True, array_like=True, tag="f"):
     """The sender's server, or ``holder``'s, holds the flow."""
 
@@ -122,6 +128,7 @@
     AgentReport
     | Hello
     | Goodbye
+    | FlowAsked
     | FlowHeld
     | FlowUnknown
     | EntryMissing
--- a/packages/core/src/medlar_core/relay/search.py
+++ b/packages/core/src/medlar_core/relay/search.py
@@ -32,10 +32,16 @@
     provable: bool
     """Whether all who may hold the flow were asked."""
     waiting: list[Segment]
+    given: set[NodeId]
+    """Who has the first packet that waits."""
     acked: int
     via: NodeId
     """The balancer that asked, to be told the holder."""
 
+    def left_for(self, holder: NodeId) -> list[Segment]:
+        """Return the packets that the holder does not have yet."""
+        return self.waiting[1:] if holder in self.given else self.waiting
+
     @property
     def proves_absence(self) -> bool:
         """Whether nobody holds the flow."""
