Stop a process whose ticks fail

A fault in a tick would have ended the task of ticks alone: the process would have gone on without telling, expiring or renewing anything. It is logged and the process leaves in good order, to be started again. Found by reading.

--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -190,6 +190,16 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop, number)
 
+    def ended(self, task: "asyncio.Task[None]") -> None:
+        """Stop in good order if a task that must go on has failed.
+
+        Without ticks nothing would be told or expire any more.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        log.error("task failed, stopping", exc_info=task.exception())
+        self.stop_asked.set()
+
     def _stop(self, number: signal.Signals) -> None:
         if not self.stop_asked.is_set():
             log.info("asked to stop", extra={"signal": number.name})
@@ -333,6 +343,8 @@
     process.listen_to_signals()
     coros = (process.ticking(), *others)
     tasks = [asyncio.create_task(coro) for coro in coros]
+    for task in tasks:
+        task.add_done_callback(process.ended)
     try:
         yield
     finally:
