--- a/testing/node/relay/test_reload.py
+++ b/testing/node/relay/test_reload.py
@@ -1,29 +1,14 @@
 import msgspec
 
 from medlar_core.ids import NodeId
-from medlar_core.ids import PlaceName
 from medlar_core.relay.events import SeedsChanged
 from medlar_node.relay.reload import Reloader
 from medlar_node.relay.settings import RelaySettings
-from medlar_node.relay.settings import Role
-
-CFG = RelaySettings(
-    Role.BALANCER,
-    "b",
-    PlaceName("p"),
-    NodeId("127.0.0.1:1"),
-    "127.0.0.1:2",
-    "127.0.0.1:3",
-    (),
-    5,
-    1.0,
-    6.0,
-)
 
 
 class Source:
-    def __init__(self) -> None:
-        self.cfg: RelaySettings | None = CFG
+    def __init__(self, cfg: RelaySettings) -> None:
+        self.cfg: RelaySettings | None = cfg
 
     def read(self) -> RelaySettings:
         if self.cfg is None:
@@ -42,29 +27,29 @@
         self.events.append(event)
 
 
-def test_changed_seeds_take_effect():
-    source, process = Source(), Process()
-    reloader = Reloader(source, CFG, process)
+def test_changed_seeds_take_effect(cfg):
+    source, process = Source(cfg), Process()
+    reloader = Reloader(source, cfg, process)
     seeds = (NodeId("127.0.0.1:9"),)
-    source.cfg = msgspec.structs.replace(CFG, seeds=seeds)
+    source.cfg = msgspec.structs.replace(cfg, seeds=seeds)
     reloader.reload("signal")
     reloader.reload("signal")
     assert process.events == [SeedsChanged(seeds)]
 
 
-def test_unreadable_settings_leave_the_old_ones_in_force(caplog):
-    source, process = Source(), Process()
-    reloader = Reloader(source, CFG, process)
+def test_unreadable_settings_leave_the_old_ones_in_force(cfg, caplog):
+    source, process = Source(cfg), Process()
+    reloader = Reloader(source, cfg, process)
     source.cfg = None
     reloader.reload("file")
     assert process.events == []
     assert "kept the old ones" in caplog.text
 
 
-def test_what_needs_a_restart_is_said(caplog):
-    source, process = Source(), Process()
-    reloader = Reloader(source, CFG, process)
-    source.cfg = msgspec.structs.replace(CFG, store="127.0.0.1:99")
+def test_what_needs_a_restart_is_said(cfg, caplog):
+    source, process = Source(cfg), Process()
+    reloader = Reloader(source, cfg, process)
+    source.cfg = msgspec.structs.replace(cfg, store="127.0.0.1:99")
     with caplog.at_level("INFO"):
         reloader.reload("file")
     assert caplog.records[-1].need_restart == ["store"]
