Pass over full servers where another has room, and count given flows only

Cause: Choice.pick noted a flow as given when the best server was full and the SYN was then left to be repeated, so that until the next report it looked busier than it was; and it ordered by work alone, so that a server whose callers all wait was picked (and the SYN left) though another had room. Counts of agents that departed were never dropped.

Change: the count of flows given lives with the member and ends with its next report; it grows when a SYN is handed over. Servers that are full come last.

Ruled out: leaving the phantom count as a kind of back-off; it pushed flows to other servers by accident, once per report.

--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -42,7 +42,6 @@
     def __init__(self, node: NodeId, rng: random.Random) -> None:
         self._node = node
         self._rng = rng
-        self._given: dict[NodeId, list[float]] = {}
 
     def pick(
         self,
@@ -60,29 +59,27 @@
         peers = [m for m in members if _takes(now, m, without)]
         if len(peers) > COMPARED:
             peers = self._rng.sample(peers, COMPARED)
-        found: list[tuple[float, AgentReport, int]] = []
+        found = [(m.report, m.given) for m in peers]
         if own is not None and self._node not in without:
-            found.append((load(own) + _distance(own, near), own, 0))
-        for member in peers:
-            report = member.report
-            sent = self._sent_since(member)
-            weight = load(report, sent) + _distance(report, near)
-            found.append((weight, report, sent))
+            found.insert(0, (own, 0))
         if not found:
             return None
-        _, best, sent = min(found, key=lambda entry: entry[0])
-        if best.id != self._node:
-            self._given.setdefault(best.id, []).append(now)
-        full = best.waiting + sent >= FULL_WAITING * best.slots
-        return Pick(best.id, full)
+        best, given = min(
+            found, key=lambda entry: _order(entry[0], entry[1], near)
+        )
+        return Pick(best.id, _is_full(best, given))
 
-    def _sent_since(self, member: Member) -> int:
-        """Return the flows given to an agent since its last report."""
-        given = self._given.get(member.report.id)
-        if not given:
-            return 0
-        given[:] = [at for at in given if at > member.heard_at]
-        return len(given)
+
+def _order(
+    report: AgentReport, given: int, near: PlaceName | None
+) -> tuple[bool, float]:
+    """Return by what agents are ordered: those that are full come last."""
+    far = 0.0 if near is None or report.place == near else FAR_LOAD
+    return _is_full(report, given), load(report, given) + far
+
+
+def _is_full(report: AgentReport, given: int) -> bool:
+    return report.waiting + given >= FULL_WAITING * report.slots
 
 
 def load(report: AgentReport, more: int = 0) -> float:
@@ -93,10 +90,6 @@
     return work / max(1, report.slots)
 
 
-def _distance(report: AgentReport, near: PlaceName | None) -> float:
-    return 0.0 if near is None or report.place == near else FAR_LOAD
-
-
 def _takes(now: Seconds, member: Member, without: Collection[NodeId]) -> bool:
     report = member.report
     return (
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -37,13 +37,15 @@
     """One agent and how this process knows it.
 
     ``heard_at`` is when its own word came last, ``missing_at`` when the
-    store was seen to have no entry of it.
+    store was seen to have no entry of it. ``given`` counts the flows
+    handed to it since its report.
     """
 
     report: AgentReport
     heard_at: float = _NEVER
     known_at: float = 0.0
     missing_at: float | None = None
+    given: int = 0
 
     def is_silent(self, now: Seconds, limit_s: float = SILENT_S) -> bool:
         """Return whether its own word is older than a limit.
@@ -97,6 +99,7 @@
         elif _place_of(report) != _place_of(member.report):
             self.changes += 1
         member.report = report
+        member.given = 0
         if direct:
             member.heard_at = now
 
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -104,6 +104,9 @@
         self, now: Seconds, opening: Opening, node: NodeId
     ) -> list[RelayEffect]:
         flow_id = opening.flow_id
+        member = self._ctx.members.agents.get(node)
+        if member is not None:
+            member.given += 1
         flow = self._ctx.table.put(now, flow_id, node, opening.declined)
         flow.via = opening.via
         wrapped = Wrapped(
--- /dev/null
+++ b/testing/core/relay/test_choice.py
@@ -0,0 +1,77 @@
+"""Which of several servers gets a new flow."""
+
+import random
+from typing import Any
+
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.ids import Seconds
+from medlar_core.ids import ServiceName
+from medlar_core.relay.choice import Choice
+from medlar_core.relay.choice import FULL_WAITING
+from medlar_core.relay.choice import Pick
+from medlar_core.relay.members import Member
+from medlar_core.relay.members import Members
+from medlar_core.relay.messages import AgentReport
+from medlar_core.relay.messages import AgentState
+
+from .kit import Fleet
+from .kit import flow
+from .kit import node
+
+SLOTS = 2
+FULL = int(FULL_WAITING * SLOTS)
+
+
+def report(name: str, **figures: Any) -> AgentReport:
+    return AgentReport(
+        NodeId(name),
+        PlaceName("a"),
+        ServiceName("desk"),
+        1,
+        state=AgentState.READY,
+        slots=SLOTS,
+        **{"count": 1, **figures},
+    )
+
+
+def pick(*members: Member) -> Pick | None:
+    choice = Choice(NodeId("own"), random.Random(1))
+    return choice.pick(Seconds(0.1), None, list(members), (), None)
+
+
+def test_a_full_server_is_passed_over_though_it_is_less_busy():
+    full = Member(report("full", busy=FULL, waiting=FULL), heard_at=0.0)
+    feeding = Member(report("feeding", busy=FULL + 2), heard_at=0.0)
+    assert pick(full, feeding) == Pick(NodeId("feeding"), full=False)
+
+
+def test_flows_given_since_a_report_fill_a_server():
+    waiting = FULL - 2
+    given = Member(report("a", busy=waiting, waiting=waiting), heard_at=0.0)
+    given.given = 2
+    assert pick(given) == Pick(NodeId("a"), full=True)
+
+
+def test_a_report_ends_the_count_of_flows_given_before():
+    members = Members(NodeId("own"))
+    members.take_report(Seconds(0.0), report("a"), direct=True)
+    members.agents[NodeId("a")].given = 3
+    later = report("a", count=2)
+    members.take_report(Seconds(0.1), later, direct=True)
+    assert members.agents[NodeId("a")].given == 0
+
+
+def test_syns_left_to_be_repeated_count_for_no_server():
+    fleet = Fleet(agents=2)
+    for server in fleet.world.servers.values():
+        server.mute = True
+    for number in range(60):
+        fleet.syn(flow(number))
+        fleet.run(0.01)
+        fleet.data(flow(number))
+    taken = sum(len(s.taken) for s in fleet.world.servers.values())
+    asker = fleet.agents[node("agent", 0)]
+    (peer,) = asker.members.agents.values()
+    assert taken <= 2 * (FULL + 1)
+    assert peer.given <= FULL
