Keep flows that a new server took before it announced itself

Cause: a replaced server's flows were reset by the table alone. SYNs that come between the start of a server and its first accepted announcement are delivered to the new one.

Change: an announcement says for how long the server has run, by the clock that it shares with the agent. Flows opened later than that stay. Where the clock was set back the age is unknown, and flows opened since the old server was last heard stay: if they are not the new one's, it returns their next packet and they are reset by that proof.

Ruled out: keeping all flows opened since the last announcement (the test that flows of a replaced server are reset at once failed: callers that wait would hang until their deadline); deciding by the server's packets (the old one sent some too).

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -221,19 +221,19 @@
     def _announced(
         self, now: Seconds, event: ServerAnnounced
     ) -> list[RelayEffect]:
-        is_new = self.neighbour.announced(now, event)
+        since = self.neighbour.announced(now, event)
         effects: list[RelayEffect] = []
         server = self.neighbour.server
         if server is not None:
             self._ctx.service = server.service
-        if is_new:
-            effects += self._flows.server_replaced()
+        if since is not None:
+            effects += self._flows.server_ended(since)
         return effects + self._changed(now)
 
     def _left(self, now: Seconds, event: ServerLeft) -> list[RelayEffect]:
         if not self.neighbour.left(event):
             return []
-        return [*self._flows.server_replaced(), *self._changed(now)]
+        return [*self._flows.server_ended(now), *self._changed(now)]
 
     def _changed(self, now: Seconds) -> list[RelayEffect]:
         """Tell a change of state at once."""
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -124,10 +124,17 @@
             return []
         return self.finder.bounced(now, segment)
 
-    def server_replaced(self) -> list[RelayEffect]:
-        """Reset the flows of a server that has ended."""
+    def server_ended(self, at: Seconds) -> list[RelayEffect]:
+        """Reset the flows of a server that has ended.
+
+        Those opened later than ``at`` may be its successor's, which took
+        them before it announced itself; if they are not, it returns
+        their next packet.
+        """
         effects: list[RelayEffect] = []
         for flow_id, flow in self._ctx.table.own():
+            if flow.opened_at > at:
+                continue
             self._ctx.table.remove(flow_id)
             effects += self._ctx.reset(flow_id, flow.acked, Reason.SERVER_DIED)
         return effects
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -56,7 +56,8 @@
     """The server beside this agent told its state.
 
     ``born_ms`` is when it started, by its own clock; ``sequence`` grows
-    with each announcement of one incarnation.
+    with each announcement of one incarnation. ``age_s`` is for how long
+    it has run, infinite if unknown.
     """
 
     server: str
@@ -66,6 +67,7 @@
     phase: ServerPhase
     slots: int
     cold_s: float
+    age_s: float = float("inf")
 
 
 class ServerLeft(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/flowtable.py
+++ b/packages/core/src/medlar_core/relay/flowtable.py
@@ -32,7 +32,8 @@
 
     ``sent`` is the position that the caller has sent up to, ``acked``
     what it has received; ``fed_at`` is when it last sent something new
-    and ``asked`` the position where its request began.
+    and ``asked`` the position where its request began. ``opened_at`` is
+    when its last SYN went to the server.
     ``busy`` tells that the caller sent a request and has had nothing
     back, ``answered`` that the server accepted the flow, ``proven`` that
     its caller went on after that. ``declined`` names agents whose
@@ -42,6 +43,7 @@
 
     holder: NodeId
     at: float
+    opened_at: float
     sent: int = 0
     acked: int = 0
     fed_at: float = 0.0
@@ -88,7 +90,7 @@
     ) -> Flow:
         """Note who holds a flow, in place of what was known."""
         self.remove(flow_id)
-        flow = Flow(holder, now, declined=declined)
+        flow = Flow(holder, now, now, declined=declined)
         self._flows[flow_id] = flow
         if holder == self._node:
             self.open += 1
@@ -108,6 +110,7 @@
         flow.at = now
         if segment.flags & _SYN:
             # Callers open a flow when they have something to send.
+            flow.opened_at = now
             flow.sent = segment.seq
             flow.asked = segment.seq
             flow.fed_at = now
--- a/packages/core/src/medlar_core/relay/neighbour.py
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -87,17 +87,20 @@
             presumed=True,
         )
 
-    def announced(self, now: Seconds, event: ServerAnnounced) -> bool:
-        """Take an announcement; return whether a known server was replaced.
-
-        Late ones of an earlier incarnation, or older than the last one,
-        are passed over.
+    def announced(
+        self, now: Seconds, event: ServerAnnounced
+    ) -> Seconds | None:
+        """Take an announcement; return since when it is another server's.
+
+        Flows opened later may be that server's; None tells that no known
+        server was replaced. Late announcements of an earlier incarnation,
+        or older than the last one, are passed over.
         """
         known = self.server
         cold_until = now + event.cold_s
         if known is not None and self._is_same(event):
             if event.sequence <= known.sequence:
-                return False
+                return None
             known.sequence = event.sequence
             known.service = event.service
             known.slots = event.slots
@@ -106,10 +109,10 @@
             known.presumed = False
             if known.phase is not ServerPhase.LEFT:
                 known.phase = event.phase
-            return False
+            return None
         presumed = known is not None and known.presumed
         if known is not None and not (presumed or self._replaces(now, event)):
-            return False
+            return None
         self.server = Server(
             event.server,
             event.born_ms,
@@ -121,7 +124,9 @@
             now,
             self._absent or event.sequence <= FIRST_SEQUENCE,
         )
-        return known is not None and not presumed
+        if known is None or presumed:
+            return None
+        return Seconds(max(known.heard_at, now - event.age_s))
 
     def left(self, event: ServerLeft) -> bool:
         """Note that the server ends; return whether it is this one."""
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -8,9 +8,12 @@
 import time
 from typing import Any
 
+import msgspec
+
 from medlar_core.relay.access import new_access
 from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
+from medlar_core.relay.events import ServerAnnounced
 from medlar_core.relay.events import ServerReturned
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.segment import SegmentCodec
@@ -81,7 +84,7 @@
     async def control(req: Request) -> Response:
         res, event = await read_control(req)
         if event is not None:
-            process.give(event)
+            process.give(with_age(event, time.time()))
         else:
             said = res.body.decode(errors="replace")
             process.unreadable("announcement", "the server", said)
@@ -102,6 +105,20 @@
     log.info("stopped")
 
 
+def with_age(event: Any, wall_s: float) -> Any:
+    """Return an announcement with the age of its server.
+
+    Server and agent share a clock; a server that started in the future
+    tells that it was set back since.
+    """
+    match event:
+        case ServerAnnounced(born_ms=born_ms):
+            age_s = wall_s - born_ms / 1_000
+            if age_s >= 0.0:
+                return msgspec.structs.replace(event, age_s=age_s)
+    return event
+
+
 async def _linger(reducer: RelayAgent) -> None:
     """Wait until the others know that this agent stops."""
     await asyncio.sleep(RESTART_LINGER_S)
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -68,6 +68,8 @@
         self.agents: dict[NodeId, RelayAgent] = {}
         self.balancers: dict[NodeId, RelayBalancer] = {}
         self.beats: dict[NodeId, ServerAnnounced] = {}
+        self.born: dict[NodeId, float] = {}
+        self.clock_jumped = False
         self.starts = 0
         self.world.tables = self._table_of
         self.configure(table(1, DESK))
@@ -139,6 +141,7 @@
         self, where: NodeId, service: ServiceName = DESK, room: int = 1_000
     ) -> FakeServer:
         self.starts += 1
+        self.born[where] = self.world.clock.now
         self.world.servers[where] = FakeServer(room)
         self.beats[where] = ServerAnnounced(
             f"s{self.starts}",
@@ -218,6 +221,9 @@
         beat = self.beats[where]
         beat = msgspec.structs.replace(beat, sequence=beat.sequence + 1)
         self.beats[where] = beat
+        age_s = self.world.clock.now - self.born[where]
+        if not self.clock_jumped:
+            beat = msgspec.structs.replace(beat, age_s=age_s)
         self.world.give(where, beat)
 
     def _table_of(self, where: NodeId) -> RouteTable | None:
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -1,6 +1,9 @@
+import pytest
+
 from medlar_core.packets import Flag
 from medlar_core.relay.messages import AgentState
 
+from .kit import BEAT_S
 from .kit import Fleet
 from .kit import flow
 from .kit import node
@@ -64,6 +67,40 @@
         assert fleet.got(flow_id, Flag.RST) == 0
 
 
+@pytest.mark.parametrize("clock_jumped", [False, True])
+def test_flows_that_a_successor_took_before_its_first_word_stay_whole(
+    clock_jumped,
+):
+    fleet = Fleet(agents=1)
+    fleet.clock_jumped = clock_jumped
+    where = node("agent", 0)
+    old = fleet.open(1)
+    fleet.run(BEAT_S)
+    fleet.start_server(where)
+    beat = fleet.beats.pop(where)
+    taken = fleet.open(2)
+    fleet.run(3.5)
+    fleet.beats[where] = beat
+    fleet.run(BEAT_S)
+    assert fleet.got(old, Flag.RST) == 1
+    assert fleet.got(taken, Flag.RST) == 0
+    fleet.data(taken, seq=400)
+    fleet.run(0.2)
+    assert fleet.answered(taken) == 2
+
+
+def test_flows_that_may_be_a_successors_are_reset_by_its_bounce():
+    fleet = Fleet(agents=1)
+    fleet.clock_jumped = True
+    fleet.run(0.2)
+    lost = fleet.open(1)
+    fleet.start_server(node("agent", 0))
+    fleet.run(BEAT_S)
+    fleet.data(lost, seq=400)
+    fleet.run(0.2)
+    assert fleet.got(lost, Flag.RST) == 1
+
+
 def test_flows_of_a_server_that_was_replaced_are_reset_at_once():
     fleet = Fleet()
     opened = [fleet.open(number) for number in range(20)]
