Leave calls to dropped ports out of what the soak expects served

The callers go on calling ports that were removed, so that an old configuration shows; those calls must not be served. Ruled out: load (same result alone), edits during the run (same on a clone).

--- a/testing/users_platform/soak/caller.py
+++ b/testing/users_platform/soak/caller.py
@@ -117,7 +117,8 @@
         self._calls[call.flow] = call
         began = time.monotonic()
         first = f"r{call.flow.caller & 0xFFFF}.{began:.3f}"
-        self._ledger.asked[f"{first}.0"] = began
+        if call.port not in self.removed:
+            self._ledger.asked[f"{first}.0"] = began
         if await self._open(call):
             for number in range(requests):
                 req = f"{first}.{number}"
