--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -67,22 +67,17 @@
 
 
 class FakeServer:
-    """Takes up to ``room`` flows; bounces others; mute, answers none.
-
-    Deaf, it takes and bounces nothing.
-    """
+    """Takes up to ``room`` flows; bounces others; mute, answers none."""
 
     def __init__(self, room: int = 1_000) -> None:
         self.room = room
-        self.mute = self.deaf = False
+        self.mute = False
         self.flows: set[FlowId] = set()
         self.taken: list[FlowId] = []
 
     def take(self, segment: Segment) -> list[Segment]:
         """Return what the server sends for a packet."""
         flow = segment.inward
-        if self.deaf:
-            return []
         if segment.flags & Flag.SYN and len(self.flows) < self.room:
             self.flows.add(flow)
             self.taken.append(flow)
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -3,6 +3,7 @@
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
 from medlar_core.relay.messages import AgentState
+from medlar_fakes.relay import FakeServer
 
 from .kit import BEAT_S
 from .kit import Fleet
@@ -10,6 +11,11 @@
 from .kit import node
 
 
+class Deaf(FakeServer):
+    def take(self, segment):
+        return []
+
+
 def test_a_flow_stays_at_its_server_through_every_balancer():
     fleet = Fleet()
     opened = [fleet.open(number, by=number % 3) for number in range(30)]
@@ -93,7 +99,7 @@
 def test_a_flow_that_another_server_took_is_not_reset_by_the_first():
     fleet = Fleet(agents=1)
     where = node("agent", 0)
-    fleet.world.servers[where].deaf = True
+    fleet.world.servers[where] = Deaf()
     opened = flow(1)
     fleet.syn(opened)
     fleet.run(0.05)
