Say what the demo needs and refuse ports in use

Change: the demo prints ports and cores at its start and ends with a clear line that names ports in use, before it starts anything. The number of cores is a statement of size: not measured yet.

--- a/packages/standins/src/medlar_standins/demo/__main__.py
+++ b/packages/standins/src/medlar_standins/demo/__main__.py
@@ -10,6 +10,9 @@
 
 from medlar_core.config.model import Configuration
 
+from .needs import check_ports
+from .needs import needs
+from .needs import PortsTaken
 from .processes import fleet
 from .report import details
 from .report import lines
@@ -65,9 +68,11 @@
     :param kill: process to kill half-way, such as balancer-2, agent-3,
         server-3, store or fabric.
     """
+    print(needs(), flush=True)
     try:
+        check_ports()
         kept = asyncio.run(_main(folder, kill))
-    except (NotReady, RuntimeError) as exc:
+    except (NotReady, PortsTaken, RuntimeError) as exc:
         print(f"demo: {exc}", file=sys.stderr)
         sys.exit(1)
     sys.exit(0 if kept else 1)
--- a/packages/standins/src/medlar_standins/demo/layout.py
+++ b/packages/standins/src/medlar_standins/demo/layout.py
@@ -85,6 +85,19 @@
     return (*balancers, *(pair.agent for pair in pairs()))
 
 
+def ports() -> tuple[int, ...]:
+    """Return all ports that processes of the demo listen on, in order."""
+    numbers = balancer_numbers()
+    return (
+        STORE_PORT,
+        FABRIC_PORT,
+        *(BALANCER_PORT + number for number in numbers),
+        *(REQUEST_PORT + number for number in numbers),
+        *(_port(pair.agent) for pair in pairs()),
+        *(_port(pair.server) for pair in pairs()),
+    )
+
+
 def store_command() -> Command:
     """Return the command of the store."""
     return _standin(STORE_NAME, "store", "--port", str(STORE_PORT))
@@ -110,9 +123,9 @@
 def server_command(pair: Pair, service: Service) -> Command:
     """Return the command of a server."""
     kinds = ",".join(f"{kind.name}={kind.mean_s}" for kind in service.kinds)
-    port = pair.server.rsplit(":", 1)[1]
+    port = str(_port(pair.server))
     return _standin(
-        server_name(int(port) - SERVER_PORT),
+        server_name(_port(pair.server) - SERVER_PORT),
         "server",
         "--port",
         port,
@@ -140,7 +153,7 @@
 def agent_command(pair: Pair, place: PlaceName) -> Command:
     """Return the command of an agent."""
     return _daemon(
-        agent_name(int(pair.agent.rsplit(":", 1)[1]) - AGENT_PORT),
+        agent_name(_port(pair.agent) - AGENT_PORT),
         "agent",
         "--listen",
         pair.agent,
@@ -163,6 +176,10 @@
     return ",".join(balancer_node(i) for i in range(1, BALANCERS + 1))
 
 
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
 def _standin(name: str, *args: str) -> Command:
     return Command(name, (sys.executable, "-m", "medlar_standins", *args))
 
