Ask for lost flows within a budget, and know all flows after the idle time

An agent that restarted beside a living server was asked by packet for ever after.

Change: packets that ask are bounded, 400 a second an agent; questions by name are not. An agent that carried its server's packets for the idle time of flows knows all of them: what it has not seen may be discarded.

Ruled out: asking in turns (a silent agent holds the search up).

Tests, each failed before: packets of 2,000 unknown flows, the whole-after-idle agent; a fleet of 30 agents that lost all tables finds 120 flows again.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -28,7 +28,6 @@
 from .events import ServerLeft
 from .events import ServerReturned
 from .flow_context import FlowContext
-from .flowtable import DEFAULT_IDLE_S
 from .journal import Journal
 from .members import Members
 from .messages import AgentReport
@@ -102,7 +101,6 @@
         self._stopping = False
         self._peers = Telling(PEERS_EVERY_S)
         self._balancers = Telling(BALANCERS_EVERY_S)
-        self._idle_s = DEFAULT_IDLE_S
         self._expire_at = 0.0
         self._probe_at = 0.0
         self._ticked_at = float("inf")
@@ -293,7 +291,7 @@
         self.members.take_balancer(now, msg.id, msg.place)
         self._journal.version = max(self._journal.version, msg.version)
         if msg.idle_s:
-            self._idle_s = msg.idle_s
+            self.neighbour.idle_s = msg.idle_s
         for peer in msg.peers:
             self.members.learn_balancer(now, peer)
         for departed in msg.departed:
@@ -339,7 +337,7 @@
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_EVERY_S
             self.members.expire(now)
-            effects += self._flows.expire(now, self._idle_s)
+            effects += self._flows.expire(now, self.neighbour.idle_s)
         effects += self._tell(now)
         effects += self._store_calls(now)
         return effects
--- a/packages/core/src/medlar_core/relay/finder.py
+++ b/packages/core/src/medlar_core/relay/finder.py
@@ -5,6 +5,7 @@
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
+from ..limits import TokenBucket
 from ..packets import Flag
 from ..verdict import Reason
 from .effects import RelayEffect
@@ -26,6 +27,10 @@
 
 ASKER_KEPT_S = 1.0
 """A server bounces what it does not hold long before this."""
+QUESTIONS_PER_S = 400.0
+"""Packets that ask agents which must ask their servers. After a loss of
+all tables each flow asks its whole service."""
+QUESTIONS_AT_ONCE = 400.0
 NOBODY = NodeId("")
 
 
@@ -43,6 +48,7 @@
         self._ctx = ctx
         self._searches = Searches()
         self._askers: dict[FlowId, _Asker] = {}
+        self._questions = TokenBucket(QUESTIONS_PER_S, QUESTIONS_AT_ONCE)
 
     def expire(self, now: Seconds) -> list[RelayEffect]:
         """Forget questions without an answer; note who gave none."""
@@ -86,6 +92,10 @@
             text = "flows: dropped, too many searches"
             return [self._ctx.note(flow_id, text)]
         asked = self._all_members(wrapped)
+        packets = sum(not member.report.whole for member in asked)
+        if not self._questions.take(now, min(packets, QUESTIONS_AT_ONCE)):
+            text = "flows: dropped, too many questions"
+            return [self._ctx.note(flow_id, text)]
         offers = not own_denied and not self._ctx.neighbour.knows_all(now)
         given = {m.report.id for m in asked if not m.report.whole}
         if offers:
--- a/packages/core/src/medlar_core/relay/neighbour.py
+++ b/packages/core/src/medlar_core/relay/neighbour.py
@@ -7,6 +7,7 @@
 from .events import ServerAnnounced
 from .events import ServerLeft
 from .events import ServerPhase
+from .flowtable import DEFAULT_IDLE_S
 from .messages import AgentReport
 from .messages import AgentState
 
@@ -30,6 +31,9 @@
     cold_until: float
     heard_at: float
     whole: bool
+    """Whether it has no flows from before this process."""
+    seen_at: float
+    """Since when all its packets pass through this process."""
     presumed: bool = False
     """Not announced to this process yet."""
 
@@ -42,6 +46,7 @@
         self._absent = False
         self._alive: bool | None = None
         self._entry: AgentReport | None = None
+        self.idle_s = DEFAULT_IDLE_S
         self.server: Server | None = None
 
     def probed(self, now: Seconds, alive: bool) -> bool:
@@ -84,6 +89,7 @@
             now,
             now,
             whole=False,
+            seen_at=now,
             presumed=True,
         )
 
@@ -123,6 +129,7 @@
             cold_until,
             now,
             self._absent or event.sequence <= FIRST_SEQUENCE,
+            seen_at=now,
         )
         if known is None or presumed:
             return None
@@ -139,9 +146,10 @@
         return True
 
     def stood_still(self, seconds: float) -> None:
-        """Leave out of the server's silence that nobody could hear it."""
+        """Leave out a time in which nobody could hear the server."""
         if self.server is not None:
             self.server.heard_at += seconds
+            self.server.seen_at += seconds
 
     def state(self, now: Seconds) -> AgentState:
         """Return the state that the agent reports."""
@@ -157,11 +165,16 @@
         return AgentState.READY
 
     def knows_all(self, now: Seconds) -> bool:
-        """Return whether flows unknown here are unknown to the server."""
+        """Return whether flows unknown here are unknown to the server.
+
+        All flows that are not idle for too long were seen after a while.
+        """
         server = self.server
         if server is None:
             return self._absent
-        return server.whole or self.state(now) in _NO_SERVER
+        if server.whole or self.state(now) in _NO_SERVER:
+            return True
+        return now - server.seen_at > self.idle_s
 
     def _is_same(self, event: ServerAnnounced) -> bool:
         known = self.server
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -2,6 +2,8 @@
 
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
+from medlar_core.relay.finder import QUESTIONS_AT_ONCE
+from medlar_core.relay.finder import QUESTIONS_PER_S
 from medlar_core.relay.messages import AgentState
 from medlar_fakes.relay import FakeServer
 
@@ -281,3 +283,56 @@
         fleet.run(0.05)
     opened = sum(fleet.got(flow(n), Flag.SYN) for n in range(30))
     assert opened <= 7
+
+
+def test_an_agent_beside_an_old_server_knows_all_its_flows_after_a_while():
+    fleet = Fleet()
+    where = node("agent", 0)
+    opened = [fleet.open(number) for number in range(12)]
+    fleet.kill(where)
+    agent = fleet.start_agent(where)
+    fleet.run(2.0)
+    assert not agent.report(fleet.world.clock.now).whole
+    for step in range(20):
+        for flow_id in opened:
+            fleet.data(flow_id, seq=300 + 50 * step)
+        fleet.run(1.0)
+    assert agent.report(fleet.world.clock.now).whole
+    fleet.data(flow(99))
+    fleet.run(0.1)
+    assert fleet.got(flow(99), Flag.RST) == 1
+    for flow_id in opened:
+        assert fleet.answered(flow_id) == 21
+        assert fleet.got(flow_id, Flag.RST) == 0
+
+
+def test_lost_tables_are_asked_for_within_a_budget():
+    fleet = Fleet(agents=30)
+    opened = [fleet.open(number) for number in range(120)]
+    for number in range(30):
+        fleet.kill(node("agent", number))
+        fleet.start_agent(node("agent", number))
+    fleet.run(1.0)
+    before = fleet.world.passes
+    for step in range(10):
+        for flow_id in opened:
+            fleet.data(flow_id, seq=300 + 50 * step)
+        fleet.run(0.4)
+    assert all(fleet.answered(flow_id) > 1 for flow_id in opened)
+    assert all(fleet.got(flow_id, Flag.RST) == 0 for flow_id in opened)
+    each = QUESTIONS_AT_ONCE + 4.0 * QUESTIONS_PER_S
+    assert fleet.world.passes - before <= 30 * each
+
+
+def test_a_storm_of_packets_of_unknown_flows_is_bounded():
+    fleet = Fleet(agents=20)
+    for number in range(20):
+        fleet.kill(node("agent", number))
+        fleet.start_agent(node("agent", number))
+    fleet.run(1.0)
+    before = fleet.world.passes
+    for number in range(2_000):
+        fleet.data(flow(number))
+    fleet.run(0.2)
+    asked = fleet.world.passes - before - 2_000
+    assert asked <= 20 * (QUESTIONS_AT_ONCE + 0.2 * QUESTIONS_PER_S)
