Let SYNs of the least urgent route yield in a rush

Cause: in the rush after a power-off all kinds waited alike, though the operators rank their routes; slot-confirm lost as much as berth-watch.

Change: where routes of several priorities lead to a service, a SYN of the least urgent one is left to be repeated from two waiting callers a slot on, the others from three. The rank travels with the SYN from the balancer.

Ruled out: a limit for each priority (a service may have silent routes of any rank), reading the flow (never).

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -84,7 +84,12 @@
         routed = wrapped.why == Why.ROUTED
         via = event.src if routed else wrapped.via
         opening = Opening(
-            flow_id, event.segment, wrapped.declined, via, wrapped.hops
+            flow_id,
+            event.segment,
+            wrapped.declined,
+            via,
+            wrapped.hops,
+            wrapped.yields,
         )
         if routed:
             return self._placement.place(now, opening, own)
@@ -117,7 +122,7 @@
         if flow is not None and flow.holder == self._ctx.node:
             table.remove(flow_id)
             if segment.flags & _SYN:
-                opening = Opening(flow_id, segment, flow.declined, flow.via)
+                opening = _again(segment, flow)
                 return self._placement.place(
                     now, opening.without(self._ctx.node), own
                 )
@@ -167,8 +172,7 @@
         """Deliver the copy of a SYN, unless the server leaves meanwhile."""
         if flow.answered or own.state is AgentState.READY:
             return self._ctx.deliver(now, flow, segment)
-        opening = Opening(segment.inward, segment, flow.declined, flow.via)
-        opening = opening.without(self._ctx.node)
+        opening = _again(segment, flow).without(self._ctx.node)
         return self._placement.place(now, opening, own)
 
     def _opened_elsewhere(
@@ -177,17 +181,17 @@
         """Pass on the copy of a SYN, or place it anew if its agent left."""
         if self._placement.takes_flows(now, flow.holder):
             return self._to_holder(now, event, flow)
-        segment = event.segment
-        opening = Opening(
-            segment.inward,
-            segment,
-            flow.declined,
-            flow.via,
-            event.wrapped.hops,
-        )
+        opening = _again(event.segment, flow, event.wrapped.hops)
         opening = opening.without(flow.holder)
         return self._placement.place(now, opening, own)
 
     def _too_far(self, event: PassedOn) -> RelayEffect:
         text = "flows: dropped after too many hops"
         return self._ctx.note(event.segment.inward, text)
+
+
+def _again(segment: Segment, flow: Flow, hops: int = 0) -> Opening:
+    """Return the SYN of a flow that looks for a server once more."""
+    return Opening(
+        segment.inward, segment, flow.declined, flow.via, hops, flow.yields
+    )
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -144,14 +144,16 @@
                 return [self._dropped(segment, services[0], Reason.NO_SERVER)]
             ranked = owners.ranked(flow_id.key)
             dst = self._heard_first(now, ranked, segment)
+        is_new = bool(segment.flags & _SYN)
         wrapped = Wrapped(
             int(Why.ROUTED),
             services[0],
             segment.data,
             (),
             services[1:],
+            yields=is_new and self.routes.yields(flow_id, services[0]),
         )
-        if not segment.flags & _SYN:
+        if not is_new:
             return [Pass(dst, wrapped)]
         note = self._journal.flow(
             Topic.PLACEMENT,
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -25,6 +25,9 @@
 FULL_WAITING = 3.0
 """Flows a slot whose callers wait, from which on a further caller would
 wait for longer than it is worth."""
+FULL_YIELDING = 2.0
+"""The same for a caller that gives way: what is left is kept for urgent
+ones."""
 COLD_FACTOR = 1.6
 """How much heavier the load of a server is that has just started."""
 
@@ -50,11 +53,13 @@
         members: list[Member],
         without: Collection[NodeId],
         near: PlaceName | None,
+        limit: float = FULL_WAITING,
     ) -> Pick | None:
         """Return the agent whose server has most room, None for none.
 
         ``own`` is this agent's report if its server takes flows;
-        ``near`` is the place of the caller's balancer if it is known.
+        ``near`` is the place of the caller's balancer if it is known;
+        from ``limit`` waiting callers a slot on a server is full.
         """
         peers = [m for m in members if _takes(now, m, without)]
         if len(peers) > COMPARED:
@@ -64,22 +69,22 @@
             found.insert(0, (own, 0))
         if not found:
             return None
-        best, given = min(
-            found, key=lambda entry: _order(entry[0], entry[1], near)
-        )
-        return Pick(best.id, _is_full(best, given))
+        orders = [
+            _order(report, given, near, limit) for report, given in found
+        ]
+        first = min(orders)
+        best, _ = found[orders.index(first)]
+        full, _ = first
+        return Pick(best.id, full)
 
 
 def _order(
-    report: AgentReport, given: int, near: PlaceName | None
+    report: AgentReport, given: int, near: PlaceName | None, limit: float
 ) -> tuple[bool, float]:
     """Return by what agents are ordered: those that are full come last."""
+    full = report.waiting + given >= limit * report.slots
     far = 0.0 if near is None or report.place == near else FAR_LOAD
-    return _is_full(report, given), load(report, given) + far
-
-
-def _is_full(report: AgentReport, given: int) -> bool:
-    return report.waiting + given >= FULL_WAITING * report.slots
+    return full, load(report, given) + far
 
 
 def load(report: AgentReport, more: int = 0) -> float:
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -10,6 +10,8 @@
 from ..timeline.events import Topic
 from ..verdict import Reason
 from .choice import Choice
+from .choice import FULL_WAITING
+from .choice import FULL_YIELDING
 from .choice import load
 from .choice import Pick
 from .effects import Pass
@@ -35,7 +37,8 @@
     """A SYN that looks for a server.
 
     ``declined`` names agents that did not take it, ``via`` the balancer
-    that it came through; ``hops`` counts agents passed.
+    that it came through; ``hops`` counts agents passed. If it
+    ``yields``, more urgent ones go first.
     """
 
     flow_id: FlowId
@@ -43,6 +46,7 @@
     declined: tuple[NodeId, ...]
     via: NodeId
     hops: int = 0
+    yields: bool = False
 
     def without(self, node: NodeId) -> "Opening":
         """Return the same with one more agent that does not take it."""
@@ -109,6 +113,7 @@
             member.given += 1
         flow = self._ctx.table.put(now, flow_id, node, opening.declined)
         flow.via = opening.via
+        flow.yields = opening.yields
         wrapped = Wrapped(
             int(Why.PLACED),
             self._ctx.service,
@@ -116,6 +121,7 @@
             opening.declined,
             via=opening.via,
             hops=opening.hops + 1,
+            yields=opening.yields,
         )
         effects: list[RelayEffect] = [Pass(node, wrapped)]
         if opening.via:
@@ -129,12 +135,16 @@
         able = own if own.state is AgentState.READY else None
         others = members.of(self._ctx.service)
         near = members.places.get(opening.via)
-        return self._choice.pick(now, able, others, opening.declined, near)
+        limit = FULL_YIELDING if opening.yields else FULL_WAITING
+        return self._choice.pick(
+            now, able, others, opening.declined, near, limit
+        )
 
     def _take(self, now: Seconds, opening: Opening) -> list[RelayEffect]:
         ctx = self._ctx
         flow = ctx.table.put(now, opening.flow_id, ctx.node, opening.declined)
         flow.via = opening.via
+        flow.yields = opening.yields
         note = ctx.journal.flow(
             Topic.PLACEMENT,
             f"flows: opened with {ctx.table.busy} busy, "
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/routes.py
@@ -16,11 +16,12 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Where new flows to an address go."""
+    """Where new flows to an address go; ``rank`` 0 is the most urgent."""
 
     host: str
     port: int
     shares: tuple[Share, ...]
+    rank: int = 0
 
     @property
     def address(self) -> Endpoint:
@@ -49,6 +50,7 @@
         self.table: RouteTable | None = None
         self._by_address: dict[Endpoint, Route] = {}
         self._earlier: dict[Endpoint, tuple[ServiceName, ...]] = {}
+        self._ranks: dict[ServiceName, set[int]] = {}
 
     @property
     def version(self) -> int:
@@ -65,8 +67,23 @@
                 self._keep(address, route, by_address[address])
         self.table = table
         self._by_address = by_address
+        self._ranks = {}
+        for route in table.routes:
+            for share in route.shares:
+                self._ranks.setdefault(share.service, set()).add(route.rank)
         return True
 
+    def yields(self, flow: FlowId, service: ServiceName) -> bool:
+        """Return whether a flow's route is the least urgent to a service.
+
+        It is not where all routes to the service are equally urgent.
+        """
+        route = self._by_address.get(flow.address)
+        ranks = self._ranks.get(service, set())
+        return (
+            route is not None and len(ranks) > 1 and route.rank == max(ranks)
+        )
+
     def _keep(self, address: Endpoint, old: Route, new: Route) -> None:
         """Remember services that an address no longer leads to."""
         now = {share.service for share in new.shares}
--- a/packages/core/src/medlar_core/relay/wrapped.py
+++ b/packages/core/src/medlar_core/relay/wrapped.py
@@ -26,7 +26,8 @@
     ``elsewhere`` names further services that may hold the flow, opened
     under another version of the configuration or by another weight.
     ``via`` is the balancer that an opening packet came through and
-    ``hops`` counts the agents that handed the packet on.
+    ``hops`` counts the agents that handed the packet on. ``yields`` tells
+    that an opening packet gives way to more urgent ones.
     """
 
     why: int
@@ -36,6 +37,7 @@
     elsewhere: tuple[ServiceName, ...] = ()
     via: NodeId = NodeId("")
     hops: int = 0
+    yields: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/testing/core/relay/test_choice.py
+++ b/testing/core/relay/test_choice.py
@@ -3,18 +3,26 @@
 import random
 from typing import Any
 
+import pytest
+
 from medlar_core.ids import NodeId
 from medlar_core.ids import PlaceName
 from medlar_core.ids import Seconds
 from medlar_core.ids import ServiceName
 from medlar_core.relay.choice import Choice
 from medlar_core.relay.choice import FULL_WAITING
+from medlar_core.relay.choice import FULL_YIELDING
 from medlar_core.relay.choice import Pick
 from medlar_core.relay.members import Member
 from medlar_core.relay.members import Members
 from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.routes import Route
+from medlar_core.relay.routes import Routes
+from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.routes import Share
 
+from .kit import DESK
 from .kit import Fleet
 from .kit import flow
 from .kit import node
@@ -75,3 +83,58 @@
     (peer,) = asker.members.agents.values()
     assert taken <= 2 * (FULL + 1)
     assert peer.given <= FULL
+
+
+def test_a_caller_that_yields_leaves_the_last_room_to_urgent_ones():
+    waiting = int(FULL_YIELDING * SLOTS)
+    server = Member(report("a", busy=waiting, waiting=waiting), heard_at=0.0)
+    choice = Choice(NodeId("own"), random.Random(1))
+    for limit, full in ((FULL_WAITING, False), (FULL_YIELDING, True)):
+        picked = choice.pick(Seconds(0.1), None, [server], (), None, limit)
+        assert picked == Pick(NodeId("a"), full)
+
+
+@pytest.mark.parametrize(
+    ("ranks", "yields"),
+    [((1, 2), (False, True)), ((2, 2), (False, False))],
+)
+def test_the_least_urgent_route_to_a_service_yields(ranks, yields):
+    routes = Routes()
+    shares = (Share(DESK, 1),)
+    routes.take(
+        RouteTable(
+            1,
+            tuple(
+                Route("192.0.2.1", 8_000 + number, shares, rank)
+                for number, rank in enumerate(ranks)
+            ),
+            15.0,
+        )
+    )
+    found = tuple(
+        routes.yields(flow(1, 8_000 + number), DESK) for number in range(2)
+    )
+    assert found == yields
+
+
+def test_urgent_callers_are_served_while_others_are_left():
+    fleet = Fleet(agents=1)
+    shares = (Share(DESK, 1),)
+    calm, urgent = 8_000, 8_001
+    routes = (
+        Route("192.0.2.1", calm, shares, 2),
+        Route("192.0.2.1", urgent, shares, 1),
+    )
+    fleet.configure(RouteTable(2, routes, 15.0))
+    fleet.run(3.0)
+    server = fleet.world.servers[node("agent", 0)]
+    server.mute = True
+    for number in range(20):
+        for port in (calm, urgent):
+            fleet.syn(flow(number, port))
+            fleet.run(0.02)
+            fleet.data(flow(number, port))
+            fleet.run(0.02)
+    taken = [flow_id.address & 0xFFFF for flow_id in server.taken]
+    assert taken.count(urgent) > taken.count(calm)
+    assert len(taken) <= FULL + 1
