--- a/testing/standins/test_demo_needs.py
+++ b/testing/standins/test_demo_needs.py
@@ -2,9 +2,11 @@
 
 import pytest
 
-from medlar_standins.demo import needs as demo_needs
 from medlar_standins.demo.layout import HOST
 from medlar_standins.demo.layout import ports
+from medlar_standins.demo.needs import check_ports
+from medlar_standins.demo.needs import needs
+from medlar_standins.demo.needs import PortsTaken
 
 
 def test_all_ports_are_named_once():
@@ -19,13 +21,15 @@
         port = sock.getsockname()[1]
         if kind is socket.SOCK_STREAM:
             sock.listen()
-        monkeypatch.setattr(demo_needs, "ports", lambda: (port,))
-        with pytest.raises(demo_needs.PortsTaken, match=str(port)):
-            demo_needs.check_ports()
-    demo_needs.check_ports()
+        monkeypatch.setattr(
+            "medlar_standins.demo.needs.ports", lambda: (port,)
+        )
+        with pytest.raises(PortsTaken, match=str(port)):
+            check_ports()
+    check_ports()
 
 
 def test_the_needs_tell_ports_and_cores():
-    line = demo_needs.needs()
+    line = needs()
     assert str(ports()[0]) in line
     assert "cores" in line
