--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -105,9 +105,10 @@
             member.heard_at = now
 
     def take_load(self, now: Seconds, node: NodeId, load: LoadReport) -> bool:
-        """Take an agent's figures; return whether they are of use.
+        """Take an agent's figures, if its whole report is known.
 
-        They are not where its whole report is not known.
+        Returns whether that report need not be asked for: it is known,
+        or of an agent that is gone.
         """
         member = self.agents.get(node)
         if member is None or load.incarnation > member.report.incarnation:
