Come back as another after a server left, and end quietly

Cause: both servers of a service left and new ones started beside the same agents. An agent that said that its server is gone is forgotten for 30 s, by the incarnation of its process; the same process came back with a new server and was not believed. Balancers dropped all flows with no-server. Change: an agent that takes a new server after that counts its incarnation up. Ruled out: forgetting departures sooner (relayed reports of them would bring agents back that are gone).

Cause: asyncio asks a connection's task for its exception when it is cancelled before it began. Change: the server's callback starts its own task.

Tests, both failed before: a new server beside an agent whose server had left; a connection that comes while the process ends.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -241,6 +241,10 @@
         if report.state is self._state:
             return []
         old, self._state = self._state, report.state
+        if old is AgentState.GONE:
+            # The others forget who is gone, until it comes as another.
+            self._incarnation += 1
+            report = self.report(now)
         event = self._journal.belief(
             Topic.DRAIN
             if report.state in (AgentState.DRAINING, AgentState.GONE)
--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -157,17 +157,15 @@
     :raises OSError: if the address cannot be listened on.
     """
 
-    async def connected(
+    tasks: set[asyncio.Task[None]] = set()
+
+    def connected(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        conn = _Connection(reader, writer, h11.SERVER)
-        with contextlib.suppress(
-            OSError, h11.ProtocolError, HttpError, asyncio.CancelledError
-        ):
-            # A peer that breaks off has nothing more to be told.
-            while await _answer(conn, handler):
-                pass
-        conn.close()
+        # A coroutine here is logged as an error if it is cancelled.
+        task = asyncio.create_task(_converse(reader, writer, handler))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
 
     host, _, port = address.rpartition(":")
     server = await asyncio.start_server(connected, host, int(port))
@@ -177,6 +175,22 @@
         server.close()
 
 
+async def _converse(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    handler: Handler,
+) -> None:
+    """Answer the requests of one connection."""
+    conn = _Connection(reader, writer, h11.SERVER)
+    with contextlib.suppress(
+        OSError, h11.ProtocolError, HttpError, asyncio.CancelledError
+    ):
+        # A peer that breaks off has nothing more to be told.
+        while await _answer(conn, handler):
+            pass
+    conn.close()
+
+
 async def _answer(conn: _Connection, handler: Handler) -> bool:
     """Answer one request; return whether another may follow."""
     event = await conn.next_event()
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -1,5 +1,6 @@
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
+from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.messages import AgentState
 
 from .kit import AGENTS
@@ -269,3 +270,18 @@
     fleet.data(flow(7))
     fleet.run(0.2)
     assert fleet.got(flow(7), Flag.RST) == 1
+
+
+def test_a_new_server_beside_an_agent_whose_server_had_left_is_known():
+    fleet = Fleet(agents=2)
+    for number in range(2):
+        where = node("agent", number)
+        left = fleet.beats.pop(where)
+        fleet.world.give(where, ServerLeft(left.server, left.born_ms))
+    fleet.run(3.0)
+    for number in range(2):
+        fleet.start_server(node("agent", number))
+    fleet.run(3.0)
+    for number in range(6):
+        opened = fleet.open(number, by=number % 3)
+        assert fleet.answered(opened) == 1
--- a/testing/node/relay/test_http.py
+++ b/testing/node/relay/test_http.py
@@ -83,3 +83,21 @@
 def test_nobody_listening_is_an_error():
     with pytest.raises(HttpError):
         asyncio.run(HttpClient(address()).call(Request("GET", "/"), 1.0))
+
+
+@pytest.mark.filterwarnings("ignore::ResourceWarning")
+def test_a_connection_that_comes_at_the_end_is_no_error(caplog):
+    async def end_after(turns: int) -> None:
+        loop = asyncio.get_running_loop()
+        where = address()
+        host, _, port = where.rpartition(":")
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            async with serving(where, echo):
+                await loop.sock_connect(caller, (host, int(port)))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+
+    for turns in range(12):
+        asyncio.run(end_after(turns))
+    assert [r.getMessage() for r in caplog.records] == []
