Keep the agents that a process knew before it stood still

It read the store's entries once, before agents had written theirs, and does not follow the store, so that all counted as without an entry; when it woke all had been silent for 3.7 s and it forgot them, and then believed no report of them for 30 s.

Change: a process that stood still leaves that time out of the silence of others, as agents did for their server.

Test, failed before: a balancer that stood still knows its agents again.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -30,6 +30,7 @@
 from .flow_context import FlowContext
 from .journal import Journal
 from .members import Members
+from .members import STANDSTILL_S
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import EntryMissing
@@ -51,8 +52,6 @@
 EXPIRE_EVERY_S = 1.0
 PROBE_EVERY_S = 0.5
 """While no server has announced itself."""
-STANDSTILL_S = 1.0
-"""Ticks further apart tell that the process stood still."""
 
 _SYN = int(Flag.SYN)
 
@@ -334,6 +333,7 @@
         self._ticked_at = now
         if gap > STANDSTILL_S:
             self.neighbour.stood_still(gap)
+            self.members.stood_still(now, gap)
         effects = self._changed(now)
         if self.neighbour.server is None and now >= self._probe_at:
             self._probe_at = now + PROBE_EVERY_S
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -30,6 +30,7 @@
 from .journal import Journal
 from .members import heard
 from .members import Members
+from .members import STANDSTILL_S
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import EntryMissing
@@ -88,6 +89,7 @@
         self._fetch_at = 0.0
         self._agreed_at = float("-inf")
         self._hears_agents = False
+        self._ticked_at = float("inf")
 
     @property
     def is_ready(self) -> bool:
@@ -264,6 +266,10 @@
         return effects
 
     def _tick(self, now: Seconds) -> list[RelayEffect]:
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap > STANDSTILL_S:
+            self.members.stood_still(now, gap)
         effects: list[RelayEffect] = [
             self._journal.belief(
                 Topic.MEMBERSHIP,
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -30,6 +30,8 @@
 """A silent agent is gone after this even if its entry remains unread."""
 DEPARTED_KEPT_S = 30.0
 BALANCER_FORGET_S = 30.0
+STANDSTILL_S = 1.0
+"""Ticks further apart tell that the process stood still."""
 
 _NEVER = float("-inf")
 
@@ -166,6 +168,13 @@
         if node != self._node:
             self.balancers.setdefault(node, now)
 
+    def stood_still(self, now: Seconds, seconds: float) -> None:
+        """Leave out a time in which this process could hear nobody."""
+        for member in self.agents.values():
+            member.heard_at = min(now, member.heard_at + seconds)
+            if member.missing_at is not None:
+                member.missing_at += seconds
+
     def expire(self, now: Seconds) -> list[AgentReport]:
         """Forget who is gone; return the last reports of those agents."""
         gone = [m.report for m in self.agents.values() if _is_gone(now, m)]
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -285,3 +285,16 @@
     for number in range(6):
         opened = fleet.open(number, by=number % 3)
         assert fleet.answered(opened) == 1
+
+
+def test_a_balancer_that_stood_still_knows_its_agents_again():
+    fleet = Fleet()
+    where = node("balancer", 2)
+    balancer = fleet.balancers[where]
+    for member in balancer.members.agents:
+        balancer.members.take_missing(fleet.world.clock.now, member)
+    fleet.world.away.add(where)
+    fleet.run(4.0)
+    fleet.world.away.discard(where)
+    fleet.run(1.0)
+    assert len(balancer.members.agents) == 4
