Split addresses, set up logs and take segments by one piece each

Cause: the relay split ip:port by hand in five places beside datagrams.split; both configure() of the logs set up the root logger line by line alike; both roots of the relay wrapped a port's datagrams the same way.

Change: split moves to medlar_node.addresses, as datagrams loads the metrics library that the relay loads late; logs.send_to serves standard error and the bounded pipe; RelayProcess.taking makes the callback of a port.

Ruled out: one composition root for both roles (their ports, readiness and last seconds differ; what is left alike is the order of entering contexts).

--- a/packages/node/src/medlar_node/balancer.py
+++ b/packages/node/src/medlar_node/balancer.py
@@ -16,6 +16,7 @@
 from medlar_core.ids import Incarnation
 from medlar_core.ids import Seconds
 
+from .addresses import split
 from .control_http import Answers
 from .control_http import ControlPort
 from .control_http import MAX_CONTROL_BYTES
@@ -26,7 +27,6 @@
 from .daemon import serving
 from .daemon import until
 from .daemon import watch_signals
-from .datagrams import split
 from .gauges import keep_gauges
 from .ingress import Ingress
 from .logs import part_logger
--- a/packages/node/src/medlar_node/daemon.py
+++ b/packages/node/src/medlar_node/daemon.py
@@ -18,7 +18,7 @@
 from medlar_core.timeline.recorder import Recorder
 from medlar_ops.store_client import StoreClient
 
-from .datagrams import split
+from .addresses import split
 from .logs import part_logger
 from .metrics import Metrics
 from .process import Process
--- a/packages/node/src/medlar_node/datagrams.py
+++ b/packages/node/src/medlar_node/datagrams.py
@@ -14,6 +14,7 @@
 from medlar_core.packets import encode
 from medlar_core.packets import Packet
 
+from .addresses import split
 from .metrics import Metrics
 
 PACKET_MARK = b"P"
@@ -88,9 +89,3 @@
     def _send(self, dst: str, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, split(dst))
-
-
-def split(endpoint: str) -> tuple[str, int]:
-    """Return host and port of ``ip:port``."""
-    host, _, port = endpoint.rpartition(":")
-    return host, int(port)
--- a/packages/node/src/medlar_node/logs.py
+++ b/packages/node/src/medlar_node/logs.py
@@ -5,14 +5,20 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
 def configure(level: str, role: str, node: str) -> None:
     """Send the logs of this process to standard error as JSON."""
-    handler = logging.StreamHandler(sys.stderr)
+    send_to(logging.StreamHandler(sys.stderr), level, role, node)
+
+
+def send_to(
+    handler: logging.Handler, level: str, role: str, node: str
+) -> None:
+    """Send the logs of this process to a handler as JSON."""
     handler.setFormatter(
-        JsonFormatter(FIELDS, static_fields={"role": role, "node": node})
+        JsonFormatter(_FIELDS, static_fields={"role": role, "node": node})
     )
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -73,11 +73,6 @@
     reloader = Reloader(source, cfg, process)
     reloader.listen()
 
-    def from_server(data: bytes, src: str) -> None:
-        segment = process.read(data, src)
-        if segment is not None:
-            process.give(ServerReturned(segment))
-
     async def ready(req: Request) -> Response:
         return Response(503 if process.stop_asked.is_set() else 200)
 
@@ -93,6 +88,7 @@
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_context
         process.peers = enter(udp_port(cfg.node, process.from_peer))
+        from_server = process.taking(ServerReturned)
         process.server = enter(udp_port(cfg.outbound, from_server))
         process.callers = process.server
         await stack.enter_async_context(serving(cfg.readiness, ready))
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -60,11 +60,6 @@
     reloader = Reloader(source, cfg, process)
     reloader.listen()
 
-    def from_caller(data: bytes, src: str) -> None:
-        segment = process.read(data, src)
-        if segment is not None:
-            process.give(CallerSent(segment))
-
     async def ready(req: Request) -> Response:
         return Response(200 if reducer.is_ready else 503)
 
@@ -74,6 +69,7 @@
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_context
         process.peers = enter(udp_port(cfg.node, process.from_peer))
+        from_caller = process.taking(CallerSent)
         process.callers = enter(udp_port(cfg.packets, from_caller, STALE_S))
         await stack.enter_async_context(serving(cfg.node, peer))
         await stack.enter_async_context(serving(cfg.readiness, ready))
--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -9,6 +9,8 @@
 import h11
 import msgspec
 
+from ..addresses import split
+
 READ_BYTES = 65_536
 IDLE_CONNECTIONS = 4
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
@@ -145,8 +147,8 @@
                 conn.close()
 
     async def _connect(self) -> _Connection:
-        host, _, port = self._address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        host, port = split(self._address)
+        reader, writer = await asyncio.open_connection(host, port)
         return _Connection(reader, writer, h11.CLIENT)
 
 
@@ -167,8 +169,8 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    host, _, port = address.rpartition(":")
-    server = await asyncio.start_server(connected, host, int(port))
+    host, port = split(address)
+    server = await asyncio.start_server(connected, host, port)
     try:
         yield
     finally:
--- a/packages/node/src/medlar_node/relay/log.py
+++ b/packages/node/src/medlar_node/relay/log.py
@@ -9,9 +9,7 @@
 import logging
 import os
 
-from pythonjsonlogger.json import JsonFormatter
-
-from ..logs import FIELDS
+from ..logs import send_to
 
 LINES_KEPT = 500
 
@@ -72,10 +70,5 @@
 def configure(level: str, role: str, node: str) -> LogPipe:
     """Send the logs of this process to standard output as JSON."""
     pipe = LogPipe(1)
-    pipe.setFormatter(
-        JsonFormatter(FIELDS, static_fields={"role": role, "node": node})
-    )
-    root = logging.getLogger()
-    root.handlers[:] = [pipe]
-    root.setLevel(level.upper())
+    send_to(pipe, level, role, node)
     return pipe
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -49,6 +49,7 @@
 from medlar_core.timeline.events import Topic
 from medlar_core.timeline.recorder import Recorder
 
+from ..addresses import split
 from ..logs import part_logger
 from .http import HttpClient
 from .http import HttpError
@@ -59,6 +60,7 @@
 from .settings import RelaySettings
 from .tally import CONTENT_TYPE
 from .tally import Tally
+from .udp import OnDatagram
 from .udp import UdpPort
 
 TICK_S = 0.1
@@ -117,8 +119,8 @@
         self.callers: UdpPort | None = None
         self.server: UdpPort | None = None
         self.stop_asked = asyncio.Event()
-        host, _, port = cfg.server.rpartition(":")
-        self._server = (host, int(port or 0))
+        # A balancer stands beside no server.
+        self._server = split(cfg.server) if cfg.server else ("", 0)
 
     def give(self, event: Any) -> None:
         """Let the reducer take an event and carry out its effects."""
@@ -136,6 +138,16 @@
             self.unreadable("packet", src, str(exc))
             return None
 
+    def taking(self, kind: Callable[[Segment], Any]) -> OnDatagram:
+        """Return what gives each segment that comes as an event."""
+
+        def take(data: bytes, src: str) -> None:
+            segment = self.read(data, src)
+            if segment is not None:
+                self.give(kind(segment))
+
+        return take
+
     def from_peer(self, data: bytes, src: str) -> None:
         """Take a datagram of another process."""
         match data[:1]:
@@ -264,8 +276,8 @@
     def _to_peer(self, dst: NodeId, data: bytes) -> None:
         assert self.peers is not None
         self.tally.peer_bytes += len(data)
-        host, _, port = dst.rpartition(":")
-        self.peers.send(data, host, int(port))
+        host, port = split(dst)
+        self.peers.send(data, host, port)
 
     def _record(self, event: TimelineEvent) -> None:
         wall_ms = time.time_ns() // 1_000_000
--- a/packages/node/src/medlar_node/relay/udp.py
+++ b/packages/node/src/medlar_node/relay/udp.py
@@ -7,6 +7,8 @@
 import socket
 import time
 
+from ..addresses import split
+
 DATAGRAMS_A_TURN = 64
 """Read at once, so that other work gets its turn under load."""
 BURST_S = 0.002
@@ -96,12 +98,12 @@
 
     :raises OSError: if the address cannot be bound.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split(address)
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
         sock.setblocking(False)
-        sock.bind((host, int(port)))
+        sock.bind((host, port))
         opened = UdpPort(sock, on_datagram, stale_s)
         loop.add_reader(sock, opened.read)
         try:
--- a/packages/node/src/medlar_node/serverport.py
+++ b/packages/node/src/medlar_node/serverport.py
@@ -15,7 +15,7 @@
 from medlar_core.packets import encode
 from medlar_core.packets import Packet
 
-from .datagrams import split
+from .addresses import split
 from .process import Process
 
 PROBE_PERIOD_S = 0.5
