Write the platform's settings and packets of the tests once

Cause: the soak wrote a settings file of its own beside the one of the process tests, patched positions into packets that the stand-in had written, defined the head's size a second time, and counted stray packets that nobody read.

Change: standin.settings and standin.packet serve both; the soak's ports are one value; the count is gone. The tests keep their assertions.

--- a/testing/users_platform/soak/run.py
+++ b/testing/users_platform/soak/run.py
@@ -11,12 +11,14 @@
 import socket
 import time
 from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
 from medlar_core.relay.segment import FlowId
 from medlar_node.relay.http import serving
 
+from ..standin import settings
 from .caller import Callers
 from .ledger import Broken
 from .ledger import Ledger
@@ -27,6 +29,7 @@
 from .plan import SETTLE_S
 from .process import Process
 from .router import Router
+from .server import BEAT_S
 from .server import Server
 from .store import FaultyStore
 from .store import Proxy
@@ -35,7 +38,6 @@
 BALANCERS = 3
 SERVICES = ("desk", "desk", "desk", "desk", "office", "office")
 """The service of the server beside each agent."""
-PEERS, PACKETS, READY, CONTROL, OUTBOUND, APP, STORE = range(7700, 7707)
 FIRST_ROUTES = {8001: "desk", 8002: "office"}
 EXTRA_PORTS = 4
 START_LIMIT_S = 20.0
@@ -57,6 +59,21 @@
 """Faults of one instance that nobody planned."""
 
 
+class Ports(NamedTuple):
+    """Where processes and stand-ins listen, each on its own address."""
+
+    peers: int = 7700
+    packets: int = 7701
+    ready: int = 7702
+    control: int = 7703
+    outbound: int = 7704
+    app: int = 7705
+    store: int = 7706
+
+
+PORTS = Ports()
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """What one run came to."""
 
@@ -87,14 +104,14 @@
         self._routes = dict(FIRST_ROUTES)
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind((self._ip(9, 1), PACKETS))
+        sock.bind((self._ip(9, 1), PORTS.packets))
         self._sock = sock
         hosts = [self._ip(1, n) for n in range(BALANCERS)]
         self.router = Router(
             self._rng,
             sock,
-            [(host, PACKETS) for host in hosts],
-            [f"{host}:{READY}" for host in hosts],
+            [(host, PORTS.packets) for host in hosts],
+            [f"{host}:{PORTS.ready}" for host in hosts],
         )
         self._disturbed: dict[int, float] = {}
         """Until when each process was disturbed without a plan."""
@@ -110,19 +127,21 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Run stand-ins, processes and servers while the context is open."""
-        store = (self._ip(8, 200), STORE)
+        store = (self._ip(8, 200), PORTS.store)
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._sock.close)
             loop = asyncio.get_running_loop()
             loop.add_reader(self._sock, self.callers.read)
             stack.callback(loop.remove_reader, self._sock)
             enter = stack.enter_async_context
-            await enter(serving(f"{store[0]}:{STORE}", self.store.answer))
+            await enter(
+                serving(f"{store[0]}:{PORTS.store}", self.store.answer)
+            )
             self._configure(0, 0)
             for number in range(len(self.processes)):
                 self.proxies.append(Proxy(store))
                 where = self._ip(8, number)
-                await enter(self.proxies[-1].serving(where, STORE))
+                await enter(self.proxies[-1].serving(where, PORTS.store))
             for process in self.processes:
                 stack.push_async_callback(process.end)
                 await process.start()
@@ -256,10 +275,22 @@
         return f"127.{self._block}.{kind}.{number + 1}"
 
     def _add(self, ip: str, serves: str, service: str = "") -> None:
-        store = f"{self._ip(8, len(self.processes))}:{STORE}"
+        store = f"{self._ip(8, len(self.processes))}:{PORTS.store}"
         name = f"{serves}-{ip.rpartition('.')[2]}"
         path = self._folder / f"{name}.toml"
-        path.write_text(_settings(name, ip, serves, service, store))
+        app = f"{ip}:{PORTS.app}"
+        path.write_text(
+            settings(
+                name,
+                ip,
+                serves,
+                service,
+                app,
+                store,
+                PORTS,
+                int(BEAT_S * 1_000),
+            )
+        )
         self.processes.append(Process(path, self._folder / f"{name}.log"))
         if service:
             self.servers.append(
@@ -267,9 +298,9 @@
                     self.ledger,
                     self._rng,
                     service,
-                    (ip, APP),
-                    f"{ip}:{CONTROL}",
-                    (ip, OUTBOUND),
+                    (ip, PORTS.app),
+                    f"{ip}:{PORTS.control}",
+                    (ip, PORTS.outbound),
                 )
             )
 
@@ -332,27 +363,3 @@
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
-
-
-def _settings(
-    name: str, ip: str, serves: str, service: str, store: str
-) -> str:
-    return f"""
-node_name = "{name}"
-ip = "{ip}"
-zone = "z"
-serves = ["{serves}"]
-internal_port_range = [{PEERS}, {PEERS}]
-heartbeat_interval_ms = 400
-app = "{ip}:{APP}"
-service = "{service}"
-[listen]
-datagram_address = "{ip}:{PACKETS}"
-readiness_address = "{ip}:{READY}"
-control = "{ip}:{CONTROL}"
-outbound = "{ip}:{OUTBOUND}"
-[bounds]
-grace_period_s = 6
-[platform]
-address = "{store}"
-"""
--- a/testing/users_platform/soak/server.py
+++ b/testing/users_platform/soak/server.py
@@ -48,8 +48,6 @@
         self.name = ""
         self.state = "down"
         self.flows: dict[FlowId, Flow] = {}
-        self.strays: dict[FlowId, int] = {}
-        """Packets that came of flows that are not held."""
         self._ledger = ledger
         self._rng = rng
         self._app = app
@@ -151,7 +149,6 @@
             flags = Flag.SYN | Flag.ACK
             self._send(sock, flow, flags, known.isn, segment.seq)
         elif known is None or segment.ack != known.isn:
-            self.strays[flow] = self.strays.get(flow, 0) + 1
             sock.sendto(wire.bounced(data), self._outbound)
         else:
             known.open = True
--- a/testing/users_platform/soak/wire.py
+++ b/testing/users_platform/soak/wire.py
@@ -10,9 +10,9 @@
 from medlar_core.relay.segment import Segment
 from medlar_platform.head import HeadCodec
 
+from ..standin import HEAD_BYTES
 from ..standin import packet
 
-HEAD_BYTES = 31
 _SUM = slice(5, 9)
 _WIRE = {Flag.SYN: 4, Flag.ACK: 8, Flag.FIN: 16, Flag.RST: 64}
 _codec = HeadCodec()
@@ -42,9 +42,7 @@
 ) -> bytes:
     """Return a packet with its sum."""
     wire = sum(bit for flag, bit in _WIRE.items() if flags & flag)
-    data = bytearray(packet(src, dst, wire, payload))
-    data[23:27] = seq.to_bytes(4, "big")
-    data[27:31] = ack.to_bytes(4, "big")
+    data = bytearray(packet(src, dst, wire, payload, seq, ack))
     data[_SUM] = _sum(data)
     return bytes(data)
 
--- a/testing/users_platform/standin.py
+++ b/testing/users_platform/standin.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import time
+from typing import Protocol
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
@@ -167,7 +168,56 @@
         )
 
 
-def packet(src: int, dst: int, flags: int, payload: bytes = b"") -> bytes:
+class PortNumbers(Protocol):
+    """Where a process listens, on its own address."""
+
+    peers: int
+    packets: int
+    ready: int
+    control: int
+    outbound: int
+
+
+def settings(
+    name: str,
+    ip: str,
+    serves: str,
+    service: str,
+    app: str,
+    store: str,
+    ports: PortNumbers,
+    beat_ms: int,
+) -> str:
+    """Return the platform's settings file of a process."""
+    return f"""
+node_name = "{name}"
+ip = "{ip}"
+zone = "z"
+serves = ["{serves}"]
+internal_port_range = [{ports.peers}, {ports.peers + 5}]
+heartbeat_interval_ms = {beat_ms}
+app = "{app}"
+service = "{service}"
+[listen]
+datagram_address = "{ip}:{ports.packets}"
+readiness_address = "{ip}:{ports.ready}"
+control = "{ip}:{ports.control}"
+outbound = "{ip}:{ports.outbound}"
+[bounds]
+grace_period_s = 6
+[platform]
+address = "{store}"
+"""
+
+
+def packet(
+    src: int,
+    dst: int,
+    flags: int,
+    payload: bytes = b"",
+    seq: int = 100,
+    ack: int = 0,
+) -> bytes:
     """Return a packet between two endpoints, with a sum of no meaning."""
     parts = (
         (0, 4),
@@ -178,8 +228,8 @@
         (src & 0xFFFF, 2),
         (src >> 16, 4),
         (dst & 0xFFFF, 2),
-        (100, 4),
-        (0, 4),
+        (seq, 4),
+        (ack, 4),
     )
     return b"".join(n.to_bytes(w, "big") for n, w in parts) + payload
 
--- a/testing/users_platform/test_process.py
+++ b/testing/users_platform/test_process.py
@@ -16,6 +16,7 @@
 from medlar_node.relay.http import serving
 from medlar_platform.head import HeadCodec
 
+from . import standin
 from .standin import ACK
 from .standin import packet
 from .standin import ServerStandin
@@ -57,25 +58,11 @@
 
 
 def settings(ports: Ports, ip: str, serves: str) -> str:
-    return f"""
-node_name = "{serves}-1"
-ip = "{ip}"
-zone = "z"
-serves = ["{serves}"]
-internal_port_range = [{ports.peers}, {ports.peers + 5}]
-heartbeat_interval_ms = 1000
-app = "{AGENT}:{ports.app}"
-service = "desk"
-[listen]
-datagram_address = "{ip}:{ports.packets}"
-readiness_address = "{ip}:{ports.ready}"
-control = "{ip}:{ports.control}"
-outbound = "{ip}:{ports.outbound}"
-[bounds]
-grace_period_s = 6
-[platform]
-address = "127.0.0.1:{ports.store}"
-"""
+    app = f"{AGENT}:{ports.app}"
+    store = f"127.0.0.1:{ports.store}"
+    return standin.settings(
+        f"{serves}-1", ip, serves, "desk", app, store, ports, 1_000
+    )
 
 
 @contextlib.asynccontextmanager
