--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -356,6 +356,10 @@
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.members.expire(now)
             effects += self._flows.expire(now, self.local_server.idle_s)
+        effects += [
+            self._event_factory.removal_event(removal)
+            for removal in self.members.pop_removals()
+        ]
         effects += self._send_reports(now)
         effects += self._store_calls(now)
         return effects
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -289,14 +289,10 @@
         pause_s = self._pause_detector.record_tick(now)
         if pause_s:
             self.members.exclude_pause(now, pause_s)
+        self.members.expire(now)
         effects: list[RelayEffect] = [
-            self._event_factory.state_event(
-                Topic.MEMBERSHIP,
-                "members: agent removed, it stopped reporting",
-                report.service,
-                report.id,
-            )
-            for report in self.members.expire(now)
+            self._event_factory.removal_event(removal)
+            for removal in self.members.pop_removals()
         ]
         effects += self._view.notify_unregistered(now)
         self._rank_agents(now)
--- a/packages/core/src/medlar_core/relay/event_factory.py
+++ b/packages/core/src/medlar_core/relay/event_factory.py
@@ -6,6 +6,7 @@
 from ..timeline.events import TimelineEvent
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .members import Removal
 
 
 class EventFactory:
@@ -45,6 +46,15 @@
         """Return the event of a change in the state known to this process."""
         return self._record(topic, text, service, server, reason)
 
+    def removal_event(self, removal: Removal) -> Record:
+        """Return the event of the removal of an agent."""
+        return self.state_event(
+            Topic.MEMBERSHIP,
+            f"members: agent removed, {removal.cause.value}",
+            removal.report.service,
+            removal.report.id,
+        )
+
     def _record(
         self,
         topic: Topic,
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import enum
 
 import msgspec
 
@@ -39,6 +40,21 @@
 _NEVER = float("-inf")
 
 
+class RemovalCause(enum.Enum):
+    """Why a process removed an agent from its membership."""
+
+    SERVER_ENDED = "its server ended"
+    SILENT = "it stopped reporting"
+    NAMED = "another process removed it"
+
+
+class Removal(msgspec.Struct, frozen=True):
+    """A removed agent, by its last known report."""
+
+    report: AgentReport
+    cause: RemovalCause
+
+
 class Member(msgspec.Struct):
     """One agent in the membership of this process.
 
@@ -82,6 +98,7 @@
         self.changes = 0
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
+        self._removals: list[Removal] = []
         self._departed: dict[NodeId, tuple[Departed, float]] = {}
 
     def apply_report(
@@ -98,7 +115,7 @@
         if member is not None and report.stamp < member.report.stamp:
             return
         if report.state is AgentState.GONE:
-            self._remove(now, report)
+            self._remove(now, report, RemovalCause.SERVER_ENDED)
             return
         if member is None:
             member = Member(report, added_at=now)
@@ -146,6 +163,11 @@
         self.new_agents = []
         return [member.report for member in added]
 
+    def pop_removals(self) -> list[Removal]:
+        """Return the removals since the last call."""
+        removals, self._removals = self._removals, []
+        return removals
+
     def mark_unregistered(self, now: Seconds, node: NodeId) -> None:
         """Record that the store has no entry of an agent."""
         member = self.agents.get(node)
@@ -168,7 +190,7 @@
         if member is None or not member.is_silent(now, UNREGISTERED_S):
             return
         if member.report.incarnation <= departed.incarnation:
-            self._remove(now, member.report)
+            self._remove(now, member.report, RemovalCause.NAMED)
 
     def record_balancer(
         self, now: Seconds, node: NodeId, place: PlaceName
@@ -207,13 +229,13 @@
             if member.unregistered_at is not None:
                 member.unregistered_at += seconds
 
-    def expire(self, now: Seconds) -> list[AgentReport]:
-        """Remove expired members; return the last reports of such agents."""
+    def expire(self, now: Seconds) -> None:
+        """Remove expired members."""
         expired = [
             m.report for m in self.agents.values() if _is_expired(now, m)
         ]
         for report in expired:
-            self._remove(now, report)
+            self._remove(now, report, RemovalCause.SILENT)
         self.balancers = {
             node: at
             for node, at in self.balancers.items()
@@ -234,7 +256,6 @@
             for node, (departed, at) in self._departed.items()
             if now - at <= DEPARTED_RETENTION_S
         }
-        return expired
 
     def of(self, service: ServiceName) -> list[Member]:
         """Return the known agents of a service."""
@@ -274,9 +295,12 @@
         known = self._departed.get(report.id)
         return known is not None and known[0].incarnation >= report.incarnation
 
-    def _remove(self, now: Seconds, report: AgentReport) -> None:
+    def _remove(
+        self, now: Seconds, report: AgentReport, cause: RemovalCause
+    ) -> None:
         if self.agents.pop(report.id, None) is not None:
             self.changes += 1
+            self._removals.append(Removal(report, cause))
         departed = Departed(report.id, report.incarnation)
         self._departed[report.id] = (departed, now)
 
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -1,3 +1,5 @@
+import pytest
+
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerLeft
@@ -305,3 +307,25 @@
     fleet.world.paused.discard(address)
     fleet.run(1.0)
     assert len(balancer.members.agents) == 4
+
+
+@pytest.mark.parametrize(
+    ("ended", "cause"),
+    [(True, "its server ended"), (False, "it stopped reporting")],
+)
+def test_each_process_logs_why_it_removed_an_agent(ended, cause):
+    fleet = Fleet(agents=3)
+    address = node("agent", 2)
+    if ended:
+        left = fleet.announcements.pop(address)
+        fleet.world.dispatch(address, ServerLeft(left.server, left.born_ms))
+    else:
+        fleet.kill(address)
+    fleet.run(16.0)
+    texts = [
+        event.text
+        for event in fleet.world.events
+        if event.server == address and "agent removed" in event.text
+    ]
+    assert len(texts) == 5
+    assert f"members: agent removed, {cause}" in texts
