Believe an agent that reports after others have removed it

Cause: a removal was final for its incarnation. A process that removed an agent, by its own judgement or named in a hello message, ignored the agent's reports for 30 s, and balancers went on naming it. An agent that had just started took such a notice over for an agent that it had not heard yet, left it out of lookups and took the denials of the others as proof.

Change: a removal covers the reports up to the last known one. A later report from the agent itself brings it back; a notice does not remove a member that is known by a later report. Only an agent's own word that its server has ended is final.

--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -14,9 +14,11 @@
 from ..ids import PlaceName
 from ..ids import Seconds
 from ..ids import ServiceName
+from .departures import Departures
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import Departed
+from .messages import FINAL_COUNT
 from .messages import Hello
 from .messages import LoadReport
 
@@ -32,9 +34,6 @@
 AGENT_EXPIRY_S = 60.0
 """A silent agent is removed after this even if its entry in the store has
 not been seen to be missing."""
-DEPARTED_RETENTION_S = 30.0
-"""For so long a removed agent is named in hello messages and reports of the
-same incarnation don't add it again."""
 BALANCER_EXPIRY_S = 30.0
 
 _NEVER = float("-inf")
@@ -99,7 +98,7 @@
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
         self._removals: list[Removal] = []
-        self._departed: dict[NodeId, tuple[Departed, float]] = {}
+        self._departures = Departures()
 
     def apply_report(
         self, now: Seconds, report: AgentReport, direct: bool
@@ -107,9 +106,10 @@
         """Apply a report of an agent.
 
         ``direct`` tells that the agent itself sent it. Reports older than
-        the known one, or of a removed incarnation, are ignored.
+        the known one are ignored. So are those of a removed incarnation,
+        unless the agent has sent one after its removal.
         """
-        if report.id == self._node or self._is_departed(report):
+        if report.id == self._node or self._is_removed(report, direct):
             return
         member = self.agents.get(report.id)
         if member is not None and report.stamp < member.report.stamp:
@@ -120,6 +120,7 @@
         if member is None:
             member = Member(report, added_at=now)
             self.agents[report.id] = member
+            self._departures.discard(report.id)
             self.changes += 1
             self.new_agents.append(report.id)
         elif report.incarnation != member.report.incarnation:
@@ -136,15 +137,12 @@
         """Apply the load figures of an agent whose full report is known.
 
         Returns False if the full report has to be requested, True if it
-        is known or the agent was removed.
+        is known or the agent was removed since.
         """
         member = self.agents.get(node)
         if member is None or load.incarnation > member.report.incarnation:
-            known = self._departed.get(node)
-            return (
-                known is not None and known[0].incarnation >= load.incarnation
-            )
-        if (load.incarnation, load.count) < member.report.stamp:
+            return self._departures.is_outdated(node, load.stamp)
+        if load.stamp < member.report.stamp:
             return True
         member.report = msgspec.structs.replace(
             member.report,
@@ -183,13 +181,17 @@
     def apply_departed(self, now: Seconds, departed: Departed) -> None:
         """Remove an agent that another process has removed.
 
-        It stays if it still reports to this process, or if its process
-        was restarted meanwhile.
+        It stays if it still reports to this process, if its process was
+        restarted meanwhile, or if it was never heard here and is known by
+        a report later than its removal.
         """
         member = self.agents.get(departed.id)
         if member is None or not member.is_silent(now, UNREGISTERED_S):
             return
-        if member.report.incarnation <= departed.incarnation:
+        if member.report.incarnation > departed.incarnation:
+            return
+        was_heard = member.last_report_at > _NEVER
+        if was_heard or member.report.stamp <= departed.stamp:
             self._remove(now, member.report, RemovalCause.NAMED)
 
     def record_balancer(
@@ -251,11 +253,7 @@
             for node, at in self.config_confirmed_at.items()
             if node in self.balancers
         }
-        self._departed = {
-            node: (departed, at)
-            for node, (departed, at) in self._departed.items()
-            if now - at <= DEPARTED_RETENTION_S
-        }
+        self._departures.expire(now)
 
     def of(self, service: ServiceName) -> list[Member]:
         """Return the known agents of a service."""
@@ -289,11 +287,12 @@
 
     def departed(self) -> tuple[Departed, ...]:
         """Return the agents that were removed recently."""
-        return tuple(departed for departed, _ in self._departed.values())
+        return self._departures.notices()
 
-    def _is_departed(self, report: AgentReport) -> bool:
-        known = self._departed.get(report.id)
-        return known is not None and known[0].incarnation >= report.incarnation
+    def _is_removed(self, report: AgentReport, direct: bool) -> bool:
+        if direct:
+            return self._departures.is_outdated(report.id, report.stamp)
+        return self._departures.has_incarnation(report.id, report.incarnation)
 
     def _remove(
         self, now: Seconds, report: AgentReport, cause: RemovalCause
@@ -301,8 +300,10 @@
         if self.agents.pop(report.id, None) is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
-        departed = Departed(report.id, report.incarnation)
-        self._departed[report.id] = (departed, now)
+        is_final = cause is RemovalCause.SERVER_ENDED
+        count = FINAL_COUNT if is_final else report.count
+        departed = Departed(report.id, report.incarnation, count)
+        self._departures.add(now, departed)
 
 
 def recently_reporting(
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -10,6 +10,9 @@
 from ..ids import ServiceName
 from .segment import FlowId
 
+FINAL_COUNT = 2**62
+"""Higher than the count of any report."""
+
 
 class AgentState(enum.Enum):
     """State of an agent and of its local server, as the agent reports it."""
@@ -73,16 +76,37 @@
     flows: int
     waiting: int
 
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """Orders it among the reports of its agent."""
+        return (self.incarnation, self.count)
+
 
 class ReportAsked(msgspec.Struct, frozen=True, array_like=True, tag="r"):
     """The sender lacks the receiving agent's full report and requests it."""
 
 
 class Departed(msgspec.Struct, frozen=True, array_like=True):
-    """A removed agent and the incarnation of its process."""
+    """A removed agent, the incarnation of its process and its last report.
+
+    Reports of the incarnation with a higher ``count`` are later than the
+    removal. ``FINAL_COUNT`` means that none may follow, as the agent itself
+    reported the end of its server. Processes of earlier versions send none.
+    """
 
     id: NodeId
     incarnation: int
+    count: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """Orders the removal among the reports of the agent."""
+        return (self.incarnation, self.count)
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the agent's server has ended."""
+        return self.count == FINAL_COUNT
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
