Do not reset flows that the server of a removed agent may hold

Cause: a lookup took the denials of all known members as proof that no server holds a flow. An agent that was removed because it fell silent, or because another process named it as removed, was no longer asked, but its server may run on.

Change: only an agent's own word that its server has ended is taken as the end of its flows. Any other removed agent is lost, and no lookup of its service proves absence until the flows of its server have expired, one idle time after it was last heard. Agents that start meanwhile learn of it by the notices in hello messages; these name the service now. A lookup that ends in doubt says why and is started again by the next packet.

--- a/packages/core/src/medlar_core/relay/departures.py
+++ b/packages/core/src/medlar_core/relay/departures.py
@@ -1,11 +1,31 @@
 """Agents that a process has removed from its membership."""
 
+from collections.abc import Collection
+
+import msgspec
+
 from ..ids import NodeId
 from ..ids import Seconds
+from ..ids import ServiceName
 from .messages import Departed
 
 DEPARTED_RETENTION_S = 30.0
 """For so long a removed agent is named in hello messages."""
+NOTED_RETENTION_S = 2 * DEPARTED_RETENTION_S
+"""Longer than any process names the same removal."""
+
+
+class _Removal(msgspec.Struct):
+    """A removal at ``at`` of an agent that was last heard at ``heard_at``.
+
+    ``is_own`` is unset if the agent was only named in a hello message as
+    removed, and was not known here.
+    """
+
+    departed: Departed
+    at: float
+    heard_at: float
+    is_own: bool
 
 
 class Departures:
@@ -13,37 +33,82 @@
 
     A report is outdated if the agent sent it before its removal. A later
     one, received from the agent itself, proves that it is alive.
+
+    An agent is lost if it was removed without a report that its server has
+    ended. The server may still run and hold flows.
     """
 
     def __init__(self) -> None:
-        self._entries: dict[NodeId, tuple[Departed, float]] = {}
+        self._removals: dict[NodeId, _Removal] = {}
 
-    def add(self, now: Seconds, departed: Departed) -> None:
-        """Record a removal."""
-        self._entries[departed.id] = (departed, now)
+    def add(self, now: Seconds, departed: Departed, heard_at: float) -> None:
+        """Record the removal of an agent by this process."""
+        self._removals[departed.id] = _Removal(departed, now, heard_at, True)
+
+    def note(self, now: Seconds, departed: Departed) -> None:
+        """Record that another process has removed an unknown agent."""
+        known = self._removals.get(departed.id)
+        if known is None:
+            self._removals[departed.id] = _Removal(departed, now, now, False)
+        elif known.departed.stamp < departed.stamp:
+            known.departed = departed
 
     def discard(self, node: NodeId) -> None:
         """Forget the removal of an agent that is known again."""
-        self._entries.pop(node, None)
+        self._removals.pop(node, None)
 
     def is_outdated(self, node: NodeId, stamp: tuple[int, int]) -> bool:
         """Return whether a report is no later than the agent's removal."""
-        entry = self._entries.get(node)
-        return entry is not None and stamp <= entry[0].stamp
+        removal = self._own(node)
+        return removal is not None and stamp <= removal.departed.stamp
 
     def has_incarnation(self, node: NodeId, incarnation: int) -> bool:
         """Return whether this incarnation or a later one was removed."""
-        entry = self._entries.get(node)
-        return entry is not None and incarnation <= entry[0].incarnation
+        removal = self._own(node)
+        return (
+            removal is not None and incarnation <= removal.departed.incarnation
+        )
 
     def notices(self) -> tuple[Departed, ...]:
-        """Return the removals that hello messages name."""
-        return tuple(departed for departed, _ in self._entries.values())
+        """Return the removals that hello messages name.
+
+        Those that other processes have named are left out, as removals
+        would be passed on without end.
+        """
+        return tuple(
+            removal.departed
+            for removal in self._removals.values()
+            if removal.is_own
+        )
+
+    def lost(
+        self, now: Seconds, services: Collection[ServiceName], idle_s: float
+    ) -> list[NodeId]:
+        """Return the lost agents of services whose servers may hold flows.
+
+        Flows that idle for over ``idle_s`` seconds have expired, and no
+        packet reaches a server without its agent.
+        """
+        return [
+            node
+            for node, removal in self._removals.items()
+            if not removal.departed.is_final
+            and removal.departed.service in services
+            and now - removal.heard_at <= idle_s
+        ]
 
     def expire(self, now: Seconds) -> None:
-        """Forget removals after ``DEPARTED_RETENTION_S``."""
-        self._entries = {
-            node: (departed, at)
-            for node, (departed, at) in self._entries.items()
-            if now - at <= DEPARTED_RETENTION_S
+        """Forget old removals."""
+        self._removals = {
+            node: removal
+            for node, removal in self._removals.items()
+            if now - removal.at <= _retention_s(removal)
         }
+
+    def _own(self, node: NodeId) -> _Removal | None:
+        removal = self._removals.get(node)
+        return removal if removal is not None and removal.is_own else None
+
+
+def _retention_s(removal: _Removal) -> float:
+    return DEPARTED_RETENTION_S if removal.is_own else NOTED_RETENTION_S
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -5,6 +5,7 @@
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
+from ..ids import ServiceName
 from ..limits import TokenBucket
 from ..packets import Flag
 from ..verdict import Reason
@@ -117,7 +118,7 @@
             started_at=now,
             awaiting={member.report.id for member in candidates},
             local_pending=try_local,
-            all_queried=self._ctx.knows_all_members(now),
+            doubt=self._doubt(now, packet),
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
@@ -231,16 +232,37 @@
     def _reset_if_absent(
         self, flow_id: FlowId, lookup: Lookup
     ) -> list[RelayEffect]:
-        if not lookup.proves_absence:
+        """Reset a flow once the replies prove that no server holds it.
+
+        If there is a doubt, the flow's next packet is looked up anew.
+        """
+        if not lookup.is_complete:
             return []
         self._lookups.remove(flow_id)
+        if lookup.doubt:
+            text = f"flows: no holder found, not reset: {lookup.doubt}"
+            return [self._ctx.event(flow_id, text)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
+    def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
+        """Return why an agent that is not queried may hold a flow."""
+        if not self._ctx.knows_all_members(now):
+            return "members not known yet"
+        lost = self._ctx.members.lost_agents(
+            now, self._services(packet), self._ctx.local_server.idle_s
+        )
+        if lost:
+            return f"{lost[0]} was removed, its server may still run"
+        return ""
+
+    def _services(self, packet: ForwardedPacket) -> set[ServiceName]:
+        """Return the services whose servers may hold a packet's flow."""
+        return {self._ctx.service, packet.service, *packet.other_services}
+
     def _candidates(self, packet: ForwardedPacket) -> list[Member]:
-        names = {self._ctx.service, packet.service, *packet.other_services}
         return [
             member
-            for name in sorted(names)
+            for name in sorted(self._services(packet))
             for member in self._ctx.members.of(name)
             if not _has_no_server(member)
         ]
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -32,8 +32,8 @@
     """Agents that have not replied."""
     local_pending: bool
     """Whether the local server may still hold the flow."""
-    all_queried: bool
-    """Whether all agents that may hold the flow were queried."""
+    doubt: str
+    """Why the flow may be held though all replies deny it; else empty."""
     packets: list[Segment]
     sent_to: set[NodeId]
     """Agents that were sent the first queued packet as the query."""
@@ -46,11 +46,9 @@
         return self.packets[1:] if holder in self.sent_to else self.packets
 
     @property
-    def proves_absence(self) -> bool:
-        """Whether the replies prove that no server holds the flow."""
-        return (
-            self.all_queried and not self.awaiting and not self.local_pending
-        )
+    def is_complete(self) -> bool:
+        """Whether all replies, including the local server's, are there."""
+        return not self.awaiting and not self.local_pending
 
 
 class IncompleteLookup(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -5,6 +5,7 @@
 A silent agent stays a member for longer if it has an entry in the store.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import enum
 
@@ -186,7 +187,11 @@
         a report later than its removal.
         """
         member = self.agents.get(departed.id)
-        if member is None or not member.is_silent(now, UNREGISTERED_S):
+        if member is None:
+            if departed.id != self._node:
+                self._departures.note(now, departed)
+            return
+        if not member.is_silent(now, UNREGISTERED_S):
             return
         if member.report.incarnation > departed.incarnation:
             return
@@ -285,6 +290,12 @@
             if member.last_report_at > _NEVER
         ]
 
+    def lost_agents(
+        self, now: Seconds, services: Collection[ServiceName], idle_s: float
+    ) -> list[NodeId]:
+        """Return removed agents whose servers may still hold flows."""
+        return self._departures.lost(now, services, idle_s)
+
     def departed(self) -> tuple[Departed, ...]:
         """Return the agents that were removed recently."""
         return self._departures.notices()
@@ -297,13 +308,19 @@
     def _remove(
         self, now: Seconds, report: AgentReport, cause: RemovalCause
     ) -> None:
-        if self.agents.pop(report.id, None) is not None:
+        member = self.agents.pop(report.id, None)
+        if member is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
         is_final = cause is RemovalCause.SERVER_ENDED
-        count = FINAL_COUNT if is_final else report.count
-        departed = Departed(report.id, report.incarnation, count)
-        self._departures.add(now, departed)
+        departed = Departed(
+            report.id,
+            report.incarnation,
+            FINAL_COUNT if is_final else report.count,
+            report.service,
+        )
+        heard_at = _known_at(member) if member is not None else now
+        self._departures.add(now, departed, heard_at)
 
 
 def recently_reporting(
@@ -318,10 +335,14 @@
 
 
 def _is_expired(now: Seconds, member: Member) -> bool:
-    last = max(member.last_report_at, member.added_at)
-    if now - last > AGENT_EXPIRY_S:
+    if now - _known_at(member) > AGENT_EXPIRY_S:
         return True
     since = member.unregistered_at
     if since is None or not member.is_silent(now, UNREGISTERED_S):
         return False
     return now - since > UNREGISTERED_S
+
+
+def _known_at(member: Member) -> float:
+    """Return when an agent was last heard, or became known if it never was."""
+    return max(member.last_report_at, member.added_at)
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -97,6 +97,7 @@
     id: NodeId
     incarnation: int
     count: int = 0
+    service: ServiceName = ServiceName("")
 
     @property
     def stamp(self) -> tuple[int, int]:
