Prove absence only by agents that know the same members

Callers saw open flows reset by agents that had just started (FLOW).

Cause: an agent took its membership to be complete, once and for good, as soon as it knew as many agents as one balancer had counted. The balancer may lack members, the counted ones may be others, and the agents that denied the flow may all know a holder that was never asked.

Change: an agent that denies a flow tells a digest of the members that it knows. If that of any of them differs from the asker's, the lookup proves nothing and the next packet starts it again. The count stays as the condition for the first lookup.

Resets of unknown flows wait little longer: with an agent joining each second they come within one second (new test, passes before as well).

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -295,8 +295,8 @@
                 return self._flows.lookup.handle_query(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.lookup.handle_held(now, flow, holder)
-            case FlowUnknown(flow=flow):
-                return self._flows.lookup.handle_unknown(now, flow, src)
+            case FlowUnknown(flow=flow, view=view):
+                return self._flows.lookup.handle_unknown(flow, src, view)
             case EntryMissing():
                 self._registration.handle_missing_entry(now)
                 return self._store_calls(now)
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -142,7 +142,7 @@
         """
         flow_id = event.segment.inward
         if self._ctx.local_server.knows_all_flows(now):
-            return [Send(event.src, FlowUnknown(flow_id))]
+            return [self._deny(event.src, flow_id)]
         self._pending_queries[flow_id] = _PendingQuery(event.src, now)
         return [self._ctx.deliver_untracked(event.segment)]
 
@@ -158,7 +158,7 @@
         if flow is not None and flow.holder == self._ctx.node:
             return [Send(src, FlowHeld(flow_id, self._ctx.node))]
         if self._ctx.local_server.knows_all_flows(now):
-            return [Send(src, FlowUnknown(flow_id))]
+            return [self._deny(src, flow_id)]
         return []
 
     def handle_held(
@@ -179,13 +179,18 @@
         return effects
 
     def handle_unknown(
-        self, now: Seconds, flow_id: FlowId, src: NodeId
+        self, flow_id: FlowId, src: NodeId, view: int
     ) -> list[RelayEffect]:
-        """Handle the reply that an agent's server does not hold a flow."""
+        """Handle the reply that an agent's server does not hold a flow.
+
+        An agent with another view may know a holder that was not queried.
+        """
         lookup = self._lookups.get(flow_id)
         if lookup is None:
             return []
         lookup.awaiting.discard(src)
+        if view != self._ctx.members.view(self._ctx.service):
+            lookup.doubt = f"{src} knows other members"
         return self._reset_if_absent(flow_id, lookup)
 
     def handle_bounced(
@@ -195,7 +200,7 @@
         flow_id = segment.inward
         query = self._pending_queries.pop(flow_id, None)
         if query is not None:
-            return [Send(query.node, FlowUnknown(flow_id))]
+            return [self._deny(query.node, flow_id)]
         lookup = self._lookups.get(flow_id)
         if lookup is not None:
             lookup.local_pending = False
@@ -222,6 +227,11 @@
         effects.append(ctx.event(flow_id, text))
         return effects
 
+    def _deny(self, asker: NodeId, flow_id: FlowId) -> Send:
+        """Reply that the local server does not hold a flow."""
+        view = self._ctx.members.view(self._ctx.service)
+        return Send(asker, FlowUnknown(flow_id, view))
+
     def _query(self, member: Member, segment: Segment) -> RelayEffect:
         """Query by flow id if the table suffices; packets are larger."""
         node = member.report.id
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -10,6 +10,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 from ..ids import NodeId
 from ..ids import PlaceName
@@ -99,6 +100,8 @@
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
         self._removals: list[Removal] = []
+        self._views: dict[ServiceName, int] = {}
+        self._views_changes = 0
         self._departures = Departures()
 
     def apply_report(
@@ -268,6 +271,21 @@
             if member.report.service == service
         ]
 
+    def view(self, service: ServiceName) -> int:
+        """Return a digest of the agents of a service, this one included.
+
+        For an agent of the service. Agents with equal views know the same
+        agents. Never 0.
+        """
+        if self._views_changes != self.changes:
+            self._views_changes = self.changes
+            self._views = {}
+        if service not in self._views:
+            ids = [self._node, *(m.report.id for m in self.of(service))]
+            text = " ".join(sorted(ids))
+            self._views[service] = xxhash.xxh3_64_intdigest(text.encode()) or 1
+        return self._views[service]
+
     def gauges(self, now: Seconds) -> dict[str, float]:
         """Return the numbers of known processes by metric name."""
         states = [member.report.state for member in self.agents.values()]
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -156,9 +156,14 @@
 
 
 class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="u"):
-    """Lookup reply: neither the sender nor its server holds the flow."""
+    """Lookup reply: neither the sender nor its server holds the flow.
+
+    ``view`` is the sender's :meth:`Members.view` of its service. It is 0
+    from processes of earlier versions, which equals no view.
+    """
 
     flow: FlowId
+    view: int = 0
 
 
 class EntryMissing(msgspec.Struct, frozen=True, array_like=True, tag="m"):
--- a/testing/core/relay/test_absence.py
+++ b/testing/core/relay/test_absence.py
@@ -143,6 +143,17 @@
     assert resets(fleet, [flow_id]) == 0
 
 
+def test_unknown_flows_are_reset_soon_though_agents_join_each_second():
+    fleet = Fleet(agents=20)
+    for number in range(30, 35):
+        add_agents(fleet, [number])
+        unknown = flow(number)
+        for _ in range(5):
+            fleet.data(unknown, by=1)
+            fleet.run(0.2)
+        assert resets(fleet, [unknown]) >= 1
+
+
 def test_flows_are_tried_at_a_server_that_no_longer_announces_itself():
     fleet = Fleet()
     address = node("agent", 2)
