Try a server that no longer announces itself before denying its flows

An agent that had restarted denied all flows that it did not know once three announcements of its server were missing, without trying them at the server.

Change: only a server that said that it leaves holds no flows. Flows unknown to the agent of a silent server are tried at it; if it does not run, it does not answer, and the lookup proves nothing.

Evidence: test_flows_are_tried_at_a_server_that_no_longer_announces_itself failed before (5 resets of flows of a running server) and passes.

--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -17,8 +17,6 @@
 """Sequence number of an incarnation's first announcement. A server first
 seen with it has no earlier flows."""
 
-_NO_SERVER = (AgentState.DOWN, AgentState.GONE)
-
 
 class ServerIncarnation(msgspec.Struct):
     """One incarnation of the server, as it announced itself."""
@@ -170,12 +168,13 @@
         """Return whether the agent's table has all flows of the server.
 
         True after ``idle_s`` of observation: a flow without a packet in
-        that time has expired. Also true if there is no server.
+        that time has expired. Also true if there is no server. A server
+        that no longer announces itself may still run and hold flows.
         """
         server = self.server
         if server is None:
             return self._was_absent
-        if server.all_flows_known or self.state(now) in _NO_SERVER:
+        if server.all_flows_known or server.phase is ServerPhase.LEFT:
             return True
         return now - server.observed_since > self.idle_s
 
