--- a/testing/core/relay/test_absence.py
+++ b/testing/core/relay/test_absence.py
@@ -7,6 +7,9 @@
 from medlar_core.relay.forwarded import ForwardedPacket
 from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import Hello
+from medlar_core.relay.routes import Route
+from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.routes import Share
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
@@ -16,6 +19,7 @@
 from .kit import Fleet
 from .kit import flow
 from .kit import node
+from .kit import OFFICE
 from .kit import PLACE
 
 LEASE_AND_REMOVAL_S = 12.0
@@ -171,6 +175,67 @@
     assert all(fleet.answer_count(flow_id) == 2 for flow_id in held)
 
 
+def two_services():
+    """Return a fleet with agents of a second service without a route."""
+    fleet = Fleet()
+    for number in range(10, 14):
+        fleet.start_server(node("agent", number), OFFICE)
+        fleet.start_agent(node("agent", number), OFFICE)
+    fleet.run(3.0)
+    return fleet
+
+
+def route_to(fleet, version, *shares):
+    """Put a configuration in force with one route, by share of services."""
+    route = Route("192.0.2.1", 8000, shares)
+    fleet.configure(RouteTable(version, (route,), FLOW_IDLE_S))
+    fleet.run(1.0)
+
+
+def test_open_flows_are_kept_when_their_route_moves_to_another_service():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    route_to(fleet, 2, Share(OFFICE, 1))
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, opened) == 0
+    assert all(fleet.answer_count(flow_id) == 2 for flow_id in opened)
+
+
+def test_open_flows_are_kept_when_the_weights_of_their_route_change():
+    fleet = two_services()
+    route_to(fleet, 2, Share(DESK, 9), Share(OFFICE, 1))
+    opened = [fleet.open(number, by=0) for number in range(30)]
+    route_to(fleet, 3, Share(DESK, 1), Share(OFFICE, 9))
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, opened) == 0
+    assert all(fleet.answer_count(flow_id) == 2 for flow_id in opened)
+
+
+def test_an_unknown_flow_of_two_services_is_reset():
+    fleet = two_services()
+    route_to(fleet, 2, Share(DESK, 1), Share(OFFICE, 1))
+    unknown = [flow(number) for number in range(100, 110)]
+    for flow_id in unknown:
+        fleet.data(flow_id, by=1)
+    fleet.run(0.5)
+    assert all(fleet.packet_count(f, Flag.RST) == 1 for f in unknown)
+
+
+def test_a_flow_is_not_reset_while_an_agent_of_its_other_service_is_silent():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.world.paused.add(node("agent", 1))
+    route_to(fleet, 2, Share(OFFICE, 1))
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(1.0)
+    assert resets(fleet, opened) == 0
+
+
 def _forwarded(src, flow_id):
     data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
     packet = ForwardedPacket(int(ForwardReason.ROUTED), DESK, data)
