Look a flow up in each service that its route may have sent it to

Callers saw every open flow of a route reset when a configuration moved the route to another service or changed its weights, unless the balancer had a hint.

Agents learn the members of their own service alone. The owner asked the agents that it knew of the route's other services, none as a rule, and took the denials of its own service as proof.

Change: the balancer names an owner of each further service of the route in packets that open no flow. The first owner asks these for a lookup in their service, beside its own; each tells the holder or that there is none, by agents that know the same members. Only if all services deny a flow it is reset. A packet of a service that the agent does not serve proves nothing.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -28,6 +28,7 @@
 """A packet forwarded by more agents is dropped."""
 
 _SYN = int(Flag.SYN)
+_EXPECTING_REPLY = (ForwardReason.LOOKUP, ForwardReason.DELEGATED)
 
 
 class AgentFlows:
@@ -54,12 +55,14 @@
             return [self._drop_over_hop_limit(event)]
         if flow is not None and flow.holder == self._ctx.node:
             effects = self._ctx.deliver(now, flow, event.segment)
-            if packet.reason == ForwardReason.LOOKUP:
+            if packet.reason in _EXPECTING_REPLY:
                 held = FlowHeld(flow_id, self._ctx.node)
                 effects.append(Send(event.src, held))
             return effects
         if packet.reason == ForwardReason.LOOKUP:
             return self.lookup.handle_query_packet(now, event)
+        if packet.reason == ForwardReason.DELEGATED:
+            return self._handle_delegated(now, event)
         if flow is None:
             return self.lookup.start(now, event.segment, packet, event.src)
         if event.src == flow.holder or packet.hops >= MAX_HOPS_BEFORE_LOOKUP:
@@ -166,6 +169,19 @@
                 )
         return effects
 
+    def _handle_delegated(
+        self, now: Seconds, event: PacketForwarded
+    ) -> list[RelayEffect]:
+        """Look up a flow for an agent of another service.
+
+        A cached holder is not used, as it may be out of date and the asker
+        relies on the result.
+        """
+        packet = event.packet
+        if packet.service != self._ctx.service:
+            return []
+        return self.lookup.start(now, event.segment, packet, event.src)
+
     def _forward_to_holder(
         self, now: Seconds, event: PacketForwarded, flow: Flow
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -163,14 +163,16 @@
             ranked = owners.ranked(flow_id.key)
             dst = self._responsive_owner(now, ranked, segment)
         is_new = bool(segment.flags & _SYN)
+        others = () if is_new else self._other_owners(flow_id, services)
         packet = ForwardedPacket(
             int(ForwardReason.ROUTED),
             services[0],
             segment.data,
             (),
-            services[1:],
+            tuple(service for service, _ in others),
             low_priority=is_new
             and self.routes.has_low_priority(flow_id, services[0]),
+            other_owners=tuple(owner for _, owner in others),
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
@@ -184,6 +186,20 @@
         )
         return [ForwardToAgent(dst, packet), event]
 
+    def _other_owners(
+        self, flow_id: FlowId, services: tuple[ServiceName, ...]
+    ) -> tuple[tuple[ServiceName, NodeId], ...]:
+        """Return an agent of each further service that may hold a flow.
+
+        A service without agents holds none.
+        """
+        found = []
+        for service in services[1:]:
+            owners = self._owners.get(service)
+            if owners is not None and owners.ids:
+                found.append((service, owners.ranked(flow_id.key)[0]))
+        return tuple(found)
+
     def _hinted_holder(
         self, now: Seconds, flow_id: FlowId, segment: Segment
     ) -> NodeId | None:
--- a/packages/core/src/medlar_core/relay/departures.py
+++ b/packages/core/src/medlar_core/relay/departures.py
@@ -1,7 +1,5 @@
 """Agents that a process has removed from its membership."""
 
-from collections.abc import Collection
-
 import msgspec
 
 from ..ids import NodeId
@@ -82,9 +80,9 @@
         )
 
     def lost(
-        self, now: Seconds, services: Collection[ServiceName], idle_s: float
+        self, now: Seconds, service: ServiceName, idle_s: float
     ) -> list[NodeId]:
-        """Return the lost agents of services whose servers may hold flows.
+        """Return the lost agents of a service whose servers may hold flows.
 
         Flows that idle for over ``idle_s`` seconds have expired, and no
         packet reaches a server without its agent.
@@ -93,7 +91,7 @@
             node
             for node, removal in self._removals.items()
             if not removal.departed.is_final
-            and removal.departed.service in services
+            and removal.departed.service == service
             and now - removal.heard_at <= idle_s
         ]
 
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -5,10 +5,10 @@
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
-from ..ids import ServiceName
 from ..limits import TokenBucket
 from ..packets import Flag
 from ..verdict import Reason
+from .effects import ForwardToAgent
 from .effects import RelayEffect
 from .events import PacketForwarded
 from .flow_context import FlowContext
@@ -78,15 +78,16 @@
         now: Seconds,
         segment: Segment,
         packet: ForwardedPacket,
-        via: NodeId = NO_NODE,
+        src: NodeId = NO_NODE,
         local_denied: bool = False,
     ) -> list[RelayEffect]:
         """Query all agents that may hold a flow; queue its packets.
 
         A packet of a flow whose lookup is in progress is only queued.
-        ``via`` is the balancer to notify of the holder; ``local_denied``
-        is set if the local server has bounced the packet.
+        ``src`` is the process that forwarded the packet; ``local_denied``
+        is set if the local server has bounced it.
         """
+        asker = src if packet.reason == ForwardReason.DELEGATED else NO_NODE
         flow_id = segment.inward
         if segment.flags & Flag.RST:
             return []
@@ -95,11 +96,12 @@
             if len(active.packets) < MAX_QUEUED_PACKETS:
                 active.packets.append(segment)
             active.acked_seq = segment.ack
+            active.asker = active.asker or asker
             return []
         if self._lookups.is_full():
             text = "flows: packet dropped: too many lookups in progress"
             return [self._ctx.event(flow_id, text)]
-        candidates = self._candidates(packet)
+        candidates = self._candidates()
         sent_to = {
             m.report.id for m in candidates if not m.report.knows_all_flows
         }
@@ -114,18 +116,22 @@
         )
         if try_local:
             sent_to.add(self._ctx.node)
+        delegates = frozenset(packet.other_owners)
         lookup = Lookup(
             started_at=now,
-            awaiting={member.report.id for member in candidates},
+            awaiting={member.report.id for member in candidates} | delegates,
             local_pending=try_local,
             doubt=self._doubt(now, packet),
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
-            via=via if packet.reason == ForwardReason.ROUTED else NO_NODE,
+            via=src if packet.reason == ForwardReason.ROUTED else NO_NODE,
+            delegates=delegates,
+            asker=asker,
         )
         self._lookups.add(flow_id, lookup)
         effects = [self._query(member, segment) for member in candidates]
+        effects += _delegations(packet)
         if try_local:
             effects.append(self._ctx.deliver_untracked(segment))
         text = f"flows: unknown flow; queried {len(candidates)} agents"
@@ -162,19 +168,18 @@
         return []
 
     def handle_held(
-        self, now: Seconds, flow_id: FlowId, holder: NodeId
+        self, now: Seconds, flow_id: FlowId, holder: NodeId, src: NodeId
     ) -> list[RelayEffect]:
-        """Handle the reply that an agent's server holds a flow."""
+        """Handle the reply of ``src`` that an agent's server holds a flow."""
         lookup = self._lookups.remove(flow_id)
         if lookup is None or holder == self._ctx.node:
             return []
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
             self._ctx.forward(holder, ForwardReason.PLACED, segment)
-            for segment in lookup.packets_for(holder)
+            for segment in lookup.packets_for(holder, src)
         ]
-        if lookup.via:
-            effects.append(Send(lookup.via, FlowHeld(flow_id, holder)))
+        effects += _notices(lookup, flow_id, holder)
         effects.append(self._ctx.event(flow_id, "flows: holder found", holder))
         return effects
 
@@ -189,6 +194,8 @@
         if lookup is None:
             return []
         lookup.awaiting.discard(src)
+        if src in lookup.delegates:
+            return self._reset_if_absent(flow_id, lookup)
         if view != self._ctx.members.view(self._ctx.service):
             lookup.doubt = f"{src} knows other members"
         return self._reset_if_absent(flow_id, lookup)
@@ -221,8 +228,9 @@
             effects.append(Send(query.node, FlowHeld(flow_id, ctx.node)))
         lookup = self._lookups.remove(flow_id)
         if lookup is not None:
-            for packet in lookup.packets_for(ctx.node):
+            for packet in lookup.packets_for(ctx.node, ctx.node):
                 effects += ctx.deliver(now, flow, packet)
+            effects += _notices(lookup, flow_id, ctx.node)
         text = "flows: rediscovered by a packet of the local server"
         effects.append(ctx.event(flow_id, text))
         return effects
@@ -252,32 +260,60 @@
         if lookup.doubt:
             text = f"flows: no holder found, not reset: {lookup.doubt}"
             return [self._ctx.event(flow_id, text)]
+        if lookup.asker:
+            return [self._deny(lookup.asker, flow_id)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
     def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
         """Return why an agent that is not queried may hold a flow."""
         if not self._ctx.knows_all_members(now):
             return "members not known yet"
+        if packet.service != self._ctx.service:
+            return f"it is routed to {packet.service}"
+        if len(packet.other_owners) < len(packet.other_services):
+            return "no agent of another service of its route is known"
         lost = self._ctx.members.lost_agents(
-            now, self._services(packet), self._ctx.local_server.idle_s
+            now, self._ctx.service, self._ctx.local_server.idle_s
         )
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
 
-    def _services(self, packet: ForwardedPacket) -> set[ServiceName]:
-        """Return the services whose servers may hold a packet's flow."""
-        return {self._ctx.service, packet.service, *packet.other_services}
-
-    def _candidates(self, packet: ForwardedPacket) -> list[Member]:
+    def _candidates(self) -> list[Member]:
+        """Return the agents of the own service that may hold a flow."""
         return [
             member
-            for name in sorted(self._services(packet))
-            for member in self._ctx.members.of(name)
+            for member in self._ctx.members.of(self._ctx.service)
             if not _has_no_server(member)
         ]
 
 
+def _delegations(packet: ForwardedPacket) -> list[RelayEffect]:
+    """Ask an agent of each other service for a lookup in its service."""
+    return [
+        ForwardToAgent(
+            owner,
+            ForwardedPacket(
+                int(ForwardReason.DELEGATED), service, packet.data
+            ),
+        )
+        for service, owner in zip(
+            packet.other_services, packet.other_owners, strict=False
+        )
+    ]
+
+
+def _notices(
+    lookup: Lookup, flow_id: FlowId, holder: NodeId
+) -> list[RelayEffect]:
+    """Notify those that wait for the result of a lookup of the holder."""
+    return [
+        Send(node, FlowHeld(flow_id, holder))
+        for node in (lookup.via, lookup.asker)
+        if node
+    ]
+
+
 def _has_no_server(member: Member) -> bool:
     """Return whether an agent's probe found no server."""
     report = member.report
--- a/packages/core/src/medlar_core/relay/forwarded.py
+++ b/packages/core/src/medlar_core/relay/forwarded.py
@@ -18,6 +18,9 @@
     as the holder."""
     LOOKUP = 2
     """Another agent looks up the holder and expects a reply."""
+    DELEGATED = 3
+    """An agent of another service asks for a lookup among the agents of
+    ``service``, and for its result."""
 
 
 class ForwardedPacket(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -26,7 +29,8 @@
     ``reason`` is a :class:`ForwardReason`. ``declined`` names agents whose
     servers did not accept the flow. ``other_services`` names further
     services that may hold the flow, opened under an earlier version of the
-    configuration or another choice by weight. ``via`` is the balancer that
+    configuration or another choice by weight, and ``other_owners`` an agent
+    of each. ``via`` is the balancer that
     received a SYN from the caller; ``hops`` counts the agents that have
     forwarded the packet. ``low_priority`` is set in a SYN if room has to be
     left at a server for flows of higher priority.
@@ -40,6 +44,7 @@
     via: NodeId = NodeId("")
     hops: int = 0
     low_priority: bool = False
+    other_owners: tuple[NodeId, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -40,10 +40,19 @@
     acked_seq: int
     via: NodeId
     """The balancer to notify of the holder, empty for none."""
-
-    def packets_for(self, holder: NodeId) -> list[Segment]:
-        """Return the queued packets that the holder does not have yet."""
-        return self.packets[1:] if holder in self.sent_to else self.packets
+    delegates: frozenset[NodeId] = frozenset()
+    """Agents of other services, each asked for a lookup in its service."""
+    asker: NodeId = NodeId("")
+    """The agent that delegated this lookup, empty for none. It is told the
+    result and decides on a reset."""
+
+    def packets_for(self, holder: NodeId, src: NodeId) -> list[Segment]:
+        """Return the queued packets that the holder does not have yet.
+
+        ``src`` has told the holder; a delegate has forwarded the first one.
+        """
+        has_first = holder in self.sent_to or src in self.delegates
+        return self.packets[1:] if has_first else self.packets
 
     @property
     def is_complete(self) -> bool:
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -5,7 +5,6 @@
 A silent agent stays a member for longer if it has an entry in the store.
 """
 
-from collections.abc import Collection
 from collections.abc import Iterable
 import enum
 
@@ -309,10 +308,10 @@
         ]
 
     def lost_agents(
-        self, now: Seconds, services: Collection[ServiceName], idle_s: float
+        self, now: Seconds, service: ServiceName, idle_s: float
     ) -> list[NodeId]:
         """Return removed agents whose servers may still hold flows."""
-        return self._departures.lost(now, services, idle_s)
+        return self._departures.lost(now, service, idle_s)
 
     def departed(self) -> tuple[Departed, ...]:
         """Return the agents that were removed recently."""
