Keep relaying after SIGTERM while the local server drains its flows

Change: an agent that is asked to stop goes on as long as its server drains and holds open flows, until the server has left or one second before the end of the grace period. New flows are placed elsewhere at once, as before.

Evidence: test_stopped_agent_relays_flows_of_its_draining_server, on real processes, failed before (no answer 1.5 s after SIGTERM) and passes.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -114,6 +114,13 @@
         gone = self._reported_state is AgentState.GONE
         return gone and not self._registration.is_written
 
+    @property
+    def has_draining_flows(self) -> bool:
+        """Whether the server still serves flows though it is draining."""
+        server = self.local_server.server
+        is_draining = server is not None and server.is_draining
+        return is_draining and self._ctx.table.open_count > 0
+
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Handle one event and return the effects to carry out."""
         match event:
--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -36,6 +36,11 @@
     presumed: bool = False
     """Whether it was restored from the store entry and not announced yet."""
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether it has announced that it drains, and not yet its end."""
+        return self.phase is ServerPhase.DRAINING
+
 
 class LocalServer:
     """Tracks the incarnation and state of the local server."""
@@ -160,7 +165,7 @@
             return AgentState.GONE
         if now - server.announced_at > self._silence_limit_s:
             return AgentState.DOWN
-        if server.phase is ServerPhase.DRAINING:
+        if server.is_draining:
             return AgentState.DRAINING
         return AgentState.READY
 
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -36,6 +36,8 @@
 """Time in which peers receive the message that the agent restarts."""
 DEREGISTRATION_LIMIT_S = 1.5
 """Limit for removing the store entry of a server that left."""
+EXIT_MARGIN_S = 1.0
+"""An agent that is asked to stop ends so long before it would be killed."""
 POLL_INTERVAL_S = 0.1
 
 log = part_logger("agent")
@@ -105,7 +107,7 @@
         )
         log.info("started", extra={"at": cfg.node, "service": cfg.service})
         await process.stop_requested.wait()
-        await _wait_for_deregistration(reducer)
+        await _wait_until_done(reducer, cfg.grace_s)
     log.info("stopped")
 
 
@@ -123,10 +125,17 @@
     return event
 
 
-async def _wait_for_deregistration(reducer: RelayAgent) -> None:
-    """Wait until peers know of the stop and the store entry is removed."""
+async def _wait_until_done(reducer: RelayAgent, grace_s: float) -> None:
+    """Wait until nothing is left to do for the local server.
+
+    That is to tell peers of the stop, to remove the store entry of a server
+    that left, and to relay the flows of a draining one until it ends.
+    """
+    drain_limit_s = grace_s - EXIT_MARGIN_S
     await asyncio.sleep(RESTART_NOTICE_S)
     waited = RESTART_NOTICE_S
-    while waited < DEREGISTRATION_LIMIT_S and reducer.is_deregistering:
+    while (waited < drain_limit_s and reducer.has_draining_flows) or (
+        waited < DEREGISTRATION_LIMIT_S and reducer.is_deregistering
+    ):
         await asyncio.sleep(POLL_INTERVAL_S)
         waited += POLL_INTERVAL_S
--- a/testing/users_platform/test_process.py
+++ b/testing/users_platform/test_process.py
@@ -24,6 +24,8 @@
 from .standin import SYN
 
 BALANCER, AGENT, CALLER = "127.0.0.2", "127.0.0.3", "127.0.0.4"
+SRC = endpoint(CALLER, 40_001)
+DST = endpoint("198.18.0.1", 443)
 CONFIGURATION = json.dumps(
     {
         "version": 3,
@@ -127,15 +129,28 @@
 
 def test_flow_is_relayed_to_server_and_back(tmp_path):
     ports = Ports()
+    asyncio.run(_relay_flow(ports, write_settings(tmp_path, ports)))
+
+
+def test_stopped_agent_relays_flows_of_its_draining_server(tmp_path):
+    ports = Ports()
+    paths = write_settings(tmp_path, ports)
+    asyncio.run(_stop_agent_before_its_server(ports, paths))
+
+
+def write_settings(tmp_path, ports: Ports) -> dict[str, str]:
+    """Write the settings of a balancer and an agent; return the paths."""
     paths = {}
     for ip, serves in ((BALANCER, "frontend"), (AGENT, "side")):
         paths[ip] = str(tmp_path / f"{serves}.toml")
         with open(paths[ip], "w") as file:
             file.write(settings(ports, ip, serves))
-    asyncio.run(_relay_flow(ports, paths))
+    return paths
 
 
-async def _relay_flow(ports: Ports, paths: dict[str, str]) -> None:
+@contextlib.asynccontextmanager
+async def relaying(ports: Ports, paths: dict[str, str]):
+    """Run both processes and stand-ins; yield them and a caller's socket."""
     store = StoreStandin()
     store.put("op/config", CONFIGURATION)
     server = ServerStandin(f"{AGENT}:{ports.app}", (AGENT, ports.outbound))
@@ -152,6 +167,11 @@
         agent = await enter(running(paths[AGENT], ports, AGENT))
         await wait_until(lambda: _announce_server(ports))
         await wait_until(lambda: is_ready(f"{BALANCER}:{ports.ready}"))
+        yield balancer, agent, caller
+
+
+async def _relay_flow(ports: Ports, paths: dict[str, str]) -> None:
+    async with relaying(ports, paths) as (balancer, agent, caller):
         await _assert_flow_is_relayed(caller, ports)
         text = (await get(f"{AGENT}:{ports.metrics}", "/metrics")).body
         assert b"medlarstage_relay_flows_open 1.0" in text
@@ -166,16 +186,32 @@
         assert messages[-1] == "balancer: stopped"
 
 
-async def _announce_server(ports: Ports) -> bool:
+async def _stop_agent_before_its_server(
+    ports: Ports, paths: dict[str, str]
+) -> None:
+    async with relaying(ports, paths) as (_, agent, caller):
+        await _assert_flow_is_relayed(caller, ports)
+        assert await _announce_server(ports, "draining", 2)
+        agent.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1.5)
+        await _assert_data_is_answered(caller, ports)
+        assert await _announce_server(ports, "draining", 3, "Leave")
+        await asyncio.wait_for(agent.communicate(), 3.0)
+        assert agent.returncode == 0
+
+
+async def _announce_server(
+    ports: Ports, state: str = "ready", sequence: int = 1, call="Heartbeat"
+) -> bool:
     heartbeat = {
         "service": "desk",
-        "state": "ready",
+        "state": state,
         "slots": 2,
-        "sequence": 1,
+        "sequence": sequence,
         "born": 1_700_000_000_000,
     }
     client = HttpClient(f"{AGENT}:{ports.control}")
-    path = "/-/Instances.Heartbeat/i-1"
+    path = f"/-/Instances.{call}/i-1"
     try:
         body = json.dumps(heartbeat).encode()
         res = await client.call(Request("POST", path, body), 2.0)
@@ -187,15 +223,21 @@
 
 
 async def _assert_flow_is_relayed(caller: socket.socket, ports: Ports) -> None:
-    src = endpoint(CALLER, 40_001)
-    dst = endpoint("198.18.0.1", 443)
     loop = asyncio.get_running_loop()
-    to = (BALANCER, ports.packets)
     async with asyncio.timeout(10.0):
-        caller.sendto(packet(src, dst, SYN), to)
+        caller.sendto(packet(SRC, DST, SYN), (BALANCER, ports.packets))
         answer = HeaderCodec().decode(await loop.sock_recv(caller, 2_048))
-        assert answer.outward == (src, dst)
-        caller.sendto(packet(src, dst, ACK, b"question"), to)
+    assert answer.outward == (SRC, DST)
+    await _assert_data_is_answered(caller, ports)
+
+
+async def _assert_data_is_answered(
+    caller: socket.socket, ports: Ports
+) -> None:
+    loop = asyncio.get_running_loop()
+    question = packet(SRC, DST, ACK, b"question")
+    async with asyncio.timeout(10.0):
+        caller.sendto(question, (BALANCER, ports.packets))
         data = await loop.sock_recv(caller, 2_048)
     assert data.endswith(b"answer")
 
