Forget missing entries once a balancer no longer hears the store

Change: only a balancer that watches the store and had an answer within 4 s marks agents; it forgets its marks when that ends.

Evidence: test_a_registered_agent_that_one_balancer_does_not_hear_stays failed before and passes. The simulation can lose what one process sends to another now.

--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -175,6 +175,11 @@
         if member is not None and member.unregistered_at is None:
             member.unregistered_at = now
 
+    def forget_unregistered(self) -> None:
+        """Forget which agents the store has no entry of."""
+        for member in self.agents.values():
+            member.unregistered_at = None
+
     def mark_registered(self, node: NodeId) -> None:
         """Record that the store has an entry of an agent."""
         member = self.agents.get(node)
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -90,6 +90,7 @@
         self._members = members
         self._event_factory = event_factory
         self._entry_keys: set[str] = set()
+        self._hears_store = False
         self._configuration = StoreWatcher(
             access,
             Part.CONFIGURATION,
@@ -150,10 +151,14 @@
     def notify_unregistered(self, now: Seconds) -> list[RelayEffect]:
         """Record which agents have no entry, and notify them.
 
-        Only a balancer that watches the store does this: the entries that
-        others have read are out of date.
+        Only a balancer that watches the store and hears from it does this.
+        The entries that others have read are out of date, and so is what
+        they have recorded before.
         """
-        if not self.has_read_entries or not self._is_watcher(now):
+        heard_before, self._hears_store = self._hears_store, self._hears(now)
+        if not self._hears_store:
+            if heard_before:
+                self._members.forget_unregistered()
             return []
         if (
             self._identity.balancers + self._identity.node
@@ -170,6 +175,15 @@
             self._members.mark_unregistered(now, node)
         return effects
 
+    def _hears(self, now: Seconds) -> bool:
+        """Return whether this balancer's view of the entries is current."""
+        age_s = now - self.config_confirmed_at
+        return (
+            self.has_read_entries
+            and self._is_watcher(now)
+            and age_s <= WATCHER_CONFIG_TIMEOUT_S
+        )
+
     def _is_watcher(self, now: Seconds) -> bool:
         """Return whether this balancer is one that watches the store.
 
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -101,6 +101,8 @@
 
     Events for nodes in ``paused``, ticks included, are dropped. Nodes in
     ``without_store`` cannot reach the store: their calls time out.
+    ``cut_links`` holds pairs of nodes: what the first sends to the second
+    is lost.
     ``forward_count`` counts packets forwarded to agents.
     """
 
@@ -113,6 +115,7 @@
         self.routes_of: Callable[[NodeId], RouteTable | None] = lambda _: None
         self.paused: set[NodeId] = set()
         self.without_store: set[NodeId] = set()
+        self.cut_links: set[tuple[NodeId, NodeId]] = set()
         self.caller_packets: list[Segment] = []
         self.events: list[TimelineEvent] = []
         self.forward_count = 0
@@ -146,11 +149,9 @@
             case ForwardToAgent(dst=dst, packet=packet):
                 self.forward_count += 1
                 segment = self._codec.decode(packet.data)
-                self._dispatch_later(
-                    dst, PacketForwarded(src, packet, segment)
-                )
+                self._send(src, dst, PacketForwarded(src, packet, segment))
             case Send(dst=dst, msg=msg):
-                self._dispatch_later(dst, Received(src, msg))
+                self._send(src, dst, Received(src, msg))
             case DeliverToServer(data=data):
                 for segment in self.servers[src].handle(
                     self._codec.decode(data)
@@ -182,5 +183,9 @@
         if src not in self.without_store:
             self.store.call(op, answered)
 
+    def _send(self, src: NodeId, dst: NodeId, event: Any) -> None:
+        if (src, dst) not in self.cut_links:
+            self._dispatch_later(dst, event)
+
     def _dispatch_later(self, dst: NodeId, event: Any) -> None:
         self.clock.after(HOP_S, lambda: self.dispatch(dst, event))
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -329,3 +329,20 @@
     ]
     assert len(texts) == 5
     assert f"members: agent removed, {cause}" in texts
+
+
+def test_a_registered_agent_that_one_balancer_does_not_hear_stays():
+    fleet = Fleet(balancers=4)
+    agent, last = node("agent", 0), node("balancer", 3)
+    others = [address for address in fleet.balancers if address != last]
+    fleet.world.without_store.update(others)
+    fleet.run(12.0)  # the last balancer watches the store in their place
+    fleet.world.without_store = {last}
+    fleet.delete(AGENTS + agent)
+    fleet.run(20.0)
+    fleet.world.without_store.clear()
+    fleet.run(5.0)
+    assert AGENTS + agent in fleet.world.store.items
+    fleet.world.cut_links.add((agent, last))
+    fleet.run(4.0)
+    assert agent in fleet.balancers[last].members.agents
