--- a/packages/core/src/medlar_core/relay/departures.py
+++ b/packages/core/src/medlar_core/relay/departures.py
@@ -39,6 +39,14 @@
     def __init__(self) -> None:
         self._removals: dict[NodeId, _Removal] = {}
 
+    @property
+    def lost_count(self) -> int:
+        """Number of lost agents that are remembered."""
+        return sum(
+            not removal.departed.is_final
+            for removal in self._removals.values()
+        )
+
     def add(self, now: Seconds, departed: Departed, heard_at: float) -> None:
         """Record the removal of an agent by this process."""
         self._removals[departed.id] = _Removal(departed, now, heard_at, True)
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -298,6 +298,7 @@
             "agents_heard": len(recently_reporting(self.agents.values(), now)),
             "agents_draining": states.count(AgentState.DRAINING),
             "agents_down": states.count(AgentState.DOWN),
+            "agents_lost": self._departures.lost_count,
             "balancers": len(self.balancers),
         }
 
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -180,6 +180,7 @@
     "agents_heard": "Agents whose own word is recent",
     "agents_draining": "Agents known whose server drains",
     "agents_down": "Agents known whose server is silent",
+    "agents_lost": "Agents removed without a report of their server's end",
     "balancers": "Other balancers known",
     "configuration_version": "Version of the configuration in force",
     "configuration_age_seconds": "Time since the store told the newest",
