Add a failing test of a member that joins during a lookup

The views are compared when a denial arrives, the agents to ask are chosen when the lookup starts. A holder whose report arrives in between is in both views and was not asked.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -1,9 +1,20 @@
 """Findings of the review of the fix of the FLOW incident."""
 
+from medlar_core.events import Received
+from medlar_core.packets import Flag
+from medlar_core.relay.events import PacketForwarded
+from medlar_core.relay.forwarded import ForwardedPacket
+from medlar_core.relay.forwarded import ForwardReason
+from medlar_core.relay.messages import Hello
+from medlar_core.relay.segment import Segment
+from medlar_fakes.relay import encode
+from medlar_fakes.relay import FakeCodec
+
 from .kit import AGENTS
 from .kit import DESK
 from .kit import Fleet
 from .kit import node
+from .kit import PLACE
 
 
 def add_agents(fleet, numbers, service=DESK):
@@ -12,6 +23,24 @@
         fleet.start_agent(node("agent", number), service)
 
 
+def flows_at(fleet, address, count=20):
+    """Open flows; return those that the server of an agent holds."""
+    opened = [fleet.open(number) for number in range(count)]
+    return [flow_id for flow_id in opened if fleet.holder(flow_id) == address]
+
+
+def resets(fleet, flows):
+    return sum(fleet.packet_count(flow_id, Flag.RST) for flow_id in flows)
+
+
+def forwarded(flow_id):
+    """Return the event that a balancer forwarded data of a flow."""
+    data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
+    packet = ForwardedPacket(int(ForwardReason.ROUTED), DESK, data)
+    src = node("balancer", 0)
+    return PacketForwarded(src, packet, FakeCodec().decode(data))
+
+
 def test_a_balancer_marks_no_agent_by_entries_that_it_read_long_ago():
     fleet = Fleet(balancers=4)
     fleet.run(25.0)
@@ -41,3 +70,28 @@
     fleet.run(4.0)
     assert AGENTS + address in fleet.world.store.items
     assert address in fleet.balancers[deprived].members.agents
+
+
+def test_a_member_that_becomes_known_during_a_lookup_is_asked_as_well():
+    fleet = Fleet()
+    address = node("agent", 2)
+    (flow_id, *_) = flows_at(fleet, address)
+    fleet.world.paused.update(fleet.balancers)
+    newcomer = node("agent", 10)
+    add_agents(fleet, [10])
+    now = fleet.world.clock.now
+    known = tuple(
+        fleet.agents[node("agent", number)].report(now) for number in (0, 1, 3)
+    )
+    balancer = node("balancer", 0)
+    hello = Hello(balancer, PLACE, 1, known, idle_s=15.0, service_size=4)
+    fleet.world.dispatch(newcomer, Received(balancer, hello))
+    fleet.run(0.5)
+    fleet.world.dispatch(newcomer, forwarded(flow_id))
+    report = fleet.agents[address].report(fleet.world.clock.now)
+    fleet.world.dispatch(newcomer, Received(address, report))
+    for number in (0, 1, 3):
+        members = fleet.agents[node("agent", number)].members
+        assert address in members.agents
+    fleet.run(0.5)
+    assert resets(fleet, [flow_id]) == 0
