Add a failing test of lost agents that new agents do not know

Denials do not tell that the sender knows a lost agent, and balancers name only removals of their own. Agents that start after the balancers were replaced prove absence, with the denials of agents that would not.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -6,6 +6,9 @@
 from medlar_core.relay.forwarded import ForwardedPacket
 from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import Hello
+from medlar_core.relay.routes import Route
+from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.routes import Share
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
@@ -16,6 +19,11 @@
 from .kit import node
 from .kit import PLACE
 
+LEASE_AND_REMOVAL_S = 12.0
+"""An agent that stopped is removed by all balancers after this."""
+LONG_IDLE_S = 60.0
+"""Idle timeout of flows in configurations of these tests."""
+
 
 def add_agents(fleet, numbers, service=DESK):
     for number in numbers:
@@ -33,6 +41,13 @@
     return sum(fleet.packet_count(flow_id, Flag.RST) for flow_id in flows)
 
 
+def route_to(fleet, version, *services, idle_s=LONG_IDLE_S):
+    shares = tuple(Share(service, 1) for service in services)
+    route = Route("192.0.2.1", 8000, shares)
+    fleet.configure(RouteTable(version, (route,), idle_s))
+    fleet.run(1.0)
+
+
 def forwarded(flow_id):
     """Return the event that a balancer forwarded data of a flow."""
     data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
@@ -95,3 +110,24 @@
         assert address in members.agents
     fleet.run(0.5)
     assert resets(fleet, [flow_id]) == 0
+
+
+def test_a_lost_agent_is_known_to_agents_that_start_under_new_balancers():
+    fleet = Fleet()
+    route_to(fleet, 2, DESK)
+    address = node("agent", 2)
+    held = flows_at(fleet, address)
+    fleet.drain(address)
+    fleet.stop(address)
+    fleet.run(LEASE_AND_REMOVAL_S)
+    for number in range(3):
+        fleet.stop(node("balancer", number))
+        fleet.start_balancer(node("balancer", 10 + number))
+    fleet.run(3.0)
+    add_agents(fleet, range(10, 20))
+    fleet.run(4.0)
+    for flow_id in held:
+        fleet.data(flow_id, by=10, seq=500)
+    fleet.run(0.5)
+    assert held
+    assert resets(fleet, held) == 0
