Add a failing test of a lost agent that is dropped too early

Removals are kept for 30 s, lost flows may be idle for idle_s. With 60 s the resets begin about 43 s after the agent stopped.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -131,3 +131,19 @@
     fleet.run(0.5)
     assert held
     assert resets(fleet, held) == 0
+
+
+def test_lost_agents_are_remembered_for_the_whole_idle_time():
+    fleet = Fleet()
+    route_to(fleet, 2, DESK)
+    address = node("agent", 2)
+    held = flows_at(fleet, address)
+    fleet.drain(address)
+    fleet.stop(address)
+    add_agents(fleet, range(10, 20))
+    fleet.run(LONG_IDLE_S - 10.0)
+    for flow_id in held:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert held
+    assert resets(fleet, held) == 0
