Add a failing test of a server that started during a pause

Lookups leave out an agent whose last report says that it has no server. That report may be old, and views compare ids only.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -1,6 +1,7 @@
 """Findings of the review of the fix of the FLOW incident."""
 
 from medlar_core.events import Received
+from medlar_core.events import ServerProbed
 from medlar_core.packets import Flag
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.forwarded import ForwardedPacket
@@ -147,3 +148,19 @@
     fleet.run(0.5)
     assert held
     assert resets(fleet, held) == 0
+
+
+def test_an_agent_that_was_paused_does_not_skip_a_server_started_since():
+    fleet = Fleet()
+    address, asker = node("agent", 8), node("agent", 0)
+    fleet.start_agent(address, seeds=(node("balancer", 0),))
+    fleet.world.dispatch(address, ServerProbed(alive=False, ready=False))
+    fleet.run(3.0)
+    fleet.world.paused.add(asker)
+    fleet.start_server(address)
+    fleet.run(3.0)
+    (flow_id, *_) = flows_at(fleet, address)
+    fleet.world.paused.clear()
+    fleet.world.dispatch(asker, forwarded(flow_id))
+    fleet.run(0.05)
+    assert resets(fleet, [flow_id]) == 0
