Add a failing test of a single agent that was paused

An agent without peers has no view to compare, and "all members known" is never taken back, after a pause neither.

Evidence: fails on, "assert 1 == 0". No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -164,3 +164,16 @@
     fleet.world.dispatch(asker, forwarded(flow_id))
     fleet.run(0.05)
     assert resets(fleet, [flow_id]) == 0
+
+
+def test_the_only_agent_was_paused_while_another_joined():
+    fleet = Fleet(agents=1)
+    asker, address = node("agent", 0), node("agent", 1)
+    fleet.world.paused.add(asker)
+    add_agents(fleet, [1])
+    fleet.run(3.0)
+    (flow_id, *_) = flows_at(fleet, address)
+    fleet.world.paused.clear()
+    fleet.world.dispatch(asker, forwarded(flow_id))
+    fleet.run(0.05)
+    assert resets(fleet, [flow_id]) == 0
