Add a failing test of an older idle timeout

Agents take the idle timeout of any hello message, whatever its configuration version. Entries of open flows expire by the old one and are then denied.

Evidence: fails on, "assert 1 == 0". No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -177,3 +177,17 @@
     fleet.world.dispatch(asker, forwarded(flow_id))
     fleet.run(0.05)
     assert resets(fleet, [flow_id]) == 0
+
+
+def test_a_balancer_with_an_older_configuration_does_not_shorten_idle_time():
+    fleet = Fleet()
+    route_to(fleet, 2, DESK)
+    address = node("agent", 2)
+    (flow_id, *_) = flows_at(fleet, address)
+    hello = Hello(node("balancer", 9), PLACE, 1, idle_s=1.0)
+    for _ in range(6):
+        fleet.world.dispatch(address, Received(hello.id, hello))
+        fleet.run(0.5)
+    fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, [flow_id]) == 0
