--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -17,6 +17,7 @@
 from .kit import AGENTS
 from .kit import DESK
 from .kit import Fleet
+from .kit import flow
 from .kit import node
 from .kit import PLACE
 
@@ -191,3 +192,19 @@
     fleet.data(flow_id, by=1, seq=500)
     fleet.run(0.5)
     assert resets(fleet, [flow_id]) == 0
+
+
+def test_an_unknown_flow_in_doubt_is_not_looked_up_for_each_packet():
+    fleet = Fleet(agents=20)
+    route_to(fleet, 2, DESK)
+    fleet.kill(node("agent", 2))
+    fleet.run(13.0)
+    asker = fleet.agents[node("agent", 0)]
+    now = fleet.world.clock.now
+    assert asker.members.lost_agents(now, DESK, LONG_IDLE_S)
+    unknown = flow(99)
+    for _ in range(16):
+        fleet.world.dispatch(node("agent", 0), forwarded(unknown))
+        fleet.run(0.015)
+    lookups = [e for e in fleet.world.events if "unknown flow" in e.text]
+    assert len(lookups) == 1
