Add a failing test of an entry left by a stopped agent

The limit for removing the entry counts from SIGTERM. An agent that relayed a draining server for longer than 1.5 s ends at once when the server leaves, without removing its entry or repeating the report of the end.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -1,5 +1,7 @@
 """Findings of the review of the fix of the FLOW incident."""
 
+import asyncio
+
 from medlar_core.events import Received
 from medlar_core.events import ServerProbed
 from medlar_core.packets import Flag
@@ -13,6 +15,7 @@
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
+from medlar_node.relay import agent as agent_process
 
 from .kit import AGENTS
 from .kit import DESK
@@ -208,3 +211,28 @@
         fleet.run(0.015)
     lookups = [e for e in fleet.world.events if "unknown flow" in e.text]
     assert len(lookups) == 1
+
+
+class StoppingReducer:
+    """A server that leaves 2 s after SIGTERM; its entry goes 0.3 s later."""
+
+    waited = 0.0
+
+    @property
+    def has_draining_flows(self):
+        return self.waited < 2.0
+
+    @property
+    def is_deregistering(self):
+        return 2.0 <= self.waited < 2.3
+
+
+def test_a_stopped_agent_removes_the_entry_of_a_server_that_left(monkeypatch):
+    reducer = StoppingReducer()
+
+    async def sleep(seconds):
+        reducer.waited += seconds
+
+    monkeypatch.setattr(agent_process.asyncio, "sleep", sleep)
+    asyncio.run(agent_process._wait_until_done(reducer, 6.0))
+    assert not reducer.is_deregistering
