Add a failing test of a reset after a change of service

An agent whose server was replaced by one of another service, without Leave, reports only to its new peers.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -22,6 +22,7 @@
 from .kit import Fleet
 from .kit import flow
 from .kit import node
+from .kit import OFFICE
 from .kit import PLACE
 
 LEASE_AND_REMOVAL_S = 12.0
@@ -236,3 +237,16 @@
     monkeypatch.setattr(agent_process.asyncio, "sleep", sleep)
     asyncio.run(agent_process._wait_until_done(reducer, 6.0))
     assert not reducer.is_deregistering
+
+
+def test_unknown_flows_are_reset_after_a_server_of_another_service_took_over():
+    fleet = Fleet()
+    add_agents(fleet, range(10, 14), OFFICE)
+    fleet.run(3.0)
+    fleet.start_server(node("agent", 2), OFFICE)
+    fleet.run(3.0)
+    unknown = flow(99)
+    for _ in range(20):
+        fleet.data(unknown, by=1)
+        fleet.run(0.5)
+    assert resets(fleet, [unknown]) >= 1
