Add a failing test of a reset after a server crashed

A server that crashed beside an agent that had restarted never answers a query, and its agent does not probe it again: no lookup of the service proves absence for one idle time.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -18,6 +18,7 @@
 from medlar_node.relay import agent as agent_process
 
 from .kit import AGENTS
+from .kit import ANNOUNCE_INTERVAL_S
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
@@ -250,3 +251,20 @@
         fleet.data(unknown, by=1)
         fleet.run(0.5)
     assert resets(fleet, [unknown]) >= 1
+
+
+def test_unknown_flows_are_reset_after_a_server_beside_a_new_agent_crashed():
+    fleet = Fleet()
+    route_to(fleet, 2, DESK)
+    address = node("agent", 2)
+    fleet.kill(address)
+    fleet.start_agent(address)
+    fleet.run(2 * ANNOUNCE_INTERVAL_S)
+    fleet.announcements.pop(address)
+    fleet.world.servers[address].handle = lambda segment: []
+    fleet.run(5 * ANNOUNCE_INTERVAL_S)
+    unknown = flow(99)
+    for _ in range(20):
+        fleet.data(unknown, by=1)
+        fleet.run(0.5)
+    assert resets(fleet, [unknown]) >= 1
