Add a failing test of a route moved before a balancer started

Earlier services of a route are known only to balancers that had the earlier configuration.

Evidence: fails on, "assert 20 == 0". No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -55,6 +55,14 @@
     fleet.run(1.0)
 
 
+def two_services():
+    """Return a fleet with agents of a second service without a route."""
+    fleet = Fleet()
+    add_agents(fleet, range(10, 14), OFFICE)
+    fleet.run(3.0)
+    return fleet
+
+
 def forwarded(flow_id):
     """Return the event that a balancer forwarded data of a flow."""
     data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
@@ -268,3 +276,15 @@
         fleet.data(unknown, by=1)
         fleet.run(0.5)
     assert resets(fleet, [unknown]) >= 1
+
+
+def test_a_balancer_started_since_a_route_moved_keeps_its_flows():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    route_to(fleet, 2, OFFICE)
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(3.0)
+    for flow_id in opened:
+        fleet.data(flow_id, by=9, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, opened) == 0
