Add a failing test of a service whose agents were removed

A balancer leaves a further service out of a packet if it knows no agent of it, which the owner takes as proof that it holds no flow.

Evidence: fails on, "assert 20 == 0". No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -288,3 +288,17 @@
         fleet.data(flow_id, by=9, seq=500)
     fleet.run(0.5)
     assert resets(fleet, opened) == 0
+
+
+def test_a_service_whose_agents_were_removed_may_hold_flows():
+    fleet = two_services()
+    route_to(fleet, 2, DESK)
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    desk = [node("agent", number) for number in range(4)]
+    fleet.world.paused.update(desk)
+    fleet.run(LEASE_AND_REMOVAL_S)
+    route_to(fleet, 3, OFFICE)
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, opened) == 0
