Add a failing test of a late bounce

A packet bounced after its lookup or query has expired starts a lookup in the own service alone, without the further services of the route.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -6,6 +6,7 @@
 from medlar_core.events import ServerProbed
 from medlar_core.packets import Flag
 from medlar_core.relay.events import PacketForwarded
+from medlar_core.relay.events import ServerPacketReceived
 from medlar_core.relay.forwarded import ForwardedPacket
 from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import Hello
@@ -302,3 +303,15 @@
         fleet.data(flow_id, by=1, seq=500)
     fleet.run(0.5)
     assert resets(fleet, opened) == 0
+
+
+def test_a_late_bounce_does_not_start_a_lookup_in_one_service_only():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(5)]
+    route_to(fleet, 2, OFFICE)
+    late = FakeCodec().decode(
+        encode(Segment(b"", Flag.ACK | Flag.BOUNCED, *opened[0], 50, 500, 501))
+    )
+    fleet.world.dispatch(node("agent", 10), ServerPacketReceived(late))
+    fleet.run(0.5)
+    assert resets(fleet, opened) == 0
