Add a failing test of a hint to another service

A hint to an agent of another service sends a flow to a lookup that never asks the service of its route. The flow gets no answer until the hint changes.

Evidence: fails on, "assert 1 > 1". No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -9,6 +9,7 @@
 from medlar_core.relay.events import ServerPacketReceived
 from medlar_core.relay.forwarded import ForwardedPacket
 from medlar_core.relay.forwarded import ForwardReason
+from medlar_core.relay.messages import FlowHeld
 from medlar_core.relay.messages import Hello
 from medlar_core.relay.routes import Route
 from medlar_core.relay.routes import RouteTable
@@ -315,3 +316,14 @@
     fleet.world.dispatch(node("agent", 10), ServerPacketReceived(late))
     fleet.run(0.5)
     assert resets(fleet, opened) == 0
+
+
+def test_a_stale_hint_to_an_agent_of_another_service_does_not_hide_a_flow():
+    fleet = two_services()
+    flow_id = fleet.open(1, by=0)
+    held = FlowHeld(flow_id, node("agent", 10))
+    fleet.world.dispatch(node("balancer", 1), Received(held.holder, held))
+    for _ in range(10):
+        fleet.data(flow_id, by=1, seq=500)
+        fleet.run(0.5)
+    assert fleet.answer_count(flow_id) > 1
