Add a failing test of a half-closed flow

The entry of a flow is removed 5 s after the FIN of one end, and the flow is then denied as unknown, though it closes only with the second FIN.

No product code is changed.

--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -327,3 +327,18 @@
         fleet.data(flow_id, by=1, seq=500)
         fleet.run(0.5)
     assert fleet.answer_count(flow_id) > 1
+
+
+def test_a_half_closed_flow_is_kept():
+    fleet = Fleet()
+    route_to(fleet, 2, DESK)
+    address = node("agent", 2)
+    (flow_id, *_) = flows_at(fleet, address)
+    fin = encode(Segment(b"", Flag.FIN | Flag.ACK, *flow_id[::-1], 0, 501, 7))
+    fleet.world.dispatch(
+        address, ServerPacketReceived(FakeCodec().decode(fin))
+    )
+    fleet.run(8.0)
+    fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert resets(fleet, [flow_id]) == 0
