Mark agents by entries only once read since watching the store

Cause: a balancer that began to watch the store, as those before it had lost it, marked agents by the keys that it had read at its start.

Change: it marks none until an answer about the entries has come since it began to watch.

Evidence: test_a_balancer_that_watches_again_reads_the_entries_before_it_marks (a hanging watch of entries) failed before and passes.

--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -42,6 +42,7 @@
 last confirmation of its configuration by the store, is older."""
 
 _NEVER = float("-inf")
+_NEVER_STARTED = float("inf")
 
 RouteReader = Callable[[str], RouteTable]
 """Parses the operators' configuration; raises ValueError if it is invalid."""
@@ -90,7 +91,7 @@
         self._members = members
         self._event_factory = event_factory
         self._entry_keys: set[str] = set()
-        self._hears_store = False
+        self._watching_since = 0.0
         self._configuration = StoreWatcher(
             access,
             Part.CONFIGURATION,
@@ -155,10 +156,7 @@
         The entries that others have read are out of date, and so is what
         they have recorded before.
         """
-        heard_before, self._hears_store = self._hears_store, self._hears(now)
-        if not self._hears_store:
-            if heard_before:
-                self._members.forget_unregistered()
+        if not self._has_current_entries(now):
             return []
         if (
             self._identity.balancers + self._identity.node
@@ -175,14 +173,20 @@
             self._members.mark_unregistered(now, node)
         return effects
 
-    def _hears(self, now: Seconds) -> bool:
-        """Return whether this balancer's view of the entries is current."""
+    def _has_current_entries(self, now: Seconds) -> bool:
+        """Return whether entries were read since this balancer watches.
+
+        When it stops watching, it forgets which entries were missing.
+        """
         age_s = now - self.config_confirmed_at
-        return (
-            self.has_read_entries
-            and self._is_watcher(now)
-            and age_s <= WATCHER_CONFIG_TIMEOUT_S
-        )
+        is_current = age_s <= WATCHER_CONFIG_TIMEOUT_S
+        if not is_current or not self._is_watcher(now):
+            if self._watching_since < _NEVER_STARTED:
+                self._members.forget_unregistered()
+            self._watching_since = _NEVER_STARTED
+            return False
+        self._watching_since = min(self._watching_since, now)
+        return self._entries.synced_at >= self._watching_since
 
     def _is_watcher(self, now: Seconds) -> bool:
         """Return whether this balancer is one that watches the store.
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -4,11 +4,13 @@
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.messages import AgentState
+from medlar_core.store import Watch
 
 from .kit import AGENTS
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
+from .kit import MEMBERS
 from .kit import node
 from .kit import OFFICE
 from .kit import table
@@ -346,3 +348,32 @@
     fleet.world.cut_links.add((agent, last))
     fleet.run(4.0)
     assert agent in fleet.balancers[last].members.agents
+
+
+def test_a_balancer_that_watches_again_reads_the_entries_before_it_marks():
+    fleet = Fleet(balancers=4)
+    fleet.run(25.0)
+    address, last = node("agent", 10), node("balancer", 3)
+    fleet.start_server(address)
+    fleet.start_agent(address)
+    fleet.run(5.0)
+    marked = []
+    members = fleet.balancers[last].members
+    members.mark_unregistered = lambda now, agent: marked.append(agent)
+    others = [node("balancer", number) for number in range(3)]
+    fleet.world.without_store.update(others)
+    hang_watches_of(fleet.world.store, MEMBERS)
+    fleet.run(12.0)
+    assert AGENTS + address in fleet.world.store.items
+    assert marked == []
+
+
+def hang_watches_of(store, prefix):
+    """Let the store answer no further watches of a prefix."""
+    call = store.call
+
+    def hanging_call(op, answered):
+        if not isinstance(op, Watch) or op.prefix != prefix:
+            call(op, answered)
+
+    store.call = hanging_call
