--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -303,7 +303,7 @@
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.lookup.handle_held(now, flow, holder, src)
             case FlowUnknown(flow=flow, view=view):
-                return self._flows.lookup.handle_unknown(flow, src, view)
+                return self._flows.lookup.handle_unknown(now, flow, src, view)
             case EntryMissing():
                 self._registration.handle_missing_entry(now)
                 return self._store_calls(now)
@@ -361,7 +361,7 @@
             effects.append(ProbeServer())
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
-            self.members.expire(now)
+            self.members.expire(now, self.local_server.idle_s)
             effects += self._flows.expire(now, self.local_server.idle_s)
         effects += [
             self._event_factory.removal_event(removal)
--- a/packages/core/src/medlar_core/relay/departures.py
+++ b/packages/core/src/medlar_core/relay/departures.py
@@ -75,8 +75,8 @@
             removal is not None and incarnation <= removal.departed.incarnation
         )
 
-    def notices(self) -> tuple[Departed, ...]:
-        """Return the removals that hello messages name.
+    def notices(self, now: Seconds) -> tuple[Departed, ...]:
+        """Return the recent removals, which hello messages name.
 
         Those that other processes have named are left out, as removals
         would be passed on without end.
@@ -84,7 +84,7 @@
         return tuple(
             removal.departed
             for removal in self._removals.values()
-            if removal.is_own
+            if removal.is_own and now - removal.at <= DEPARTED_RETENTION_S
         )
 
     def lost(
@@ -103,12 +103,12 @@
             and now - removal.heard_at <= idle_s
         ]
 
-    def expire(self, now: Seconds) -> None:
-        """Forget old removals."""
+    def expire(self, now: Seconds, idle_s: float) -> None:
+        """Forget old removals; lost agents only after ``idle_s`` seconds."""
         self._removals = {
             node: removal
             for node, removal in self._removals.items()
-            if now - removal.at <= _retention_s(removal)
+            if now - removal.at <= max(idle_s, _retention_s(removal))
         }
 
     def _own(self, node: NodeId) -> _Removal | None:
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -56,6 +56,11 @@
         since = self._members_known_at
         return since is not None and now - since >= MEMBERS_SETTLE_S
 
+    def lost_agents(self, now: Seconds) -> list[NodeId]:
+        """Return removed agents whose servers may still hold flows."""
+        idle_s = self.local_server.idle_s
+        return self.members.lost_agents(now, self.service, idle_s)
+
     def deliver(
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -121,6 +121,7 @@
             started_at=now,
             awaiting={member.report.id for member in candidates} | delegates,
             local_pending=try_local,
+            view=self._ctx.members.view(self._ctx.service),
             doubt=self._doubt(now, packet),
             packets=[segment],
             sent_to=sent_to,
@@ -136,7 +137,7 @@
             effects.append(self._ctx.deliver_untracked(segment))
         text = f"flows: unknown flow; queried {len(candidates)} agents"
         effects.append(self._ctx.event(flow_id, text))
-        return effects + self._reset_if_absent(flow_id, lookup)
+        return effects + self._reset_if_absent(now, flow_id, lookup)
 
     def handle_query_packet(
         self, now: Seconds, event: PacketForwarded
@@ -148,7 +149,7 @@
         """
         flow_id = event.segment.inward
         if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(event.src, flow_id)]
+            return [self._deny(now, event.src, flow_id)]
         self._pending_queries[flow_id] = _PendingQuery(event.src, now)
         return [self._ctx.deliver_untracked(event.segment)]
 
@@ -164,7 +165,7 @@
         if flow is not None and flow.holder == self._ctx.node:
             return [Send(src, FlowHeld(flow_id, self._ctx.node))]
         if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(src, flow_id)]
+            return [self._deny(now, src, flow_id)]
         return []
 
     def handle_held(
@@ -184,7 +185,7 @@
         return effects
 
     def handle_unknown(
-        self, flow_id: FlowId, src: NodeId, view: int
+        self, now: Seconds, flow_id: FlowId, src: NodeId, view: int
     ) -> list[RelayEffect]:
         """Handle the reply that an agent's server does not hold a flow.
 
@@ -195,10 +196,10 @@
             return []
         lookup.awaiting.discard(src)
         if src in lookup.delegates:
-            return self._reset_if_absent(flow_id, lookup)
-        if view != self._ctx.members.view(self._ctx.service):
-            lookup.doubt = f"{src} knows other members"
-        return self._reset_if_absent(flow_id, lookup)
+            return self._reset_if_absent(now, flow_id, lookup)
+        if view != lookup.view:
+            lookup.doubt = f"{src} knows of other agents"
+        return self._reset_if_absent(now, flow_id, lookup)
 
     def handle_bounced(
         self, now: Seconds, segment: Segment
@@ -207,11 +208,11 @@
         flow_id = segment.inward
         query = self._pending_queries.pop(flow_id, None)
         if query is not None:
-            return [self._deny(query.node, flow_id)]
+            return [self._deny(now, query.node, flow_id)]
         lookup = self._lookups.get(flow_id)
         if lookup is not None:
             lookup.local_pending = False
-            return self._reset_if_absent(flow_id, lookup)
+            return self._reset_if_absent(now, flow_id, lookup)
         packet = ForwardedPacket(
             ForwardReason.ROUTED, self._ctx.service, segment.data
         )
@@ -235,9 +236,15 @@
         effects.append(ctx.event(flow_id, text))
         return effects
 
-    def _deny(self, asker: NodeId, flow_id: FlowId) -> Send:
-        """Reply that the local server does not hold a flow."""
-        view = self._ctx.members.view(self._ctx.service)
+    def _deny(self, now: Seconds, asker: NodeId, flow_id: FlowId) -> Send:
+        """Reply that the local server does not hold a flow.
+
+        While an agent is lost, the reply tells no view, so that it proves
+        nothing to an asker that does not know of that agent.
+        """
+        view = 0
+        if not self._ctx.lost_agents(now):
+            view = self._ctx.members.view(self._ctx.service)
         return Send(asker, FlowUnknown(flow_id, view))
 
     def _query(self, member: Member, segment: Segment) -> RelayEffect:
@@ -248,20 +255,21 @@
         return self._ctx.forward(node, ForwardReason.LOOKUP, segment)
 
     def _reset_if_absent(
-        self, flow_id: FlowId, lookup: Lookup
+        self, now: Seconds, flow_id: FlowId, lookup: Lookup
     ) -> list[RelayEffect]:
         """Reset a flow once the replies prove that no server holds it.
 
-        If there is a doubt, the flow's next packet is looked up anew.
+        In doubt, the flow is looked up anew by a packet that comes after
+        ``REPLY_TIMEOUT_S``.
         """
         if not lookup.is_complete:
             return []
-        self._lookups.remove(flow_id)
         if lookup.doubt:
             text = f"flows: no holder found, not reset: {lookup.doubt}"
             return [self._ctx.event(flow_id, text)]
+        self._lookups.remove(flow_id)
         if lookup.asker:
-            return [self._deny(lookup.asker, flow_id)]
+            return [self._deny(now, lookup.asker, flow_id)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
     def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
@@ -272,9 +280,7 @@
             return f"it is routed to {packet.service}"
         if len(packet.other_owners) < len(packet.other_services):
             return "no agent of another service of its route is known"
-        lost = self._ctx.members.lost_agents(
-            now, self._ctx.service, self._ctx.local_server.idle_s
-        )
+        lost = self._ctx.lost_agents(now)
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -125,7 +125,7 @@
             version=self._routes.version,
             agents=tuple(included),
             peers=self._next_balancers(),
-            departed=self._members.departed(),
+            departed=self._members.departed(now),
             idle_s=table.idle_s if table else 0.0,
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -32,6 +32,8 @@
     """Agents that have not replied."""
     local_pending: bool
     """Whether the local server may still hold the flow."""
+    view: int
+    """The asker's view of the members when it sent the queries."""
     doubt: str
     """Why the flow may be held though all replies deny it; else empty."""
     packets: list[Segment]
@@ -98,14 +100,21 @@
         return self._lookups.pop(flow_id, None)
 
     def expire(self, now: Seconds) -> list[IncompleteLookup]:
-        """Remove and return lookups that are older than their TTL."""
-        late = [
+        """Remove lookups that are older than their TTL.
+
+        Returns those that lack replies.
+        """
+        late = {
+            flow_id: lookup
+            for flow_id, lookup in self._lookups.items()
+            if now - lookup.started_at > LOOKUP_TTL_S
+        }
+        for flow_id in late:
+            del self._lookups[flow_id]
+        return [
             IncompleteLookup(
                 flow_id, tuple(sorted(lookup.awaiting)), lookup.local_pending
             )
-            for flow_id, lookup in self._lookups.items()
-            if now - lookup.started_at > LOOKUP_TTL_S
+            for flow_id, lookup in late.items()
+            if not lookup.is_complete
         ]
-        for expired in late:
-            del self._lookups[expired.flow_id]
-        return late
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -243,8 +243,11 @@
             if member.unregistered_at is not None:
                 member.unregistered_at += seconds
 
-    def expire(self, now: Seconds) -> None:
-        """Remove expired members."""
+    def expire(self, now: Seconds, idle_s: float = 0.0) -> None:
+        """Remove expired members.
+
+        An agent remembers lost agents while flows may idle, ``idle_s``.
+        """
         expired = [
             m.report for m in self.agents.values() if _is_expired(now, m)
         ]
@@ -265,7 +268,7 @@
             for node, at in self.config_confirmed_at.items()
             if node in self.balancers
         }
-        self._departures.expire(now)
+        self._departures.expire(now, idle_s)
 
     def of(self, service: ServiceName) -> list[Member]:
         """Return the known agents of a service."""
@@ -319,9 +322,9 @@
         """Return removed agents whose servers may still hold flows."""
         return self._departures.lost(now, service, idle_s)
 
-    def departed(self) -> tuple[Departed, ...]:
+    def departed(self, now: Seconds) -> tuple[Departed, ...]:
         """Return the agents that were removed recently."""
-        return self._departures.notices()
+        return self._departures.notices(now)
 
     def _is_removed(self, report: AgentReport, direct: bool) -> bool:
         if direct:
