--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -123,6 +123,9 @@
 
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Handle one event and return the effects to carry out."""
+        pause_s = self._pause_detector.record_event(now)
+        if pause_s:
+            self._exclude_pause(now, pause_s)
         match event:
             case PacketForwarded(segment=segment) if segment.flags & _SYN:
                 return self._flows.handle_syn(now, event, self.report(now))
@@ -315,11 +318,11 @@
         if msg.id not in self.members.balancers:
             self._balancer_reports.make_due()
         self.members.apply_hello(now, msg)
+        if msg.version >= self._event_factory.version and msg.idle_s:
+            self.local_server.idle_s = msg.idle_s
         self._event_factory.version = max(
             self._event_factory.version, msg.version
         )
-        if msg.idle_s:
-            self.local_server.idle_s = msg.idle_s
         for report in msg.agents:
             if report.id == self._identity.node:
                 self._supersede(report)
@@ -350,11 +353,17 @@
             self._peer_reports.make_due()
             self._balancer_reports.make_due()
 
+    def _exclude_pause(self, now: Seconds, pause_s: float) -> None:
+        """Handle that this process did not run for ``pause_s`` seconds.
+
+        Others may have joined meanwhile.
+        """
+        self.local_server.exclude_pause(pause_s)
+        self.members.exclude_pause(now, pause_s)
+        self._ctx.forget_members_known()
+
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
-        pause_s = self._pause_detector.record_tick(now)
-        if pause_s:
-            self.local_server.exclude_pause(pause_s)
-            self.members.exclude_pause(now, pause_s)
+        self._pause_detector.record_tick(now)
         effects = self._update_state(now)
         if self.local_server.server is None and now >= self._probe_at:
             self._probe_at = now + PROBE_INTERVAL_S
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -51,6 +51,10 @@
         if self._members_known_at is None:
             self._members_known_at = now
 
+    def forget_members_known(self) -> None:
+        """Require another hello message before all members are known."""
+        self._members_known_at = None
+
     def knows_all_members(self, now: Seconds) -> bool:
         """Return whether this agent knows all members of its service."""
         since = self._members_known_at
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -19,7 +19,6 @@
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
 from .members import Member
-from .messages import AgentState
 from .messages import FlowAsked
 from .messages import FlowHeld
 from .messages import FlowUnknown
@@ -101,7 +100,11 @@
         if self._lookups.is_full():
             text = "flows: packet dropped: too many lookups in progress"
             return [self._ctx.event(flow_id, text)]
-        candidates = self._candidates()
+        candidates = [
+            member
+            for member in self._ctx.members.of(self._ctx.service)
+            if _may_hold_flows(now, member)
+        ]
         sent_to = {
             m.report.id for m in candidates if not m.report.knows_all_flows
         }
@@ -285,14 +288,6 @@
             return f"{lost[0]} was removed, its server may still run"
         return ""
 
-    def _candidates(self) -> list[Member]:
-        """Return the agents of the own service that may hold a flow."""
-        return [
-            member
-            for member in self._ctx.members.of(self._ctx.service)
-            if not _has_no_server(member)
-        ]
-
 
 def _delegations(packet: ForwardedPacket) -> list[RelayEffect]:
     """Ask an agent of each other service for a lookup in its service."""
@@ -320,7 +315,10 @@
     ]
 
 
-def _has_no_server(member: Member) -> bool:
-    """Return whether an agent's probe found no server."""
-    report = member.report
-    return report.state is AgentState.STARTING and report.knows_all_flows
+def _may_hold_flows(now: Seconds, member: Member) -> bool:
+    """Return whether an agent's server may hold flows.
+
+    An agent without a server denies all flows. It is not waited for if it
+    is silent, as its instance may be gone.
+    """
+    return not (member.report.has_no_server and member.is_silent(now))
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -338,7 +338,7 @@
         if member is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
-        is_final = cause is RemovalCause.SERVER_ENDED
+        is_final = cause is RemovalCause.SERVER_ENDED or report.has_no_server
         departed = Departed(
             report.id,
             report.incarnation,
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -63,6 +63,11 @@
         """Orders the reports of one agent."""
         return (self.incarnation, self.count)
 
+    @property
+    def has_no_server(self) -> bool:
+        """Whether nothing ran yet at the address of the agent's server."""
+        return self.state is AgentState.STARTING and self.knows_all_flows
+
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Load figures of an agent whose last report is otherwise unchanged.
--- a/packages/core/src/medlar_core/relay/pause_detector.py
+++ b/packages/core/src/medlar_core/relay/pause_detector.py
@@ -14,6 +14,14 @@
 
     def record_tick(self, now: Seconds) -> float:
         """Record a tick; return the seconds of a pause before it, or 0."""
+        pause_s = self.record_event(now)
+        self._ticked_at = now
+        return pause_s
+
+    def record_event(self, now: Seconds) -> float:
+        """Return the seconds of a pause that ends with this event, or 0."""
         gap_s = now - self._ticked_at
+        if gap_s <= MIN_PAUSE_S:
+            return 0.0
         self._ticked_at = now
-        return gap_s if gap_s > MIN_PAUSE_S else 0.0
+        return gap_s
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -36,8 +36,9 @@
 """Time in which peers receive the message that the agent restarts."""
 DEREGISTRATION_LIMIT_S = 1.5
 """Limit for removing the store entry of a server that left."""
-EXIT_MARGIN_S = 1.0
-"""An agent that is asked to stop ends so long before it would be killed."""
+EXIT_MARGIN_S = 2.0
+"""An agent that is asked to stop relays flows until so long before it would
+be killed; more than the time to remove its entry."""
 POLL_INTERVAL_S = 0.1
 
 log = part_logger("agent")
@@ -132,10 +133,19 @@
     that left, and to relay the flows of a draining one until it ends.
     """
     drain_limit_s = grace_s - EXIT_MARGIN_S
-    await asyncio.sleep(RESTART_NOTICE_S)
+    waited = await _notify_peers()
+    if reducer.has_draining_flows:
+        while waited < drain_limit_s and reducer.has_draining_flows:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            waited += POLL_INTERVAL_S
+        await _notify_peers()
     waited = RESTART_NOTICE_S
-    while (waited < drain_limit_s and reducer.has_draining_flows) or (
-        waited < DEREGISTRATION_LIMIT_S and reducer.is_deregistering
-    ):
+    while waited < DEREGISTRATION_LIMIT_S and reducer.is_deregistering:
         await asyncio.sleep(POLL_INTERVAL_S)
         waited += POLL_INTERVAL_S
+
+
+async def _notify_peers() -> float:
+    """Wait until peers have the last reports; return the seconds waited."""
+    await asyncio.sleep(RESTART_NOTICE_S)
+    return RESTART_NOTICE_S
