--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -52,7 +52,7 @@
 BALANCER_REPORT_INTERVAL_S = 0.2
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
-"""Used until the server has announced itself."""
+"""Used while the server does not announce itself."""
 
 _SYN = int(Flag.SYN)
 
@@ -232,9 +232,13 @@
         if not self.local_server.handle_probe(now, alive):
             return []
         text = "listens" if alive else "does not listen"
+        known = self.local_server.server is not None
+        since = (
+            "no longer announces itself" if known else "no announcement yet"
+        )
         event = self._event_factory.state_event(
             Topic.MEMBERSHIP,
-            f"members: server {text}; no announcement yet",
+            f"members: server {text}; {since}",
             self._ctx.service,
             self._identity.node,
         )
@@ -291,7 +295,10 @@
         match msg:
             case AgentReport():
                 self.members.apply_report(now, msg, direct=msg.id == src)
-                return self._report_to_new_members(now)
+                return [
+                    *self._report_to_new_members(now),
+                    *self._correct_service(now, src, msg),
+                ]
             case LoadReport():
                 if not self.members.apply_load(now, src, msg):
                     return [Send(src, ReportAsked())]
@@ -343,6 +350,17 @@
         own_report = self.report(now)
         return [Send(node, own_report) for node in new_members]
 
+    def _correct_service(
+        self, now: Seconds, src: NodeId, msg: AgentReport
+    ) -> list[RelayEffect]:
+        """Reply to an agent that takes this one for one of its service.
+
+        The local server may have been replaced by one of another service.
+        """
+        if msg.id != src or msg.service == self._ctx.service:
+            return []
+        return [Send(src, OtherService(msg.service, self.report(now)))]
+
     def _supersede(self, report: AgentReport) -> None:
         """Use a higher incarnation than an earlier process at this address.
 
@@ -365,7 +383,7 @@
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
         self._pause_detector.record_tick(now)
         effects = self._update_state(now)
-        if self.local_server.server is None and now >= self._probe_at:
+        if self.local_server.needs_probe(now) and now >= self._probe_at:
             self._probe_at = now + PROBE_INTERVAL_S
             effects.append(ProbeServer())
         if now >= self._expire_at:
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -138,8 +138,8 @@
         self, now: Seconds, segment: Segment
     ) -> list[RelayEffect]:
         """Handle a packet of a flow that the local server does not hold."""
-        self._remove_local(segment)
-        return self.lookup.handle_bounced(now, segment)
+        was_local = self._remove_local(segment) is not None
+        return self.lookup.handle_bounced(now, segment, was_local)
 
     def _remove_local(self, segment: Segment) -> Flow | None:
         """Remove and return a flow whose holder is this agent in the table."""
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -153,7 +153,7 @@
         services = self.routes.services(flow_id)
         if not services:
             return self._handle_unknown_address(now, segment)
-        dst = self._hinted_holder(now, flow_id, segment)
+        dst = self._hinted_holder(flow_id, segment, services)
         if dst is None:
             owners = self._owners.get(services[0])
             if owners is None or not owners.ids:
@@ -163,16 +163,16 @@
             ranked = owners.ranked(flow_id.key)
             dst = self._responsive_owner(now, ranked, segment)
         is_new = bool(segment.flags & _SYN)
-        others = () if is_new else self._other_owners(flow_id, services)
+        others = {} if is_new else self._other_owners(now, flow_id, services)
         packet = ForwardedPacket(
             int(ForwardReason.ROUTED),
             services[0],
             segment.data,
             (),
-            tuple(service for service, _ in others),
+            tuple(others),
             low_priority=is_new
             and self.routes.has_low_priority(flow_id, services[0]),
-            other_owners=tuple(owner for _, owner in others),
+            other_owners=tuple(filter(None, others.values())),
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
@@ -187,23 +187,30 @@
         return [ForwardToAgent(dst, packet), event]
 
     def _other_owners(
-        self, flow_id: FlowId, services: tuple[ServiceName, ...]
-    ) -> tuple[tuple[ServiceName, NodeId], ...]:
+        self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
+    ) -> dict[ServiceName, NodeId | None]:
         """Return an agent of each further service that may hold a flow.
 
-        A service without agents holds none.
+        A service without agents holds none, unless it has lost ones.
         """
-        found = []
+        found: dict[ServiceName, NodeId | None] = {}
         for service in services[1:]:
             owners = self._owners.get(service)
             if owners is not None and owners.ids:
-                found.append((service, owners.ranked(flow_id.key)[0]))
-        return tuple(found)
+                found[service] = owners.ranked(flow_id.key)[0]
+            elif self.members.lost_agents(now, service, self.routes.idle_s):
+                found[service] = None
+        return found
 
     def _hinted_holder(
-        self, now: Seconds, flow_id: FlowId, segment: Segment
+        self,
+        flow_id: FlowId,
+        segment: Segment,
+        services: tuple[ServiceName, ...],
     ) -> NodeId | None:
-        """Return the cached holder of an open flow, if it is a known agent.
+        """Return the cached holder of an open flow.
+
+        None if it is not a known agent of the services of its route.
 
         A SYN opens a flow anew, so it removes the hint.
         """
@@ -214,7 +221,7 @@
         if holder is None:
             return None
         member = self.members.agents.get(holder)
-        if member is None:
+        if member is None or member.report.service not in services:
             self._hints.remove(flow_id)
             return None
         return holder
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -205,9 +205,14 @@
         return self._reset_if_absent(now, flow_id, lookup)
 
     def handle_bounced(
-        self, now: Seconds, segment: Segment
+        self, now: Seconds, segment: Segment, was_local: bool
     ) -> list[RelayEffect]:
-        """Handle a packet of a flow that the local server does not hold."""
+        """Handle a packet of a flow that the local server does not hold.
+
+        ``was_local`` tells that the table named this server as the holder.
+        Otherwise the packet answers a query that has ended, and the flow's
+        route is not known here: its next packet starts a lookup.
+        """
         flow_id = segment.inward
         query = self._pending_queries.pop(flow_id, None)
         if query is not None:
@@ -216,6 +221,8 @@
         if lookup is not None:
             lookup.local_pending = False
             return self._reset_if_absent(now, flow_id, lookup)
+        if not was_local:
+            return []
         packet = ForwardedPacket(
             ForwardReason.ROUTED, self._ctx.service, segment.data
         )
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -36,7 +36,9 @@
     when it last sent new data, ``opened_at`` when its latest SYN was
     delivered. A flow is ``busy`` while a request has no response,
     ``accepted`` once the server has answered its SYN and ``established``
-    once the caller has sent a packet after the SYN. ``declined`` names
+    once the caller has sent a packet after the SYN. It is ``closed`` once
+    either end has sent its last packet; ``caller_done`` and ``server_done``
+    tell which. ``declined`` names
     agents whose servers did not accept it, ``via`` is the balancer that
     knows the holder. ``low_priority`` is set if room has to be left
     at a server for flows of higher priority.
@@ -53,6 +55,8 @@
     accepted: bool = False
     established: bool = False
     closed: bool = False
+    caller_done: bool = False
+    server_done: bool = False
     declined: tuple[NodeId, ...] = ()
     via: NodeId = NodeId("")
     low_priority: bool = False
@@ -127,7 +131,10 @@
             flow.sent_seq = end
             flow.last_data_at = now
             self._set_busy(flow, True)
+        if segment.flags & _END_FLAGS:
+            flow.caller_done = True
         if segment.flags & Flag.RST:
+            flow.server_done = True
             self._close(flow)
 
     def record_server_packet(
@@ -141,7 +148,10 @@
             flow.request_seq = flow.sent_seq
             self._set_busy(flow, False)
         if segment.flags & _END_FLAGS:
+            flow.server_done = True
             self._close(flow)
+        if segment.flags & Flag.RST:
+            flow.caller_done = True
 
     def local_flows(self) -> Iterator[tuple[FlowId, Flow]]:
         """Yield the flows that the local server holds and that are open."""
@@ -154,7 +164,7 @@
         expired = []
         for flow_id, flow in self._flows.items():
             idle_for_s = now - flow.last_packet_at
-            if idle_for_s > (CLOSED_TTL_S if flow.closed else idle_s):
+            if idle_for_s > _time_to_live_s(flow, idle_s):
                 expired.append(flow_id)
             elif flow.busy and idle_for_s > _busy_timeout(flow):
                 self._set_busy(flow, False)
@@ -181,5 +191,14 @@
     )
 
 
+def _time_to_live_s(flow: Flow, idle_s: float) -> float:
+    """Return after how many idle seconds an entry is removed.
+
+    A flow is open until both ends have sent their last packet.
+    """
+    is_done = flow.caller_done and flow.server_done
+    return min(CLOSED_TTL_S, idle_s) if is_done else idle_s
+
+
 def _busy_timeout(flow: Flow) -> float:
     return REQUEST_TIMEOUT_S if flow.established else HALF_OPEN_TIMEOUT_S
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -118,7 +118,6 @@
             start = self._rotation % len(reports)
             self._rotation += limit
         included = (reports[start:] + reports[:start])[:limit]
-        table = self._routes.table
         return Hello(
             id=self._identity.node,
             place=self._identity.place,
@@ -126,7 +125,7 @@
             agents=tuple(included),
             peers=self._next_balancers(),
             departed=self._members.departed(now),
-            idle_s=table.idle_s if table else 0.0,
+            idle_s=self._routes.idle_s,
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
         )
--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -56,17 +56,22 @@
     def handle_probe(self, now: Seconds, is_listening: bool) -> bool:
         """Record whether anything listens at the server's address.
 
-        Used only before the first announcement: a server that is not
-        running holds no flows. Returns whether the result has changed.
+        A server that is not running holds no flows. Returns whether the
+        result has changed.
         """
-        if self.server is not None:
+        if not self.needs_probe(now):
             return False
         has_changed = is_listening is not self._is_listening
-        self._was_absent = self._was_absent or not is_listening
         self._is_listening = is_listening
-        self._presume_from_entry(now)
+        if self.server is None:
+            self._was_absent = self._was_absent or not is_listening
+            self._presume_from_entry(now)
         return has_changed
 
+    def needs_probe(self, now: Seconds) -> bool:
+        """Return whether only a probe tells if the server runs."""
+        return self.server is None or self.state(now) is AgentState.DOWN
+
     def restore_entry(self, now: Seconds, entry: AgentReport) -> None:
         """Record the store entry of an earlier process of this agent."""
         if self.server is None:
@@ -109,6 +114,7 @@
         """
         known = self.server
         cold_until = now + event.cold_s
+        self._is_listening = None
         if known is not None and self._is_same(event):
             if event.sequence <= known.sequence:
                 return None
@@ -181,6 +187,8 @@
             return self._was_absent
         if server.all_flows_known or server.phase is ServerPhase.LEFT:
             return True
+        if self.state(now) is AgentState.DOWN and self._is_listening is False:
+            return True
         return now - server.observed_since > self.idle_s
 
     def _is_same(self, event: ServerAnnounced) -> bool:
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/routes.py
@@ -62,6 +62,11 @@
         """Version in force, 0 before the first."""
         return self.table.version if self.table else 0
 
+    @property
+    def idle_s(self) -> float:
+        """How long a flow may be idle, 0 before the first configuration."""
+        return self.table.idle_s if self.table else 0.0
+
     def apply(self, table: RouteTable) -> bool:
         """Put a route table in force if it is newer than the current one.
 
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -11,6 +11,7 @@
 from medlar_core.effects import Send
 from medlar_core.events import Received
 from medlar_core.events import Reducer
+from medlar_core.events import ServerProbed
 from medlar_core.events import StoreAnswered
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
@@ -20,6 +21,7 @@
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import ForwardToAgent
+from medlar_core.relay.effects import ProbeServer
 from medlar_core.relay.effects import SendToCaller
 from medlar_core.relay.events import CallerPacketReceived
 from medlar_core.relay.events import PacketForwarded
@@ -152,7 +154,7 @@
                 self._send(src, dst, PacketForwarded(src, packet, segment))
             case Send(dst=dst, msg=msg):
                 self._send(src, dst, Received(src, msg))
-            case DeliverToServer(data=data):
+            case DeliverToServer(data=data) if src in self.servers:
                 for segment in self.servers[src].handle(
                     self._codec.decode(data)
                 ):
@@ -160,6 +162,9 @@
                     self._dispatch_later(src, ServerPacketReceived(sent))
             case SendToCaller(data=data):
                 self.caller_packets.append(self._codec.decode(data))
+            case ProbeServer():
+                alive = src in self.servers
+                self._dispatch_later(src, ServerProbed(alive, ready=False))
             case CallStore(call=call, op=op):
                 self._call_store(src, call, op)
             case FetchRoutes(src=peer):
--- a/testing/core/relay/test_review.py
+++ b/testing/core/relay/test_review.py
@@ -271,7 +271,7 @@
     fleet.start_agent(address)
     fleet.run(2 * ANNOUNCE_INTERVAL_S)
     fleet.announcements.pop(address)
-    fleet.world.servers[address].handle = lambda segment: []
+    fleet.world.servers.pop(address)
     fleet.run(5 * ANNOUNCE_INTERVAL_S)
     unknown = flow(99)
     for _ in range(20):
