Notify a balancer again that lacks the holder of a flow

Cause: an agent notified a balancer of a flow's holder once and took it to know the holder from then on.

Change: an agent notifies the balancer of a packet that it had to forward again once its last notice is 0.1 s old.

The new test fails before the change with 144 packets forwarded where 90 suffice.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -26,6 +26,10 @@
 outdated table entries; its holder is looked up again."""
 MAX_HOPS = 12
 """A packet forwarded by more agents is dropped."""
+NOTICE_INTERVAL_S = 0.1
+"""Time between two notices of a flow's holder to one balancer: longer than a
+notice takes. A balancer that still sends the flow's packets here after it
+has no notice, as it was restarted or the notice was lost."""
 
 _SYN = int(Flag.SYN)
 
@@ -171,7 +175,8 @@
     ) -> list[RelayEffect]:
         """Forward a packet to the holder of its flow.
 
-        The balancer that sent it is notified of the holder.
+        The balancer that sent it is notified of the holder, unless a
+        notice is on its way.
         """
         flow.last_packet_at = now
         hops = event.packet.hops + 1
@@ -184,14 +189,15 @@
                 hops,
             )
         ]
-        if (
-            event.packet.reason == ForwardReason.ROUTED
-            and event.src != flow.via
-        ):
-            flow.via = event.src
-            held = FlowHeld(event.segment.inward, flow.holder)
-            effects.append(Send(event.src, held))
-        return effects
+        if event.packet.reason != ForwardReason.ROUTED:
+            return effects
+        is_notified = now - flow.notified_at < NOTICE_INTERVAL_S
+        if event.src == flow.via and is_notified:
+            return effects
+        flow.via = event.src
+        flow.notified_at = now
+        held = FlowHeld(event.segment.inward, flow.holder)
+        return [*effects, Send(event.src, held)]
 
     def _handle_local_syn(
         self,
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -38,8 +38,8 @@
     ``accepted`` once the server has answered its SYN and ``established``
     once the caller has sent a packet after the SYN. ``declined`` names
     agents whose servers did not accept it, ``via`` is the balancer that
-    knows the holder. ``low_priority`` is set if room has to be left
-    at a server for flows of higher priority.
+    was last notified of the holder, at ``notified_at``. ``low_priority``
+    is set if room has to be left at a server for flows of higher priority.
     """
 
     holder: NodeId
@@ -55,6 +55,7 @@
     closed: bool = False
     declined: tuple[NodeId, ...] = ()
     via: NodeId = NodeId("")
+    notified_at: float = 0.0
     low_priority: bool = False
 
 
@@ -92,7 +93,7 @@
     ) -> Flow:
         """Add a flow with its holder; replaces an earlier entry."""
         self.remove(flow_id)
-        flow = Flow(holder, now, now, declined=declined)
+        flow = Flow(holder, now, now, declined=declined, notified_at=now)
         self._flows[flow_id] = flow
         if holder == self._node:
             self.open_count += 1
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -1,5 +1,7 @@
 """Flows through balancers and agents: placement, lookup and resets."""
 
+import itertools
+
 import pytest
 
 from medlar_core.events import StopAsked
@@ -7,6 +9,7 @@
 from medlar_core.relay.flow_lookup import QUERY_PACKETS_BURST
 from medlar_core.relay.flow_lookup import QUERY_PACKETS_PER_S
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.segment import FlowId
 from medlar_fakes.relay import FakeServer
 
 from .kit import ANNOUNCE_INTERVAL_S
@@ -217,6 +220,24 @@
         assert fleet.packet_count(flow_id, Flag.RST) == 0
 
 
+def _send_data(fleet: Fleet, flows: list[FlowId], by: int) -> None:
+    """Send three packets of each flow through a balancer."""
+    for number, flow_id in itertools.product(range(3), flows):
+        fleet.data(flow_id, by, 1_000 * (by + 1) + 100 * number)
+        fleet.run(0.01)
+
+
+def test_a_restarted_balancer_is_notified_again_of_holders():
+    fleet = Fleet()
+    opened = [fleet.open(number) for number in range(30)]
+    fleet.start_balancer(node("balancer", 0))
+    fleet.run(3.0)
+    _send_data(fleet, opened, by=0)
+    forwarded = fleet.world.forward_count
+    _send_data(fleet, opened, by=0)
+    assert fleet.world.forward_count - forwarded == 3 * len(opened)
+
+
 def test_a_flow_that_all_servers_decline_is_refused_at_once():
     fleet = Fleet()
     for server in fleet.world.servers.values():
