Notify the agent before of a flow's holder

Cause: a flow that several servers declined leaves a chain of table entries. Its agents were not notified of the holder, so each balancer that got the flow's packets later sent the first ones through the whole chain, whose fourth agent looked the holder up each time.

Change: an agent that forwards a packet of a flow, or finds its holder by a lookup, notifies the process that sent the packet, balancer or agent. An agent changes its entry only if it names the sender of the notice. A message that names another holder than its sender is a notice and ends no lookup; replies always name their sender. No new message or field.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -294,7 +294,7 @@
             case FlowAsked(flow=flow):
                 return self._flows.lookup.handle_query(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
-                return self._flows.lookup.handle_held(now, flow, holder)
+                return self._flows.lookup.handle_held(now, flow, holder, src)
             case FlowUnknown(flow=flow):
                 return self._flows.lookup.handle_unknown(now, flow, src)
             case EntryMissing():
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -69,7 +69,7 @@
         if event.src == flow.holder or packet.hops >= MAX_HOPS_BEFORE_LOOKUP:
             # The tables of the agents disagree and form a forwarding loop.
             self._ctx.table.remove(flow_id)
-            return self.lookup.start(now, event.segment, packet)
+            return self.lookup.start(now, event.segment, packet, event.src)
         return self._forward_to_holder(now, event, flow)
 
     def handle_syn(
@@ -175,29 +175,39 @@
     ) -> list[RelayEffect]:
         """Forward a packet to the holder of its flow.
 
-        The balancer that sent it is notified of the holder, unless a
-        notice is on its way.
+        The process that sent it is notified of the holder.
         """
         flow.last_packet_at = now
         hops = event.packet.hops + 1
-        effects: list[RelayEffect] = [
-            self._ctx.forward(
-                flow.holder,
-                ForwardReason.PLACED,
-                event.segment,
-                flow.declined,
-                hops,
-            )
-        ]
+        packet = self._ctx.forward(
+            flow.holder,
+            ForwardReason.PLACED,
+            event.segment,
+            flow.declined,
+            hops,
+        )
+        return [packet, *self._notify_sender(now, event, flow)]
+
+    def _notify_sender(
+        self, now: Seconds, event: PacketForwarded, flow: Flow
+    ) -> list[RelayEffect]:
+        """Notify the process that sent a packet here of the flow's holder.
+
+        A balancer is not notified while a notice is on its way, and an
+        agent not for a SYN, whose flow may still be placed elsewhere.
+        """
         if event.packet.reason != ForwardReason.ROUTED:
-            return effects
-        is_notified = now - flow.notified_at < NOTICE_INTERVAL_S
-        if event.src == flow.via and is_notified:
-            return effects
-        flow.via = event.src
-        flow.notified_at = now
-        held = FlowHeld(event.segment.inward, flow.holder)
-        return [*effects, Send(event.src, held)]
+            if event.segment.flags & _SYN:
+                return []
+        elif (
+            event.src == flow.via
+            and now - flow.notified_at < NOTICE_INTERVAL_S
+        ):
+            return []
+        else:
+            flow.via = event.src
+            flow.notified_at = now
+        return [Send(event.src, FlowHeld(event.segment.inward, flow.holder))]
 
     def _handle_local_syn(
         self,
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -83,8 +83,9 @@
         """Query all agents that may hold a flow; queue its packets.
 
         A packet of a flow whose lookup is in progress is only queued.
-        ``via`` is the balancer to notify of the holder; ``local_denied``
-        is set if the local server has bounced the packet.
+        ``via`` is the process that sent the packet here and is notified of
+        the holder; ``local_denied`` is set if the local server has bounced
+        the packet.
         """
         flow_id = segment.inward
         if segment.flags & Flag.RST:
@@ -121,7 +122,7 @@
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
-            via=via if packet.reason == ForwardReason.ROUTED else NO_NODE,
+            via=via,
         )
         self._lookups.add(flow_id, lookup)
         effects = [self._query(member, segment) for member in candidates]
@@ -161,11 +162,18 @@
         return []
 
     def handle_held(
-        self, now: Seconds, flow_id: FlowId, holder: NodeId
+        self, now: Seconds, flow_id: FlowId, holder: NodeId, src: NodeId
     ) -> list[RelayEffect]:
-        """Handle the reply that an agent's server holds a flow."""
+        """Handle the reply that an agent's server holds a flow.
+
+        If the sender names another agent, it is a notice of one that had
+        to forward a packet of the flow, and no reply.
+        """
+        if holder != src:
+            self._ctx.table.redirect(flow_id, src, holder)
+            return []
         lookup = self._lookups.remove(flow_id)
-        if lookup is None or holder == self._ctx.node:
+        if lookup is None:
             return []
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -99,6 +99,12 @@
             self.open_count += 1
         return flow
 
+    def redirect(self, flow_id: FlowId, old: NodeId, new: NodeId) -> None:
+        """Change the holder of a flow from one other agent to another."""
+        flow = self._flows.get(flow_id)
+        if flow is not None and flow.holder == old and new != self._node:
+            flow.holder = new
+
     def remove(self, flow_id: FlowId) -> None:
         """Remove a flow, if it is known."""
         flow = self._flows.pop(flow_id, None)
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -39,7 +39,7 @@
     """Agents that were sent the first queued packet as the query."""
     acked_seq: int
     via: NodeId
-    """The balancer to notify of the holder, empty for none."""
+    """The process to notify of the holder, empty for none."""
 
     def packets_for(self, holder: NodeId) -> list[Segment]:
         """Return the queued packets that the holder does not have yet."""
