Do less work in each tick

Cause: at each tick, ten times a second, an agent built a full report only to compare its state, and the lists of all peers and balancers although a round of reports was seldom due; a balancer went through the agents once for each service and sorted their ids; both sorted each report's age into the histogram one by one.

Change: compare the state alone, build the lists when a round is due, go through the agents once, sort the ids only if they have changed, and count the ages of a tick together. Decisions, intervals and metrics are the same.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -156,9 +156,6 @@
     def report(self, now: Seconds) -> AgentReport:
         """Return a new report of this agent; each has a higher count."""
         server = self.local_server.server
-        state = self.local_server.state(now)
-        if self._stopping and state is not AgentState.GONE:
-            state = AgentState.RESTARTING
         self._report_count += 1
         return AgentReport(
             id=self._identity.node,
@@ -166,7 +163,7 @@
             service=self._ctx.service,
             incarnation=self._incarnation,
             count=self._report_count,
-            state=state,
+            state=self._state(now),
             slots=server.slots if server else 1,
             busy=self._ctx.table.busy_count,
             waiting=self._ctx.table.waiting_count(now),
@@ -177,6 +174,13 @@
             server_born=server.born_ms if server else 0,
         )
 
+    def _state(self, now: Seconds) -> AgentState:
+        """Return the current state of this agent."""
+        state = self.local_server.state(now)
+        if self._stopping and state is not AgentState.GONE:
+            return AgentState.RESTARTING
+        return state
+
     def _handle_store_answer(
         self, now: Seconds, event: StoreAnswered
     ) -> list[RelayEffect]:
@@ -251,9 +255,9 @@
 
     def _update_state(self, now: Seconds) -> list[RelayEffect]:
         """Report and register a change of the agent's state at once."""
-        report = self.report(now)
-        if report.state is self._reported_state:
+        if self._state(now) is self._reported_state:
             return []
+        report = self.report(now)
         old, self._reported_state = self._reported_state, report.state
         if old is AgentState.GONE:
             # Members ignore reports of an incarnation that they removed as
@@ -323,6 +327,8 @@
 
     def _report_to_new_members(self, now: Seconds) -> list[RelayEffect]:
         """Send a report to new members of the own service."""
+        if not self.members.new_agents:
+            return []
         new_members = [
             report.id
             for report in self.members.pop_new_agents()
@@ -361,16 +367,18 @@
         return effects
 
     def _send_reports(self, now: Seconds) -> list[RelayEffect]:
-        peers = [m.report.id for m in self.members.of(self._ctx.service)]
-        balancers = list(self.members.balancers) or list(self._seeds)
+        effects: list[RelayEffect] = []
 
         def report() -> AgentReport:
             return self.report(now)
 
-        return [
-            *self._peer_reports.due(now, peers, report),
-            *self._balancer_reports.due(now, balancers, report),
-        ]
+        if self._peer_reports.is_due(now):
+            peers = [m.report.id for m in self.members.of(self._ctx.service)]
+            effects += self._peer_reports.due(now, peers, report)
+        if self._balancer_reports.is_due(now):
+            balancers = list(self.members.balancers) or list(self._seeds)
+            effects += self._balancer_reports.due(now, balancers, report)
+        return effects
 
     def _update_registration(self, report: AgentReport) -> None:
         if report.state in (AgentState.GONE, AgentState.STARTING):
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -30,6 +30,7 @@
 from .forwarded import ForwardReason
 from .hello_sender import HelloSender
 from .hints import Hints
+from .members import Member
 from .members import Members
 from .members import recently_reporting
 from .messages import AgentReport
@@ -352,21 +353,20 @@
 
         Cached rankings are kept while the eligible agents stay the same.
         """
-        ready = [
-            member
-            for member in self.members.agents.values()
-            if member.report.state is AgentState.READY
-        ]
+        by_service: dict[ServiceName, list[Member]] = {}
+        ready: list[Member] = []
+        for member in self.members.agents.values():
+            by_service.setdefault(member.report.service, []).append(member)
+            if member.report.state is AgentState.READY:
+                ready.append(member)
         self._has_agent_reports = 2 * len(
             recently_reporting(ready, now)
         ) >= max(1, len(ready))
-        services = {m.report.service for m in self.members.agents.values()}
         owners: dict[ServiceName, Owners] = {}
-        for service in services:
-            ids = eligible(now, self.members.of(service))
+        for service, members in by_service.items():
+            ids = eligible(now, members)
             known = self._owners.get(service)
-            if known is not None and known.ids == tuple(sorted(ids)):
-                owners[service] = known
-            else:
-                owners[service] = Owners(ids)
+            if known is None or not known.are(ids):
+                known = Owners(ids)
+            owners[service] = known
         self._owners = owners
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -60,8 +60,10 @@
         The limit is raised to ``SILENT_REPORTS`` periods of its reports
         if that is longer.
         """
-        missed_s = SILENT_REPORTS * self.report.period_s
-        return now - self.last_report_at > max(limit_s, missed_s)
+        age_s = now - self.last_report_at
+        if age_s <= limit_s:
+            return False
+        return age_s > SILENT_REPORTS * self.report.period_s
 
 
 class Members:
--- a/packages/core/src/medlar_core/relay/owners.py
+++ b/packages/core/src/medlar_core/relay/owners.py
@@ -29,8 +29,13 @@
 
     def __init__(self, ids: Sequence[NodeId]) -> None:
         self.ids = tuple(sorted(ids))
+        self._unsorted = list(ids)
         self._ranked: dict[int, tuple[NodeId, ...]] = {}
 
+    def are(self, ids: list[NodeId]) -> bool:
+        """Return whether the owners are chosen among just these agents."""
+        return ids == self._unsorted or tuple(sorted(ids)) == self.ids
+
     def ranked(self, key: int) -> tuple[NodeId, ...]:
         """Return the owner of a flow's bucket, then its backup owner.
 
--- a/packages/core/src/medlar_core/relay/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/report_schedule.py
@@ -38,6 +38,10 @@
         self._interval.make_due()
         self._full_rounds = FULL_REPORT_ROUNDS
 
+    def is_due(self, now: Seconds) -> bool:
+        """Return whether a round is due."""
+        return self._interval.is_due(now)
+
     def due(
         self,
         now: Seconds,
--- a/packages/core/src/medlar_core/relay/send_interval.py
+++ b/packages/core/src/medlar_core/relay/send_interval.py
@@ -21,9 +21,13 @@
         """Return the interval of messages to each of ``peers`` peers."""
         return max(self._period_s, peers / MAX_MESSAGES_PER_S)
 
+    def is_due(self, now: Seconds) -> bool:
+        """Return whether a round is due."""
+        return now >= self._next_at
+
     def due(self, now: Seconds, peers: int) -> bool:
         """Return whether a round is due; start the next interval if so."""
-        if now < self._next_at:
+        if not self.is_due(now):
             return False
         self._next_at = now + self.period_s(peers)
         return True
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -28,6 +28,17 @@
         self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
         self.sum_s += seconds
 
+    def observe_all(self, seconds: list[float]) -> None:
+        """Count several observations."""
+        ordered = sorted(seconds)
+        below = 0
+        for number, bound in enumerate(BUCKETS_S):
+            up_to_bound = bisect.bisect_right(ordered, bound)
+            self.counts[number] += up_to_bound - below
+            below = up_to_bound
+        self.counts[-1] += len(ordered) - below
+        self.sum_s += sum(ordered)
+
     def buckets(self) -> list[tuple[str, float]]:
         """Return upper bounds and cumulative counts, as Prometheus expects."""
         cumulative = []
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -173,8 +173,8 @@
             started_at = now()
             self._update_socket_counters()
             self.dispatch(Tick())
-            for age in self._reducer.members.report_ages(started_at):
-                self.metrics.report_age_s.observe(age)
+            ages = self._reducer.members.report_ages(started_at)
+            self.metrics.report_age_s.observe_all(ages)
             await asyncio.sleep(TICK_S)
             self.metrics.lag_s.observe(max(0.0, now() - started_at - TICK_S))
 
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -1,6 +1,13 @@
+import pytest
+
 from medlar_core.events import StopAsked
+from medlar_core.ids import Seconds
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerLeft
+from medlar_core.relay.members import Member
+from medlar_core.relay.members import SILENT_REPORTS
+from medlar_core.relay.members import SILENT_S
+from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
 
 from .kit import AGENTS
@@ -9,6 +16,7 @@
 from .kit import flow
 from .kit import node
 from .kit import OFFICE
+from .kit import PLACE
 from .kit import table
 
 
@@ -305,3 +313,20 @@
     fleet.world.paused.discard(address)
     fleet.run(1.0)
     assert len(balancer.members.agents) == 4
+
+
+@pytest.mark.parametrize("period_s", [0.0, 0.1, 0.2, 0.25, 0.86])
+def test_a_member_is_silent_after_its_limit_or_some_periods(period_s):
+    report = AgentReport(
+        node("agent", 1),
+        PLACE,
+        DESK,
+        1,
+        1,
+        AgentState.READY,
+        period_s=period_s,
+    )
+    limit_s = max(SILENT_S, SILENT_REPORTS * period_s)
+    member = Member(report, last_report_at=5.0)
+    assert not member.is_silent(Seconds(5.0 + 0.999 * limit_s))
+    assert member.is_silent(Seconds(5.0 + 1.001 * limit_s))
--- a/testing/node/relay/test_metrics.py
+++ b/testing/node/relay/test_metrics.py
@@ -45,3 +45,14 @@
     rendered = {name for name in rendered if not name.endswith("_created")}
     listed = set(re.findall(r"`(medlarstage_relay_\w+)`", PAGE.read_text()))
     assert listed == rendered
+
+
+def test_counting_several_observations_equals_counting_each():
+    seconds = [0.0001, 0.00005, 0.02, 0.1, 0.1000001, 3.0, 9.0, 0.0]
+    single, several = Histogram(), Histogram()
+    for value in seconds:
+        single.observe(value)
+    several.observe_all(seconds)
+    several.observe_all([])
+    assert several.counts == single.counts
+    assert several.sum_s == pytest.approx(single.sum_s)
