--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -55,6 +55,7 @@
 """Used until the server has announced itself."""
 
 _SYN = int(Flag.SYN)
+_BOUNCED = int(Flag.BOUNCED)
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -214,7 +215,7 @@
     def _handle_server_packet(
         self, now: Seconds, segment: Segment
     ) -> list[RelayEffect]:
-        if not segment.flags & Flag.BOUNCED:
+        if not segment.flags & _BOUNCED:
             return self._flows.handle_server_packet(now, segment)
         if segment.flags & _SYN:
             return self._flows.handle_declined_syn(
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -34,6 +34,8 @@
 QUERY_PACKETS_BURST = 400.0
 NO_NODE = NodeId("")
 
+_RST = int(Flag.RST)
+
 
 class _PendingQuery(msgspec.Struct, frozen=True):
     """Query of another agent that the local server has yet to decide."""
@@ -88,7 +90,7 @@
         the packet.
         """
         flow_id = segment.inward
-        if segment.flags & Flag.RST:
+        if segment.flags & _RST:
             return []
         active = self._lookups.active(now, flow_id)
         if active is not None:
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -25,6 +25,7 @@
 
 _END_FLAGS = int(Flag.FIN | Flag.RST)
 _SYN = int(Flag.SYN)
+_RST = int(Flag.RST)
 
 
 class Flow(msgspec.Struct):
@@ -134,7 +135,7 @@
             flow.sent_seq = end
             flow.last_data_at = now
             self._set_busy(flow, True)
-        if segment.flags & Flag.RST:
+        if segment.flags & _RST:
             self._close(flow)
 
     def record_server_packet(
--- a/packages/node/src/medlar_node/logs.py
+++ b/packages/node/src/medlar_node/logs.py
@@ -20,6 +20,11 @@
     handler.setFormatter(
         JsonFormatter(_FIELDS, static_fields={"role": role, "node": node})
     )
+    # Nothing of this is in the lines, and finding it costs more than
+    # formatting them.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
