--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -26,6 +26,10 @@
 outdated table entries; its holder is looked up again."""
 MAX_HOPS = 12
 """A packet forwarded by more agents is dropped."""
+NOTICE_INTERVAL_S = 0.1
+"""Time between two notices of a flow's holder to one balancer: longer than a
+notice takes. A balancer that still sends the flow's packets here after it
+has no notice, as it was restarted or the notice was lost."""
 
 _SYN = int(Flag.SYN)
 _EXPECTING_REPLY = (ForwardReason.LOOKUP, ForwardReason.DELEGATED)
@@ -68,7 +72,7 @@
         if event.src == flow.holder or packet.hops >= MAX_HOPS_BEFORE_LOOKUP:
             # The tables of the agents disagree and form a forwarding loop.
             self._ctx.table.remove(flow_id)
-            return self.lookup.start(now, event.segment, packet)
+            return self.lookup.start(now, event.segment, packet, event.src)
         return self._forward_to_holder(now, event, flow)
 
     def handle_syn(
@@ -187,27 +191,39 @@
     ) -> list[RelayEffect]:
         """Forward a packet to the holder of its flow.
 
-        The balancer that sent it is notified of the holder.
+        The process that sent it is notified of the holder.
         """
         flow.last_packet_at = now
         hops = event.packet.hops + 1
-        effects: list[RelayEffect] = [
-            self._ctx.forward(
-                flow.holder,
-                ForwardReason.PLACED,
-                event.segment,
-                flow.declined,
-                hops,
-            )
-        ]
-        if (
-            event.packet.reason == ForwardReason.ROUTED
-            and event.src != flow.via
+        packet = self._ctx.forward(
+            flow.holder,
+            ForwardReason.PLACED,
+            event.segment,
+            flow.declined,
+            hops,
+        )
+        return [packet, *self._notify_sender(now, event, flow)]
+
+    def _notify_sender(
+        self, now: Seconds, event: PacketForwarded, flow: Flow
+    ) -> list[RelayEffect]:
+        """Notify the process that sent a packet here of the flow's holder.
+
+        A balancer is not notified while a notice is on its way, and an
+        agent not for a SYN, whose flow may still be placed elsewhere.
+        """
+        if event.packet.reason != ForwardReason.ROUTED:
+            if event.segment.flags & _SYN:
+                return []
+        elif (
+            event.src == flow.via
+            and now - flow.notified_at < NOTICE_INTERVAL_S
         ):
+            return []
+        else:
             flow.via = event.src
-            held = FlowHeld(event.segment.inward, flow.holder)
-            effects.append(Send(event.src, held))
-        return effects
+            flow.notified_at = now
+        return [Send(event.src, FlowHeld(event.segment.inward, flow.holder))]
 
     def _handle_local_syn(
         self,
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -34,6 +34,8 @@
 QUERY_PACKETS_BURST = 400.0
 NO_NODE = NodeId("")
 
+_RST = int(Flag.RST)
+
 
 class _PendingQuery(msgspec.Struct, frozen=True):
     """Query of another agent that the local server has yet to decide."""
@@ -83,12 +85,13 @@
         """Query all agents that may hold a flow; queue its packets.
 
         A packet of a flow whose lookup is in progress is only queued.
-        ``src`` is the process that forwarded the packet; ``local_denied``
-        is set if the local server has bounced it.
+        ``src`` is the process that forwarded the packet and is notified of
+        the holder; ``local_denied`` is set if the local server has bounced
+        the packet.
         """
         asker = src if packet.reason == ForwardReason.DELEGATED else NO_NODE
         flow_id = segment.inward
-        if segment.flags & Flag.RST:
+        if segment.flags & _RST:
             return []
         active = self._lookups.active(now, flow_id)
         if active is not None:
@@ -129,7 +132,7 @@
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
-            via=src if packet.reason == ForwardReason.ROUTED else NO_NODE,
+            via=src if not asker else NO_NODE,
             delegates=delegates,
             asker=asker,
         )
@@ -174,9 +177,18 @@
     def handle_held(
         self, now: Seconds, flow_id: FlowId, holder: NodeId, src: NodeId
     ) -> list[RelayEffect]:
-        """Handle the reply of ``src`` that an agent's server holds a flow."""
+        """Handle the reply of ``src`` that an agent's server holds a flow.
+
+        If the sender names another agent and was not asked for a lookup, it
+        is a notice of one that had to forward a packet of the flow.
+        """
+        lookup = self._lookups.get(flow_id)
+        was_delegated = lookup is not None and src in lookup.delegates
+        if holder != src and not was_delegated:
+            self._ctx.table.redirect(flow_id, src, holder)
+            return []
         lookup = self._lookups.remove(flow_id)
-        if lookup is None or holder == self._ctx.node:
+        if lookup is None:
             return []
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -25,6 +25,7 @@
 
 _END_FLAGS = int(Flag.FIN | Flag.RST)
 _SYN = int(Flag.SYN)
+_RST = int(Flag.RST)
 
 
 class Flow(msgspec.Struct):
@@ -40,8 +41,8 @@
     either end has sent its last packet; ``caller_done`` and ``server_done``
     tell which. ``declined`` names
     agents whose servers did not accept it, ``via`` is the balancer that
-    knows the holder. ``low_priority`` is set if room has to be left
-    at a server for flows of higher priority.
+    was last notified of the holder, at ``notified_at``. ``low_priority``
+    is set if room has to be left at a server for flows of higher priority.
     """
 
     holder: NodeId
@@ -59,6 +60,7 @@
     server_done: bool = False
     declined: tuple[NodeId, ...] = ()
     via: NodeId = NodeId("")
+    notified_at: float = 0.0
     low_priority: bool = False
 
 
@@ -96,12 +98,18 @@
     ) -> Flow:
         """Add a flow with its holder; replaces an earlier entry."""
         self.remove(flow_id)
-        flow = Flow(holder, now, now, declined=declined)
+        flow = Flow(holder, now, now, declined=declined, notified_at=now)
         self._flows[flow_id] = flow
         if holder == self._node:
             self.open_count += 1
         return flow
 
+    def redirect(self, flow_id: FlowId, old: NodeId, new: NodeId) -> None:
+        """Change the holder of a flow from one other agent to another."""
+        flow = self._flows.get(flow_id)
+        if flow is not None and flow.holder == old and new != self._node:
+            flow.holder = new
+
     def remove(self, flow_id: FlowId) -> None:
         """Remove a flow, if it is known."""
         flow = self._flows.pop(flow_id, None)
@@ -133,7 +141,7 @@
             self._set_busy(flow, True)
         if segment.flags & _END_FLAGS:
             flow.caller_done = True
-        if segment.flags & Flag.RST:
+        if segment.flags & _RST:
             flow.server_done = True
             self._close(flow)
 
@@ -150,7 +158,7 @@
         if segment.flags & _END_FLAGS:
             flow.server_done = True
             self._close(flow)
-        if segment.flags & Flag.RST:
+        if segment.flags & _RST:
             flow.caller_done = True
 
     def local_flows(self) -> Iterator[tuple[FlowId, Flow]]:
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -41,7 +41,7 @@
     """Agents that were sent the first queued packet as the query."""
     acked_seq: int
     via: NodeId
-    """The balancer to notify of the holder, empty for none."""
+    """The process to notify of the holder, empty for none."""
     delegates: frozenset[NodeId] = frozenset()
     """Agents of other services, each asked for a lookup in its service."""
     asker: NodeId = NodeId("")
