Move an agent's reports out of its reducer

The reports and when they are due are a class of their own, like the hello messages of a balancer. Behaviour is the same.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -44,12 +44,10 @@
 from .messages import ReportAsked
 from .pause_detector import PauseDetector
 from .registration import Registration
-from .report_schedule import ReportSchedule
+from .report_sender import ReportSender
 from .segment import Segment
 from .segment import SegmentCodec
 
-PEER_REPORT_INTERVAL_S = 0.1
-BALANCER_REPORT_INTERVAL_S = 0.2
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
 """Used while the server does not announce itself."""
@@ -84,7 +82,6 @@
         rng: random.Random,
     ) -> None:
         self._identity = identity
-        self._seeds = identity.seeds
         self._incarnation = identity.incarnation
         self._access = access
         self._registration = registration
@@ -103,8 +100,7 @@
         self._report_count = 0
         self._reported_state = AgentState.STARTING
         self._stopping = False
-        self._peer_reports = ReportSchedule(PEER_REPORT_INTERVAL_S)
-        self._balancer_reports = ReportSchedule(BALANCER_REPORT_INTERVAL_S)
+        self._reports = ReportSender(self.members, identity.seeds, self.report)
         self._expire_at = 0.0
         self._probe_at = 0.0
         self._pause_detector = PauseDetector()
@@ -147,7 +143,7 @@
             case StoreAnswered():
                 return self._handle_store_answer(now, event)
             case SeedsChanged(seeds=seeds):
-                self._seeds = seeds
+                self._reports.seeds = seeds
             case StopAsked():
                 self._stopping = True
                 return self._update_state(now)
@@ -287,10 +283,10 @@
             service=report.service,
             server=f"{report.server} born {report.server_born}",
         )
-        self._peer_reports.make_due()
-        self._balancer_reports.make_due()
+        self._reports.make_due()
         self._update_registration(report)
-        return [event, *self._send_reports(now), *self._store_calls(now)]
+        reports = self._reports.due(now, self._ctx.service)
+        return [event, *reports, *self._store_calls(now)]
 
     # Peers and balancers
 
@@ -300,9 +296,10 @@
         match msg:
             case AgentReport():
                 self.members.apply_report(now, msg, direct=msg.id == src)
+                service = self._ctx.service
                 return [
-                    *self._report_to_new_members(now),
-                    *self._correct_service(now, src, msg),
+                    *self._reports.reports_to_new_members(now, service),
+                    *self._reports.correction(now, src, msg, service),
                 ]
             case LoadReport():
                 if not self.members.apply_load(now, src, msg):
@@ -328,7 +325,7 @@
 
     def _handle_hello(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
         if msg.id not in self.members.balancers:
-            self._balancer_reports.make_due()
+            self._reports.make_due_for_balancers()
         self.members.apply_hello(now, msg)
         if msg.version >= self._event_factory.version and msg.idle_s:
             self.local_server.idle_s = msg.idle_s
@@ -341,32 +338,11 @@
         known = len(self.members.of(self._ctx.service)) + 1
         if msg.service_size and known >= msg.service_size:
             self._ctx.mark_members_known(now)
-        return [*self._report_to_new_members(now), *self._send_reports(now)]
-
-    def _report_to_new_members(self, now: Seconds) -> list[RelayEffect]:
-        """Send a report to new members of the own service."""
-        if not self.members.new_agents:
-            return []
-        new_members = [
-            report.id
-            for report in self.members.pop_new_agents()
-            if report.service == self._ctx.service
+        service = self._ctx.service
+        return [
+            *self._reports.reports_to_new_members(now, service),
+            *self._reports.due(now, service),
         ]
-        if not new_members:
-            return []
-        own_report = self.report(now)
-        return [Send(node, own_report) for node in new_members]
-
-    def _correct_service(
-        self, now: Seconds, src: NodeId, msg: AgentReport
-    ) -> list[RelayEffect]:
-        """Reply to an agent that takes this one for one of its service.
-
-        The local server may have been replaced by one of another service.
-        """
-        if msg.id != src or msg.service == self._ctx.service:
-            return []
-        return [Send(src, OtherService(msg.service, self.report(now)))]
 
     def _supersede(self, report: AgentReport) -> None:
         """Use a higher incarnation than an earlier process at this address.
@@ -375,8 +351,7 @@
         """
         if report.incarnation > self._incarnation:
             self._incarnation = report.incarnation + 1
-            self._peer_reports.make_due()
-            self._balancer_reports.make_due()
+            self._reports.make_due()
 
     def _exclude_pause(self, now: Seconds, pause_s: float) -> None:
         """Handle that this process did not run for ``pause_s`` seconds.
@@ -401,24 +376,10 @@
             self._event_factory.removal_event(removal)
             for removal in self.members.pop_removals()
         ]
-        effects += self._send_reports(now)
+        effects += self._reports.due(now, self._ctx.service)
         effects += self._store_calls(now)
         return effects
 
-    def _send_reports(self, now: Seconds) -> list[RelayEffect]:
-        effects: list[RelayEffect] = []
-
-        def report() -> AgentReport:
-            return self.report(now)
-
-        if self._peer_reports.is_due(now):
-            peers = [m.report.id for m in self.members.of(self._ctx.service)]
-            effects += self._peer_reports.due(now, peers, report)
-        if self._balancer_reports.is_due(now):
-            balancers = list(self.members.balancers) or list(self._seeds)
-            effects += self._balancer_reports.due(now, balancers, report)
-        return effects
-
     def _update_registration(self, report: AgentReport) -> None:
         if report.state in (AgentState.GONE, AgentState.STARTING):
             self._registration.set_entry("")
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/report_sender.py
@@ -0,0 +1,88 @@
+"""Reports of an agent to other agents and to balancers."""
+
+from collections.abc import Callable
+
+from ..effects import Send
+from ..ids import NodeId
+from ..ids import Seconds
+from ..ids import ServiceName
+from .members import Members
+from .messages import AgentReport
+from .messages import OtherService
+from .report_schedule import ReportSchedule
+
+PEER_REPORT_INTERVAL_S = 0.1
+BALANCER_REPORT_INTERVAL_S = 0.2
+
+ReadReport = Callable[[Seconds], AgentReport]
+"""Returns a new report of the agent."""
+
+
+class ReportSender:
+    """Makes reports: periodic ones, and at once after a change.
+
+    Before any balancer is known, they go to the seeds.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        seeds: tuple[NodeId, ...],
+        read_report: ReadReport,
+    ) -> None:
+        self.seeds = seeds
+        self._members = members
+        self._read_report = read_report
+        self._peers = ReportSchedule(PEER_REPORT_INTERVAL_S)
+        self._balancers = ReportSchedule(BALANCER_REPORT_INTERVAL_S)
+
+    def make_due(self) -> None:
+        """Make the reports to all due at once."""
+        self._peers.make_due()
+        self._balancers.make_due()
+
+    def make_due_for_balancers(self) -> None:
+        """Make the reports to balancers due at once."""
+        self._balancers.make_due()
+
+    def due(self, now: Seconds, service: ServiceName) -> list[Send]:
+        """Return the reports that are due; peers are those of a service."""
+        effects: list[Send] = []
+
+        def report() -> AgentReport:
+            return self._read_report(now)
+
+        if self._peers.is_due(now):
+            peers = [m.report.id for m in self._members.of(service)]
+            effects += self._peers.due(now, peers, report)
+        if self._balancers.is_due(now):
+            balancers = list(self._members.balancers) or list(self.seeds)
+            effects += self._balancers.due(now, balancers, report)
+        return effects
+
+    def reports_to_new_members(
+        self, now: Seconds, service: ServiceName
+    ) -> list[Send]:
+        """Return reports to new members of a service."""
+        if not self._members.new_agents:
+            return []
+        new_members = [
+            report.id
+            for report in self._members.pop_new_agents()
+            if report.service == service
+        ]
+        if not new_members:
+            return []
+        own_report = self._read_report(now)
+        return [Send(node, own_report) for node in new_members]
+
+    def correction(
+        self, now: Seconds, src: NodeId, msg: AgentReport, service: ServiceName
+    ) -> list[Send]:
+        """Reply to an agent that takes this one for one of its service.
+
+        The local server may have been replaced by one of another service.
+        """
+        if msg.id != src or msg.service == service:
+            return []
+        return [Send(src, OtherService(msg.service, self._read_report(now)))]
