--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -34,7 +34,7 @@
 
 RESTART_NOTICE_S = 0.3
 """Time in which peers receive the message that the agent restarts."""
-DEREGISTRATION_LIMIT_S = 1.5
+DEREGISTRATION_LIMIT_S = 1.2
 """Limit for removing the store entry of a server that left."""
 EXIT_MARGIN_S = 2.0
 """An agent that is asked to stop relays flows until so long before it would
@@ -132,20 +132,17 @@
     That is to tell peers of the stop, to remove the store entry of a server
     that left, and to relay the flows of a draining one until it ends.
     """
-    drain_limit_s = grace_s - EXIT_MARGIN_S
-    waited = await _notify_peers()
+    await asyncio.sleep(RESTART_NOTICE_S)
     if reducer.has_draining_flows:
-        while waited < drain_limit_s and reducer.has_draining_flows:
-            await asyncio.sleep(POLL_INTERVAL_S)
-            waited += POLL_INTERVAL_S
-        await _notify_peers()
-    waited = RESTART_NOTICE_S
-    while waited < DEREGISTRATION_LIMIT_S and reducer.is_deregistering:
-        await asyncio.sleep(POLL_INTERVAL_S)
-        waited += POLL_INTERVAL_S
+        drain_limit_s = grace_s - EXIT_MARGIN_S
+        await _poll_while(lambda: reducer.has_draining_flows, drain_limit_s)
+        await asyncio.sleep(RESTART_NOTICE_S)
+    await _poll_while(lambda: reducer.is_deregistering, DEREGISTRATION_LIMIT_S)
 
 
-async def _notify_peers() -> float:
-    """Wait until peers have the last reports; return the seconds waited."""
-    await asyncio.sleep(RESTART_NOTICE_S)
-    return RESTART_NOTICE_S
+async def _poll_while(condition: Callable[[], bool], limit_s: float) -> None:
+    """Wait while a condition holds, at most ``limit_s`` seconds."""
+    waited = 0.0
+    while waited < limit_s and condition():
+        await asyncio.sleep(POLL_INTERVAL_S)
+        waited += POLL_INTERVAL_S
