--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -1,5 +1,6 @@
 """A small fleet of relay processes that runs in virtual time."""
 
+from collections.abc import Iterable
 import random
 
 import msgspec
@@ -13,8 +14,11 @@
 from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
 from medlar_core.relay.balancer import RelayBalancer
+from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import ServerAnnounced
 from medlar_core.relay.events import ServerPhase
+from medlar_core.relay.forwarded import ForwardedPacket
+from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.routes import Route
 from medlar_core.relay.routes import RouteTable
@@ -25,6 +29,7 @@
 from medlar_core.relay.store_view import BalancerIdentity
 from medlar_core.store import Delete
 from medlar_core.store import Put
+from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
 from medlar_fakes.relay import FakeServer
 from medlar_fakes.relay import RelaySimulation
@@ -33,6 +38,12 @@
 OFFICE = ServiceName("office")
 PLACE = PlaceName("a")
 ANNOUNCE_INTERVAL_S = 1.0
+FLOW_IDLE_S = 15.0
+"""Idle timeout of flows in most configurations. Flows that idle for longer
+may be reset."""
+LONG_IDLE_S = 60.0
+LEASE_AND_REMOVAL_S = 12.0
+"""An agent that stopped is removed by all balancers after this."""
 CONFIGURATION = "conf"
 MEMBERS = "m/"
 AGENTS = "m/agents/"
@@ -50,7 +61,7 @@
         Route("192.0.2.1", 8000 + number, (Share(service, 1),))
         for number, service in enumerate(services)
     )
-    return RouteTable(version, routes, 15.0)
+    return RouteTable(version, routes, FLOW_IDLE_S)
 
 
 def flow(number: int, port: int = 8000) -> FlowId:
@@ -58,6 +69,15 @@
     return FlowId(caller, endpoint("192.0.2.1", port))
 
 
+def forwarded(flow_id: FlowId) -> PacketForwarded:
+    """Return the event that a balancer forwarded data of a flow."""
+    data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
+    packet = ForwardedPacket(int(ForwardReason.ROUTED), DESK, data)
+    return PacketForwarded(
+        node("balancer", 0), packet, FakeCodec().decode(data)
+    )
+
+
 class Fleet:
     """Balancers, agents with their servers, and a store.
 
@@ -200,6 +220,35 @@
         self.run(0.05)
         return opened
 
+    def add_agents(
+        self, numbers: Iterable[int], service: ServiceName = DESK
+    ) -> None:
+        """Add agents with servers; they become the owners of some flows."""
+        for number in numbers:
+            self.start_server(node("agent", number), service)
+            self.start_agent(node("agent", number), service)
+
+    def flows_at(self, address: NodeId, count: int = 14) -> list[FlowId]:
+        """Open flows; return those that the server of an agent holds."""
+        opened = [self.open(number) for number in range(count)]
+        return [f for f in opened if self.holder(f) == address]
+
+    def route_to(
+        self,
+        version: int,
+        weights: dict[ServiceName, int],
+        idle_s: float = FLOW_IDLE_S,
+    ) -> None:
+        """Put a configuration in force whose one route has these weights."""
+        shares = tuple(Share(name, weight) for name, weight in weights.items())
+        route = Route("192.0.2.1", 8000, shares)
+        self.configure(RouteTable(version, (route,), idle_s))
+        self.run(1.0)
+
+    def reset_count(self, flows: Iterable[FlowId]) -> int:
+        """Return how many resets the callers of flows received."""
+        return sum(self.packet_count(f, Flag.RST) for f in flows)
+
     def holder(self, flow_id: FlowId) -> NodeId:
         """Return the only agent whose server has a flow open."""
         (found,) = (
--- /dev/null
+++ b/testing/core/relay/test_route_moves.py
@@ -0,0 +1,120 @@
+"""Open flows whose route moves to other services."""
+
+from medlar_core.events import Received
+from medlar_core.packets import Flag
+from medlar_core.relay.events import ServerPacketReceived
+from medlar_core.relay.messages import FlowHeld
+from medlar_core.relay.segment import Segment
+from medlar_fakes.relay import encode
+from medlar_fakes.relay import FakeCodec
+
+from .kit import DESK
+from .kit import Fleet
+from .kit import flow
+from .kit import LEASE_AND_REMOVAL_S
+from .kit import LONG_IDLE_S
+from .kit import node
+from .kit import OFFICE
+
+
+def two_services():
+    """Return a fleet with agents of a second service without a route."""
+    fleet = Fleet()
+    for number in range(10, 14):
+        fleet.start_server(node("agent", number), OFFICE)
+        fleet.start_agent(node("agent", number), OFFICE)
+    fleet.run(3.0)
+    return fleet
+
+
+def test_open_flows_are_kept_when_their_route_moves_to_another_service():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.route_to(2, {OFFICE: 1})
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.answer_count(flow_id) == 2 for flow_id in opened)
+
+
+def test_open_flows_are_kept_when_the_weights_of_their_route_change():
+    fleet = two_services()
+    fleet.route_to(2, {DESK: 9, OFFICE: 1})
+    opened = [fleet.open(number, by=0) for number in range(30)]
+    fleet.route_to(3, {DESK: 1, OFFICE: 9})
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.answer_count(flow_id) == 2 for flow_id in opened)
+
+
+def test_an_unknown_flow_of_two_services_is_reset():
+    fleet = two_services()
+    fleet.route_to(2, {DESK: 1, OFFICE: 1})
+    unknown = [flow(number) for number in range(100, 110)]
+    for flow_id in unknown:
+        fleet.data(flow_id, by=1)
+    fleet.run(0.5)
+    assert all(fleet.packet_count(f, Flag.RST) == 1 for f in unknown)
+
+
+def test_a_flow_is_not_reset_while_an_agent_of_its_other_service_is_silent():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.world.paused.add(node("agent", 1))
+    fleet.route_to(2, {OFFICE: 1})
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(1.0)
+    assert fleet.reset_count(opened) == 0
+
+
+def test_a_balancer_started_since_a_route_moved_keeps_its_flows():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(3.0)
+    for flow_id in opened:
+        fleet.data(flow_id, by=9, seq=500)
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+
+
+def test_a_service_whose_agents_were_removed_may_hold_flows():
+    fleet = two_services()
+    fleet.route_to(2, {DESK: 1}, LONG_IDLE_S)
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    desk = [node("agent", number) for number in range(4)]
+    fleet.world.paused.update(desk)
+    fleet.run(LEASE_AND_REMOVAL_S)
+    fleet.route_to(3, {OFFICE: 1}, LONG_IDLE_S)
+    for flow_id in opened:
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+
+
+def test_a_late_bounce_does_not_start_a_lookup_in_one_service_only():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(5)]
+    fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
+    late = FakeCodec().decode(
+        encode(Segment(b"", Flag.ACK | Flag.BOUNCED, *opened[0], 50, 500, 501))
+    )
+    fleet.world.dispatch(node("agent", 10), ServerPacketReceived(late))
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+
+
+def test_a_stale_hint_to_an_agent_of_another_service_does_not_hide_a_flow():
+    fleet = two_services()
+    flow_id = fleet.open(1, by=0)
+    held = FlowHeld(flow_id, node("agent", 10))
+    fleet.world.dispatch(node("balancer", 1), Received(held.holder, held))
+    for _ in range(10):
+        fleet.data(flow_id, by=1, seq=500)
+        fleet.run(0.5)
+    assert fleet.answer_count(flow_id) > 1
