--- a/packages/node/src/medlar_node/relay/udp.py
+++ b/packages/node/src/medlar_node/relay/udp.py
@@ -1,5 +1,6 @@
 """UDP sockets read by the event loop in bounded batches."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -7,7 +8,6 @@
 import time
 
 from ..addresses import split_endpoint
-from .loop import reading
 
 DATAGRAMS_PER_READ = 64
 """Limit of one batch, so that other work is not starved under load."""
@@ -102,12 +102,16 @@
     :raises OSError: if the address cannot be bound.
     """
     host, port = split_endpoint(address)
+    loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
         sock.setblocking(False)
         sock.bind((host, port))
         udp = UdpPort(sock, on_datagram, max_pause_s)
-        with reading(sock, udp.read):
+        loop.add_reader(sock, udp.read)
+        try:
             yield udp
+        finally:
+            loop.remove_reader(sock)
     finally:
         sock.close()
