Spread a balancer's hello messages to agents over its ticks

Change: a round to agents is sent in parts of five a tick, the maximum rate of messages as it was.

Evidence: test_a_balancer_behind_a_slow_link_hears_all_agents (60 agents, only the first 45 messages of a burst arrive) failed before and passes.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -325,7 +325,7 @@
     def _send_hellos(self, now: Seconds) -> list[RelayEffect]:
         if self.stopping:
             return []
-        return list(self._hello_sender.due(now, self._owners))
+        return list(self._hello_sender.due(now))
 
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
         return list(self._view.due(now, self.stopping))
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -1,7 +1,5 @@
 """Hello messages of a balancer to agents and to other balancers."""
 
-from collections.abc import Iterable
-
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
@@ -18,6 +16,9 @@
 BALANCER_INTERVAL_S = 1.0
 AGENT_INTERVAL_S = 3.0
 """Longer than for balancers: agents also report to each other directly."""
+HELLOS_PER_TICK = 5
+"""Messages to agents in one tick: at ten ticks a second the maximum rate of
+:class:`SendInterval`. A slow link loses the end of a longer burst."""
 REPORTS_PER_HELLO = 3
 """Reports in one periodic hello message. The others follow in the next
 messages, and in those of other balancers, whose rotation starts at another
@@ -46,23 +47,16 @@
         self._view = view
         self._balancer_interval = SendInterval(BALANCER_INTERVAL_S)
         self._agent_interval = SendInterval(AGENT_INTERVAL_S)
+        self._unsent: list[NodeId] = []
+        """Agents that the current round has not reached yet."""
         self._rotation = sum(identity.node.encode())
 
-    def due(self, now: Seconds, services: Iterable[ServiceName]) -> list[Send]:
-        """Return the periodic hello messages that are due.
-
-        Each agent gets reports of the agents of its own service.
-        """
+    def due(self, now: Seconds) -> list[Send]:
+        """Return the periodic hello messages that are due at a tick."""
         effects: list[Send] = []
         if self._balancer_interval.due(now, len(self._members.balancers)):
             effects += self.hellos_to_balancers(now)
-        if not self._agent_interval.due(now, len(self._members.agents)):
-            return effects
-        for service in services:
-            members = self._members.of(service)
-            hello = self._hello(now, [m.report for m in members])
-            effects += [Send(m.report.id, hello) for m in members]
-        return effects
+        return effects + self._hellos_to_agents(now)
 
     def hellos_to_new_agents(self, now: Seconds) -> list[Send]:
         """Return hello messages to new agents.
@@ -92,6 +86,28 @@
         dsts: list[NodeId] = [*self._members.agents, *self._members.balancers]
         return [Send(node, Goodbye(self._identity.node)) for node in dsts]
 
+    def _hellos_to_agents(self, now: Seconds) -> list[Send]:
+        """Return the next messages of the current round to all agents.
+
+        Each agent gets reports of the agents of its own service.
+        """
+        agents = self._members.agents
+        if not self._unsent and self._agent_interval.due(now, len(agents)):
+            self._unsent = list(agents)
+        batch = self._unsent[:HELLOS_PER_TICK]
+        del self._unsent[:HELLOS_PER_TICK]
+        by_service: dict[ServiceName, list[NodeId]] = {}
+        for node in batch:
+            if node in agents:
+                service = agents[node].report.service
+                by_service.setdefault(service, []).append(node)
+        effects: list[Send] = []
+        for service, nodes in by_service.items():
+            reports = [m.report for m in self._members.of(service)]
+            hello = self._hello(now, reports)
+            effects += [Send(node, hello) for node in nodes]
+        return effects
+
     def _next_balancers(self) -> tuple[NodeId, ...]:
         peers = list(self._members.balancers)
         start = self._rotation % max(1, len(peers))
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -1,5 +1,6 @@
 import pytest
 
+from medlar_core.effects import Send
 from medlar_core.events import StopAsked
 from medlar_core.ids import Seconds
 from medlar_core.packets import Flag
@@ -400,3 +401,34 @@
     member = Member(report, last_report_at=5.0)
     assert not member.is_silent(Seconds(5.0 + 0.999 * limit_s))
     assert member.is_silent(Seconds(5.0 + 1.001 * limit_s))
+
+
+class BalancerBehindSlowLink:
+    """A balancer whose link loses all but the start of a burst."""
+
+    def __init__(self, balancer, burst):
+        self.members = balancer.members
+        self._balancer = balancer
+        self._burst = burst
+
+    def reduce(self, now, event):
+        effects = self._balancer.reduce(now, event)
+        sends = [e for e in effects if isinstance(e, Send)]
+        others = [e for e in effects if not isinstance(e, Send)]
+        return [*others, *sends[: self._burst]]
+
+
+def test_a_balancer_behind_a_slow_link_hears_all_agents():
+    fleet = Fleet(agents=60, balancers=4)
+    address = node("balancer", 3)
+    balancer = BalancerBehindSlowLink(fleet.balancers[address], 45)
+    fleet.world.nodes[address] = balancer
+    silent = set()
+    for _ in range(450):
+        fleet.run(0.1)
+        silent |= {
+            member.report.id
+            for member in balancer.members.agents.values()
+            if member.is_silent(fleet.world.clock.now, 2.5)
+        }
+    assert silent == set()
