--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -52,7 +52,7 @@
 BALANCER_REPORT_INTERVAL_S = 0.2
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
-"""Used until the server has announced itself."""
+"""Used while the server does not announce itself."""
 
 _SYN = int(Flag.SYN)
 
@@ -123,6 +123,9 @@
 
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Handle one event and return the effects to carry out."""
+        pause_s = self._pause_detector.record_event(now)
+        if pause_s:
+            self._exclude_pause(now, pause_s)
         match event:
             case PacketForwarded(segment=segment) if segment.flags & _SYN:
                 return self._flows.handle_syn(now, event, self.report(now))
@@ -229,9 +232,13 @@
         if not self.local_server.handle_probe(now, alive):
             return []
         text = "listens" if alive else "does not listen"
+        known = self.local_server.server is not None
+        since = (
+            "no longer announces itself" if known else "no announcement yet"
+        )
         event = self._event_factory.state_event(
             Topic.MEMBERSHIP,
-            f"members: server {text}; no announcement yet",
+            f"members: server {text}; {since}",
             self._ctx.service,
             self._identity.node,
         )
@@ -288,7 +295,10 @@
         match msg:
             case AgentReport():
                 self.members.apply_report(now, msg, direct=msg.id == src)
-                return self._report_to_new_members(now)
+                return [
+                    *self._report_to_new_members(now),
+                    *self._correct_service(now, src, msg),
+                ]
             case LoadReport():
                 if not self.members.apply_load(now, src, msg):
                     return [Send(src, ReportAsked())]
@@ -303,7 +313,7 @@
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.lookup.handle_held(now, flow, holder, src)
             case FlowUnknown(flow=flow, view=view):
-                return self._flows.lookup.handle_unknown(flow, src, view)
+                return self._flows.lookup.handle_unknown(now, flow, src, view)
             case EntryMissing():
                 self._registration.handle_missing_entry(now)
                 return self._store_calls(now)
@@ -315,11 +325,11 @@
         if msg.id not in self.members.balancers:
             self._balancer_reports.make_due()
         self.members.apply_hello(now, msg)
+        if msg.version >= self._event_factory.version and msg.idle_s:
+            self.local_server.idle_s = msg.idle_s
         self._event_factory.version = max(
             self._event_factory.version, msg.version
         )
-        if msg.idle_s:
-            self.local_server.idle_s = msg.idle_s
         for report in msg.agents:
             if report.id == self._identity.node:
                 self._supersede(report)
@@ -340,6 +350,17 @@
         own_report = self.report(now)
         return [Send(node, own_report) for node in new_members]
 
+    def _correct_service(
+        self, now: Seconds, src: NodeId, msg: AgentReport
+    ) -> list[RelayEffect]:
+        """Reply to an agent that takes this one for one of its service.
+
+        The local server may have been replaced by one of another service.
+        """
+        if msg.id != src or msg.service == self._ctx.service:
+            return []
+        return [Send(src, OtherService(msg.service, self.report(now)))]
+
     def _supersede(self, report: AgentReport) -> None:
         """Use a higher incarnation than an earlier process at this address.
 
@@ -350,18 +371,24 @@
             self._peer_reports.make_due()
             self._balancer_reports.make_due()
 
+    def _exclude_pause(self, now: Seconds, pause_s: float) -> None:
+        """Handle that this process did not run for ``pause_s`` seconds.
+
+        Others may have joined meanwhile.
+        """
+        self.local_server.exclude_pause(pause_s)
+        self.members.exclude_pause(now, pause_s)
+        self._ctx.forget_members_known()
+
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
-        pause_s = self._pause_detector.record_tick(now)
-        if pause_s:
-            self.local_server.exclude_pause(pause_s)
-            self.members.exclude_pause(now, pause_s)
+        self._pause_detector.record_tick(now)
         effects = self._update_state(now)
-        if self.local_server.server is None and now >= self._probe_at:
+        if self.local_server.needs_probe(now) and now >= self._probe_at:
             self._probe_at = now + PROBE_INTERVAL_S
             effects.append(ProbeServer())
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
-            self.members.expire(now)
+            self.members.expire(now, self.local_server.idle_s)
             effects += self._flows.expire(now, self.local_server.idle_s)
         effects += [
             self._event_factory.removal_event(removal)
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -51,11 +51,20 @@
         if self._members_known_at is None:
             self._members_known_at = now
 
+    def forget_members_known(self) -> None:
+        """Require another hello message before all members are known."""
+        self._members_known_at = None
+
     def knows_all_members(self, now: Seconds) -> bool:
         """Return whether this agent knows all members of its service."""
         since = self._members_known_at
         return since is not None and now - since >= MEMBERS_SETTLE_S
 
+    def lost_agents(self, now: Seconds) -> list[NodeId]:
+        """Return removed agents whose servers may still hold flows."""
+        idle_s = self.local_server.idle_s
+        return self.members.lost_agents(now, self.service, idle_s)
+
     def deliver(
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -19,7 +19,6 @@
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
 from .members import Member
-from .messages import AgentState
 from .messages import FlowAsked
 from .messages import FlowHeld
 from .messages import FlowUnknown
@@ -101,7 +100,11 @@
         if self._lookups.is_full():
             text = "flows: packet dropped: too many lookups in progress"
             return [self._ctx.event(flow_id, text)]
-        candidates = self._candidates()
+        candidates = [
+            member
+            for member in self._ctx.members.of(self._ctx.service)
+            if _may_hold_flows(now, member)
+        ]
         sent_to = {
             m.report.id for m in candidates if not m.report.knows_all_flows
         }
@@ -121,6 +124,7 @@
             started_at=now,
             awaiting={member.report.id for member in candidates} | delegates,
             local_pending=try_local,
+            view=self._ctx.members.view(self._ctx.service),
             doubt=self._doubt(now, packet),
             packets=[segment],
             sent_to=sent_to,
@@ -136,7 +140,7 @@
             effects.append(self._ctx.deliver_untracked(segment))
         text = f"flows: unknown flow; queried {len(candidates)} agents"
         effects.append(self._ctx.event(flow_id, text))
-        return effects + self._reset_if_absent(flow_id, lookup)
+        return effects + self._reset_if_absent(now, flow_id, lookup)
 
     def handle_query_packet(
         self, now: Seconds, event: PacketForwarded
@@ -148,7 +152,7 @@
         """
         flow_id = event.segment.inward
         if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(event.src, flow_id)]
+            return [self._deny(now, event.src, flow_id)]
         self._pending_queries[flow_id] = _PendingQuery(event.src, now)
         return [self._ctx.deliver_untracked(event.segment)]
 
@@ -164,7 +168,7 @@
         if flow is not None and flow.holder == self._ctx.node:
             return [Send(src, FlowHeld(flow_id, self._ctx.node))]
         if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(src, flow_id)]
+            return [self._deny(now, src, flow_id)]
         return []
 
     def handle_held(
@@ -184,7 +188,7 @@
         return effects
 
     def handle_unknown(
-        self, flow_id: FlowId, src: NodeId, view: int
+        self, now: Seconds, flow_id: FlowId, src: NodeId, view: int
     ) -> list[RelayEffect]:
         """Handle the reply that an agent's server does not hold a flow.
 
@@ -195,23 +199,30 @@
             return []
         lookup.awaiting.discard(src)
         if src in lookup.delegates:
-            return self._reset_if_absent(flow_id, lookup)
-        if view != self._ctx.members.view(self._ctx.service):
-            lookup.doubt = f"{src} knows other members"
-        return self._reset_if_absent(flow_id, lookup)
+            return self._reset_if_absent(now, flow_id, lookup)
+        if view != lookup.view:
+            lookup.doubt = f"{src} knows of other agents"
+        return self._reset_if_absent(now, flow_id, lookup)
 
     def handle_bounced(
-        self, now: Seconds, segment: Segment
+        self, now: Seconds, segment: Segment, was_local: bool
     ) -> list[RelayEffect]:
-        """Handle a packet of a flow that the local server does not hold."""
+        """Handle a packet of a flow that the local server does not hold.
+
+        ``was_local`` tells that the table named this server as the holder.
+        Otherwise the packet answers a query that has ended, and the flow's
+        route is not known here: its next packet starts a lookup.
+        """
         flow_id = segment.inward
         query = self._pending_queries.pop(flow_id, None)
         if query is not None:
-            return [self._deny(query.node, flow_id)]
+            return [self._deny(now, query.node, flow_id)]
         lookup = self._lookups.get(flow_id)
         if lookup is not None:
             lookup.local_pending = False
-            return self._reset_if_absent(flow_id, lookup)
+            return self._reset_if_absent(now, flow_id, lookup)
+        if not was_local:
+            return []
         packet = ForwardedPacket(
             ForwardReason.ROUTED, self._ctx.service, segment.data
         )
@@ -235,9 +246,15 @@
         effects.append(ctx.event(flow_id, text))
         return effects
 
-    def _deny(self, asker: NodeId, flow_id: FlowId) -> Send:
-        """Reply that the local server does not hold a flow."""
-        view = self._ctx.members.view(self._ctx.service)
+    def _deny(self, now: Seconds, asker: NodeId, flow_id: FlowId) -> Send:
+        """Reply that the local server does not hold a flow.
+
+        While an agent is lost, the reply tells no view, so that it proves
+        nothing to an asker that does not know of that agent.
+        """
+        view = 0
+        if not self._ctx.lost_agents(now):
+            view = self._ctx.members.view(self._ctx.service)
         return Send(asker, FlowUnknown(flow_id, view))
 
     def _query(self, member: Member, segment: Segment) -> RelayEffect:
@@ -248,20 +265,21 @@
         return self._ctx.forward(node, ForwardReason.LOOKUP, segment)
 
     def _reset_if_absent(
-        self, flow_id: FlowId, lookup: Lookup
+        self, now: Seconds, flow_id: FlowId, lookup: Lookup
     ) -> list[RelayEffect]:
         """Reset a flow once the replies prove that no server holds it.
 
-        If there is a doubt, the flow's next packet is looked up anew.
+        In doubt, the flow is looked up anew by a packet that comes after
+        ``REPLY_TIMEOUT_S``.
         """
         if not lookup.is_complete:
             return []
-        self._lookups.remove(flow_id)
         if lookup.doubt:
             text = f"flows: no holder found, not reset: {lookup.doubt}"
             return [self._ctx.event(flow_id, text)]
+        self._lookups.remove(flow_id)
         if lookup.asker:
-            return [self._deny(lookup.asker, flow_id)]
+            return [self._deny(now, lookup.asker, flow_id)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
     def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
@@ -272,21 +290,11 @@
             return f"it is routed to {packet.service}"
         if len(packet.other_owners) < len(packet.other_services):
             return "no agent of another service of its route is known"
-        lost = self._ctx.members.lost_agents(
-            now, self._ctx.service, self._ctx.local_server.idle_s
-        )
+        lost = self._ctx.lost_agents(now)
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
 
-    def _candidates(self) -> list[Member]:
-        """Return the agents of the own service that may hold a flow."""
-        return [
-            member
-            for member in self._ctx.members.of(self._ctx.service)
-            if not _has_no_server(member)
-        ]
-
 
 def _delegations(packet: ForwardedPacket) -> list[RelayEffect]:
     """Ask an agent of each other service for a lookup in its service."""
@@ -314,7 +322,10 @@
     ]
 
 
-def _has_no_server(member: Member) -> bool:
-    """Return whether an agent's probe found no server."""
-    report = member.report
-    return report.state is AgentState.STARTING and report.knows_all_flows
+def _may_hold_flows(now: Seconds, member: Member) -> bool:
+    """Return whether an agent's server may hold flows.
+
+    An agent without a server denies all flows. It is not waited for if it
+    is silent, as its instance may be gone.
+    """
+    return not (member.report.has_no_server and member.is_silent(now))
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -175,6 +175,11 @@
         if member is not None and member.unregistered_at is None:
             member.unregistered_at = now
 
+    def forget_unregistered(self) -> None:
+        """Forget which agents the store has no entry of."""
+        for member in self.agents.values():
+            member.unregistered_at = None
+
     def mark_registered(self, node: NodeId) -> None:
         """Record that the store has an entry of an agent."""
         member = self.agents.get(node)
@@ -238,8 +243,11 @@
             if member.unregistered_at is not None:
                 member.unregistered_at += seconds
 
-    def expire(self, now: Seconds) -> None:
-        """Remove expired members."""
+    def expire(self, now: Seconds, idle_s: float = 0.0) -> None:
+        """Remove expired members.
+
+        An agent remembers lost agents while flows may idle, ``idle_s``.
+        """
         expired = [
             m.report for m in self.agents.values() if _is_expired(now, m)
         ]
@@ -260,7 +268,7 @@
             for node, at in self.config_confirmed_at.items()
             if node in self.balancers
         }
-        self._departures.expire(now)
+        self._departures.expire(now, idle_s)
 
     def of(self, service: ServiceName) -> list[Member]:
         """Return the known agents of a service."""
@@ -293,6 +301,7 @@
             "agents_heard": len(recently_reporting(self.agents.values(), now)),
             "agents_draining": states.count(AgentState.DRAINING),
             "agents_down": states.count(AgentState.DOWN),
+            "agents_lost": self._departures.lost_count,
             "balancers": len(self.balancers),
         }
 
@@ -313,9 +322,9 @@
         """Return removed agents whose servers may still hold flows."""
         return self._departures.lost(now, service, idle_s)
 
-    def departed(self) -> tuple[Departed, ...]:
+    def departed(self, now: Seconds) -> tuple[Departed, ...]:
         """Return the agents that were removed recently."""
-        return self._departures.notices()
+        return self._departures.notices(now)
 
     def _is_removed(self, report: AgentReport, direct: bool) -> bool:
         if direct:
@@ -329,7 +338,7 @@
         if member is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
-        is_final = cause is RemovalCause.SERVER_ENDED
+        is_final = cause is RemovalCause.SERVER_ENDED or report.has_no_server
         departed = Departed(
             report.id,
             report.incarnation,
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -11,6 +11,7 @@
 from medlar_core.effects import Send
 from medlar_core.events import Received
 from medlar_core.events import Reducer
+from medlar_core.events import ServerProbed
 from medlar_core.events import StoreAnswered
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
@@ -20,6 +21,7 @@
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import ForwardToAgent
+from medlar_core.relay.effects import ProbeServer
 from medlar_core.relay.effects import SendToCaller
 from medlar_core.relay.events import CallerPacketReceived
 from medlar_core.relay.events import PacketForwarded
@@ -101,6 +103,8 @@
 
     Events for nodes in ``paused``, ticks included, are dropped. Nodes in
     ``without_store`` cannot reach the store: their calls time out.
+    ``cut_links`` holds pairs of nodes: what the first sends to the second
+    is lost.
     ``forward_count`` counts packets forwarded to agents.
     """
 
@@ -113,6 +117,7 @@
         self.routes_of: Callable[[NodeId], RouteTable | None] = lambda _: None
         self.paused: set[NodeId] = set()
         self.without_store: set[NodeId] = set()
+        self.cut_links: set[tuple[NodeId, NodeId]] = set()
         self.caller_packets: list[Segment] = []
         self.events: list[TimelineEvent] = []
         self.forward_count = 0
@@ -146,12 +151,10 @@
             case ForwardToAgent(dst=dst, packet=packet):
                 self.forward_count += 1
                 segment = self._codec.decode(packet.data)
-                self._dispatch_later(
-                    dst, PacketForwarded(src, packet, segment)
-                )
+                self._send(src, dst, PacketForwarded(src, packet, segment))
             case Send(dst=dst, msg=msg):
-                self._dispatch_later(dst, Received(src, msg))
-            case DeliverToServer(data=data):
+                self._send(src, dst, Received(src, msg))
+            case DeliverToServer(data=data) if src in self.servers:
                 for segment in self.servers[src].handle(
                     self._codec.decode(data)
                 ):
@@ -159,6 +162,9 @@
                     self._dispatch_later(src, ServerPacketReceived(sent))
             case SendToCaller(data=data):
                 self.caller_packets.append(self._codec.decode(data))
+            case ProbeServer():
+                alive = src in self.servers
+                self._dispatch_later(src, ServerProbed(alive, ready=False))
             case CallStore(call=call, op=op):
                 self._call_store(src, call, op)
             case FetchRoutes(src=peer):
@@ -182,5 +188,9 @@
         if src not in self.without_store:
             self.store.call(op, answered)
 
+    def _send(self, src: NodeId, dst: NodeId, event: Any) -> None:
+        if (src, dst) not in self.cut_links:
+            self._dispatch_later(dst, event)
+
     def _dispatch_later(self, dst: NodeId, event: Any) -> None:
         self.clock.after(HOP_S, lambda: self.dispatch(dst, event))
