Take a port that is free for both protocols in the demo's test

Another process may hold that one; a socket that listens there brings the same error about. The test takes a port free for both, above that range; it checks as much.

--- a/testing/standins/test_demo_needs.py
+++ b/testing/standins/test_demo_needs.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 
 import pytest
@@ -14,11 +15,29 @@
     assert sorted(set(used)) == list(used)
 
 
+FIRST_STATIC_PORT = 61_000
+"""Ports from here on are not given to outgoing connections by default."""
+
+
+def free_port() -> int:
+    """Return a port that is free for UDP and TCP and stays so."""
+    for port in range(FIRST_STATIC_PORT, 65_536):
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind((HOST, port))
+            udp.bind((HOST, port))
+            return port
+    raise AssertionError("expected a free port, found none")
+
+
 @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
 def test_error_names_the_port_in_use(monkeypatch, kind):
+    port = free_port()
     with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((HOST, 0))
-        port = sock.getsockname()[1]
+        sock.bind((HOST, port))
         if kind is socket.SOCK_STREAM:
             sock.listen()
         monkeypatch.setattr(
