Tell balancers that start which routes have moved

Cause: only a balancer that saw a route move knew that servers of its former service may hold flows to the address. One that started since handed the packets of such a flow to agents of the new service alone, which proved its absence there and reset it.

Change: hello messages name moved routes, eight at a time in rotation. A balancer greets those that it learns of at once, and one that has not been told yet is answered at once.

If all balancers are replaced at once, none knows of earlier routes: not mended.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -300,6 +300,7 @@
         self.members.apply_hello(now, msg)
         self.members.config_confirmed_at[msg.id] = config_confirmed_at
         effects = self._handle_membership_changes(now)
+        effects += self._hello_sender.handle_hello(now, msg)
         if msg.version == self.routes.version:
             self._peer_confirmed_at = max(
                 self._peer_confirmed_at, config_confirmed_at
@@ -359,13 +360,16 @@
     # Owners
 
     def _handle_membership_changes(self, now: Seconds) -> list[RelayEffect]:
+        effects: list[RelayEffect] = []
+        if not self.stopping:
+            effects += self._hello_sender.hellos_to_new_balancers(now)
         if self.members.changes == self._seen_changes:
-            return []
+            return effects
         self._seen_changes = self.members.changes
         self._rank_agents(now)
-        if self.stopping:
-            return []
-        return list(self._hello_sender.hellos_to_new_agents(now))
+        if not self.stopping:
+            effects += self._hello_sender.hellos_to_new_agents(now)
+        return effects
 
     def _rank_agents(self, now: Seconds) -> None:
         """Update the owners of each service.
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -8,6 +8,7 @@
 from .messages import AgentReport
 from .messages import Goodbye
 from .messages import Hello
+from .messages import MovedRoute
 from .routes import Routes
 from .send_interval import SendInterval
 from .store_view import BalancerIdentity
@@ -25,6 +26,8 @@
 report."""
 PEERS_PER_HELLO = 4
 """Other balancers named in one hello message."""
+MOVED_ROUTES_PER_HELLO = 8
+"""Moved routes in one hello message; the others follow in the next ones."""
 REPORTS_PER_FIRST_HELLO = 16
 """Reports in one hello message to a new agent: as many as fit into one
 datagram."""
@@ -50,6 +53,8 @@
         self._unsent: list[NodeId] = []
         """Agents that the current round has not reached yet."""
         self._rotation = sum(identity.node.encode())
+        self._knows_moves = False
+        self._greeted: set[NodeId] = set()
 
     def due(self, now: Seconds) -> list[Send]:
         """Return the periodic hello messages that are due at a tick."""
@@ -75,12 +80,37 @@
 
         Before any is known, they go to the seeds.
         """
+        peers = list(self._members.balancers) or list(self.seeds)
+        return self._hellos_to(now, peers)
+
+    def hellos_to_new_balancers(self, now: Seconds) -> list[Send]:
+        """Return hello messages to balancers that have been sent none."""
+        known = self._members.balancers
+        self._greeted &= known.keys()
+        if len(self._greeted) == len(known):
+            return []
+        return self._hellos_to(
+            now, [n for n in known if n not in self._greeted]
+        )
+
+    def _hellos_to(self, now: Seconds, balancers: list[NodeId]) -> list[Send]:
+        others = [node for node in balancers if node != self._identity.node]
+        if not others:
+            return []
+        self._greeted.update(others)
         reports = [m.report for m in self._members.agents.values()]
         hello = self._hello(now, reports)
-        peers = list(self._members.balancers) or list(self.seeds)
-        others = (node for node in peers if node != self._identity.node)
         return [Send(node, hello) for node in others]
 
+    def handle_hello(self, now: Seconds, hello: Hello) -> list[Send]:
+        """Learn the moved routes, and tell a balancer that lacks them."""
+        self._routes.add_moved(hello.moved)
+        is_told = hello.knows_moves or bool(hello.moved)
+        self._knows_moves = self._knows_moves or is_told
+        if hello.knows_moves or not self._routes.moved:
+            return []
+        return [Send(hello.id, self._hello(now, []))]
+
     def goodbyes(self) -> list[Send]:
         """Return the messages to all known processes that this one stops."""
         dsts: list[NodeId] = [*self._members.agents, *self._members.balancers]
@@ -144,4 +174,11 @@
             idle_s=self._routes.idle_s,
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
+            moved=self._next_moved_routes(),
+            knows_moves=self._knows_moves,
         )
+
+    def _next_moved_routes(self) -> tuple[MovedRoute, ...]:
+        moved = self._routes.moved
+        start = self._rotation % max(1, len(moved))
+        return (moved[start:] + moved[:start])[:MOVED_ROUTES_PER_HELLO]
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -8,6 +8,7 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import ServiceName
+from .segment import Endpoint
 from .segment import FlowId
 
 FINAL_COUNT = 2**62
@@ -115,6 +116,16 @@
         return self.count == FINAL_COUNT
 
 
+class MovedRoute(msgspec.Struct, frozen=True, array_like=True):
+    """A route and the services that it named under earlier versions.
+
+    Their servers may still hold flows to its address.
+    """
+
+    address: Endpoint
+    services: tuple[ServiceName, ...]
+
+
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """Hello message: a balancer, its configuration and the members it knows.
 
@@ -124,7 +135,9 @@
     store yet. ``peers`` are other balancers, ``departed`` agents that were
     removed recently. ``idle_s`` is how long a flow may be idle;
     ``config_age_s`` how long ago the store confirmed to the sender that its
-    configuration is the newest.
+    configuration is the newest. ``moved`` holds some routes that moved from
+    one service to another, for balancers that started since;
+    ``knows_moves`` is unset until the sender has received them.
     """
 
     id: NodeId
@@ -136,6 +149,8 @@
     idle_s: float = 0.0
     service_size: int = 0
     config_age_s: float = float("inf")
+    moved: tuple[MovedRoute, ...] = ()
+    knows_moves: bool = True
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/routes.py
@@ -1,8 +1,11 @@
 """Route table: the operators' configuration as the relay uses it."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from ..ids import ServiceName
+from .messages import MovedRoute
 from .segment import Endpoint
 from .segment import endpoint
 from .segment import FlowId
@@ -93,6 +96,22 @@
             service
         )
 
+    @property
+    def moved(self) -> tuple[MovedRoute, ...]:
+        """The routes that named other services under earlier versions."""
+        return tuple(
+            MovedRoute(address, services)
+            for address, services in self._earlier_services.items()
+            if services
+        )
+
+    def add_moved(self, moved: Iterable[MovedRoute]) -> None:
+        """Add what another process knows of earlier versions."""
+        for route in moved:
+            known = self._earlier_services.get(route.address, ())
+            services = sorted({*known, *route.services})
+            self._earlier_services[route.address] = tuple(services)
+
     def _retain_services(
         self, address: Endpoint, old: Route, new: Route
     ) -> None:
@@ -118,10 +137,11 @@
         route = self._by_address.get(flow.address)
         if route is None:
             return ()
-        earlier = self._earlier_services.get(flow.address, ())
-        if len(route.shares) == 1:
-            return (route.shares[0].service, *earlier)
-        return (*_by_weight(route.shares, flow.key), *earlier)
+        current = _by_weight(route.shares, flow.key)
+        earlier = self._earlier_services.get(flow.address)
+        if not earlier:
+            return current
+        return (*current, *(s for s in earlier if s not in current))
 
 
 def _lowest_rank(table: RouteTable) -> dict[ServiceName, int]:
@@ -137,6 +157,8 @@
 
 
 def _by_weight(shares: tuple[Share, ...], key: int) -> tuple[ServiceName, ...]:
+    if len(shares) == 1:
+        return (shares[0].service,)
     total = sum(share.weight for share in shares)
     if total <= 0:
         return tuple(share.service for share in shares)
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -4,6 +4,8 @@
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerPacketReceived
 from medlar_core.relay.messages import FlowHeld
+from medlar_core.relay.messages import MovedRoute
+from medlar_core.relay.routes import Routes
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
@@ -15,6 +17,7 @@
 from .kit import LONG_IDLE_S
 from .kit import node
 from .kit import OFFICE
+from .kit import table
 
 
 def two_services():
@@ -83,6 +86,25 @@
     assert fleet.reset_count(opened) == 0
 
 
+def test_a_balancer_learns_of_moved_routes_as_soon_as_it_starts():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(0.3)
+    for flow_id in opened:
+        fleet.data(flow_id, by=9, seq=500)
+    fleet.run(0.5)
+    assert fleet.reset_count(opened) == 0
+
+
+def test_a_route_that_moved_back_names_each_service_once():
+    routes = Routes()
+    routes.add_moved([MovedRoute(flow(1).address, (DESK, OFFICE))])
+    routes.apply(table(1, DESK))
+    assert routes.services(flow(1)) == (DESK, OFFICE)
+
+
 def test_a_service_whose_agents_were_removed_may_hold_flows():
     fleet = two_services()
     fleet.route_to(2, {DESK: 1}, LONG_IDLE_S)
