Name all members to an agent that starts only once

Cause: each balancer named all agents of the service to each agent that it learned of.

Change: the first hello message names the newest three members and asks for a report; an agent that knows fewer members than a balancer counts asks one balancer for all (MemberQuery). An agent introduces itself to each balancer once, not to all whenever one becomes known.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -30,6 +30,7 @@
 from .events import ServerPacketReceived
 from .flow_context import FlowContext
 from .local_server import LocalServer
+from .member_query import MemberQuery
 from .members import Members
 from .messages import AgentReport
 from .messages import AgentState
@@ -40,6 +41,7 @@
 from .messages import Goodbye
 from .messages import Hello
 from .messages import LoadReport
+from .messages import MembersAsked
 from .messages import OtherService
 from .messages import ReportAsked
 from .pause_detector import PauseDetector
@@ -103,6 +105,7 @@
         self._reports = ReportSender(self.members, identity.seeds, self.report)
         self._expire_at = 0.0
         self._probe_at = 0.0
+        self._member_query = MemberQuery()
         self._pause_detector = PauseDetector()
 
     @property
@@ -324,8 +327,6 @@
         return []
 
     def _handle_hello(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
-        if msg.id not in self.members.balancers:
-            self._reports.make_due_for_balancers()
         self.members.apply_hello(now, msg)
         if msg.version >= self._event_factory.version and msg.idle_s:
             self.local_server.idle_s = msg.idle_s
@@ -335,14 +336,26 @@
         for report in msg.agents:
             if report.id == self._identity.node:
                 self._supersede(report)
-        known = len(self.members.of(self._ctx.service)) + 1
-        if msg.service_size and known >= msg.service_size:
-            self._ctx.mark_members_known(now)
         service = self._ctx.service
-        return [
+        asker = msg.id if msg.wants_report else None
+        effects: list[RelayEffect] = [
+            *self._reports.reports_to_new_balancers(now, asker),
             *self._reports.reports_to_new_members(now, service),
-            *self._reports.due(now, service),
         ]
+        if msg.service_size and self._known_count() >= msg.service_size:
+            self._ctx.mark_members_known(now)
+        self._member_query.record_hello(msg)
+        return effects + self._query_members(now)
+
+    def _known_count(self) -> int:
+        """Return how many agents of the service are known, with this one."""
+        return len(self.members.of(self._ctx.service)) + 1
+
+    def _query_members(self, now: Seconds) -> list[RelayEffect]:
+        source = self._member_query.due(now, self._known_count())
+        if source is None:
+            return []
+        return [Send(source, MembersAsked(self._ctx.service))]
 
     def _supersede(self, report: AgentReport) -> None:
         """Use a higher incarnation than an earlier process at this address.
@@ -377,6 +390,7 @@
             for removal in self.members.pop_removals()
         ]
         effects += self._reports.due(now, self._ctx.service)
+        effects += self._query_members(now)
         effects += self._store_calls(now)
         return effects
 
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -40,6 +40,7 @@
 from .messages import Goodbye
 from .messages import Hello
 from .messages import LoadReport
+from .messages import MembersAsked
 from .messages import OtherService
 from .messages import ReportAsked
 from .owners import eligible
@@ -285,6 +286,10 @@
                 self.members.apply_report(now, report, direct=True)
             case Hello():
                 return self._handle_hello(now, msg)
+            case MembersAsked(service=service):
+                return list(
+                    self._hello_sender.hellos_with_members(now, src, service)
+                )
             case EntryMissing():
                 self._view.handle_missing_entry(now)
                 return self._store_calls(now)
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -1,9 +1,12 @@
 """Hello messages of a balancer to agents and to other balancers."""
 
+import msgspec
+
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
+from .members import Member
 from .members import Members
 from .messages import AgentReport
 from .messages import Goodbye
@@ -28,9 +31,9 @@
 """Other balancers named in one hello message."""
 MOVED_ROUTES_PER_HELLO = 8
 """Moved routes in one hello message; the others follow in the next ones."""
-REPORTS_PER_FIRST_HELLO = 16
-"""Reports in one hello message to a new agent: as many as fit into one
-datagram."""
+REPORTS_PER_FULL_HELLO = 16
+"""Reports in one hello message to an agent that asks for all: as many as fit
+into one datagram."""
 
 
 class HelloSender:
@@ -61,18 +64,28 @@
         effects: list[Send] = []
         if self._balancer_interval.due(now, len(self._members.balancers)):
             effects += self.hellos_to_balancers(now)
-        return effects + self._hellos_to_agents(now)
+        return effects + self._next_hellos_to_agents(now)
 
     def hellos_to_new_agents(self, now: Seconds) -> list[Send]:
-        """Return hello messages to new agents.
+        """Return hello messages to new agents, which ask for a report.
 
-        They name all agents of the service. The other agents get no
-        message, as a new agent sends them its own report.
+        The other agents get no message, as a new agent sends them its own
+        report.
         """
+        new_agents = [
+            (a.id, a.service) for a in self._members.pop_new_agents()
+        ]
+        return self._hellos_to_agents(now, new_agents, are_new=True)
+
+    def hellos_with_members(
+        self, now: Seconds, node: NodeId, service: ServiceName
+    ) -> list[Send]:
+        """Return as many hello messages as name all agents of a service."""
+        reports = [member.report for member in self._members.of(service)]
+        count = -(-len(reports) // REPORTS_PER_FULL_HELLO)
         return [
-            Send(agent.id, hello)
-            for agent in self._members.pop_new_agents()
-            for hello in self._first_hellos(now, agent.service)
+            Send(node, self._hello(now, reports, REPORTS_PER_FULL_HELLO))
+            for _ in range(count)
         ]
 
     def hellos_to_balancers(self, now: Seconds) -> list[Send]:
@@ -116,25 +129,38 @@
         dsts: list[NodeId] = [*self._members.agents, *self._members.balancers]
         return [Send(node, Goodbye(self._identity.node)) for node in dsts]
 
-    def _hellos_to_agents(self, now: Seconds) -> list[Send]:
-        """Return the next messages of the current round to all agents.
-
-        Each agent gets reports of the agents of its own service.
-        """
+    def _next_hellos_to_agents(self, now: Seconds) -> list[Send]:
+        """Return the next messages of the current round to all agents."""
         agents = self._members.agents
         if not self._unsent and self._agent_interval.due(now, len(agents)):
             self._unsent = list(agents)
         batch = self._unsent[:HELLOS_PER_TICK]
         del self._unsent[:HELLOS_PER_TICK]
+        known = [(n, agents[n].report.service) for n in batch if n in agents]
+        return self._hellos_to_agents(now, known)
+
+    def _hellos_to_agents(
+        self,
+        now: Seconds,
+        agents: list[tuple[NodeId, ServiceName]],
+        are_new: bool = False,
+    ) -> list[Send]:
+        """Return a message to each agent, with reports of its own service.
+
+        New ones get the newest reports: they may be unknown to the
+        balancer that the agent asks for all.
+        """
         by_service: dict[ServiceName, list[NodeId]] = {}
-        for node in batch:
-            if node in agents:
-                service = agents[node].report.service
-                by_service.setdefault(service, []).append(node)
+        for node, service in agents:
+            by_service.setdefault(service, []).append(node)
         effects: list[Send] = []
         for service, nodes in by_service.items():
-            reports = [m.report for m in self._members.of(service)]
-            hello = self._hello(now, reports)
+            members = self._members.of(service)
+            hello = self._hello(now, [m.report for m in members])
+            if are_new:
+                hello = msgspec.structs.replace(
+                    hello, agents=_newest(members), wants_report=True
+                )
             effects += [Send(node, hello) for node in nodes]
         return effects
 
@@ -144,15 +170,6 @@
         self._rotation += 1
         return tuple((peers[start:] + peers[:start])[:PEERS_PER_HELLO])
 
-    def _first_hellos(self, now: Seconds, service: ServiceName) -> list[Hello]:
-        """Return as many hello messages as name all agents of a service."""
-        reports = [member.report for member in self._members.of(service)]
-        count = -(-len(reports) // REPORTS_PER_FIRST_HELLO)
-        return [
-            self._hello(now, reports, REPORTS_PER_FIRST_HELLO)
-            for _ in range(count)
-        ]
-
     def _hello(
         self,
         now: Seconds,
@@ -182,3 +199,8 @@
         moved = self._routes.moved
         start = self._rotation % max(1, len(moved))
         return (moved[start:] + moved[:start])[:MOVED_ROUTES_PER_HELLO]
+
+
+def _newest(members: list[Member]) -> tuple[AgentReport, ...]:
+    newest = sorted(members, key=lambda member: member.added_at)
+    return tuple(member.report for member in newest[-REPORTS_PER_HELLO:])
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -92,6 +92,12 @@
     """The sender lacks the receiving agent's full report and requests it."""
 
 
+class MembersAsked(msgspec.Struct, frozen=True, array_like=True, tag="n"):
+    """An agent asks a balancer for the members of a service."""
+
+    service: ServiceName
+
+
 class Departed(msgspec.Struct, frozen=True, array_like=True):
     """A removed agent, the incarnation of its process and its last report.
 
@@ -138,6 +144,7 @@
     configuration is the newest. ``moved`` holds some routes that moved from
     one service to another, for balancers that started since;
     ``knows_moves`` is unset until the sender has received them.
+    ``wants_report`` asks the receiving agent for its report.
     """
 
     id: NodeId
@@ -151,6 +158,7 @@
     config_age_s: float = float("inf")
     moved: tuple[MovedRoute, ...] = ()
     knows_moves: bool = True
+    wants_report: bool = False
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
@@ -204,6 +212,7 @@
     AgentReport
     | LoadReport
     | ReportAsked
+    | MembersAsked
     | Hello
     | Goodbye
     | FlowAsked
--- a/packages/core/src/medlar_core/relay/report_sender.py
+++ b/packages/core/src/medlar_core/relay/report_sender.py
@@ -14,6 +14,9 @@
 PEER_REPORT_INTERVAL_S = 0.1
 BALANCER_REPORT_INTERVAL_S = 0.2
 
+INTRODUCTION_INTERVAL_S = 0.5
+"""Least time between two introductions to a balancer that asks for one."""
+
 ReadReport = Callable[[Seconds], AgentReport]
 """Returns a new report of the agent."""
 
@@ -33,6 +36,7 @@
         self.seeds = seeds
         self._members = members
         self._read_report = read_report
+        self._introduced_at: dict[NodeId, float] = {}
         self._peers = ReportSchedule(PEER_REPORT_INTERVAL_S)
         self._balancers = ReportSchedule(BALANCER_REPORT_INTERVAL_S)
 
@@ -41,10 +45,6 @@
         self._peers.make_due()
         self._balancers.make_due()
 
-    def make_due_for_balancers(self) -> None:
-        """Make the reports to balancers due at once."""
-        self._balancers.make_due()
-
     def due(self, now: Seconds, service: ServiceName) -> list[Send]:
         """Return the reports that are due; peers are those of a service."""
         effects: list[Send] = []
@@ -60,6 +60,27 @@
             effects += self._balancers.due(now, balancers, report)
         return effects
 
+    def reports_to_new_balancers(
+        self, now: Seconds, asker: NodeId | None = None
+    ) -> list[Send]:
+        """Return reports to balancers that have been sent none.
+
+        ``asker`` is a balancer that wants a report unless one was sent to
+        it just now.
+        """
+        known = self._members.balancers
+        sent_at = self._introduced_at
+        for node in sent_at.keys() - known.keys():
+            del sent_at[node]
+        if asker and now - sent_at.get(asker, now) > INTRODUCTION_INTERVAL_S:
+            del sent_at[asker]
+        if len(sent_at) == len(known):
+            return []
+        new = [node for node in known if node not in sent_at]
+        sent_at.update(dict.fromkeys(new, now))
+        report = self._read_report(now)
+        return [Send(node, report) for node in new]
+
     def reports_to_new_members(
         self, now: Seconds, service: ServiceName
     ) -> list[Send]:
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -94,6 +94,7 @@
         self.world = RelaySimulation(seed)
         self.agents: dict[NodeId, RelayAgent] = {}
         self.balancers: dict[NodeId, RelayBalancer] = {}
+        self.services: dict[NodeId, ServiceName] = {}
         self.announcements: dict[NodeId, ServerAnnounced] = {}
         self.started_at: dict[NodeId, float] = {}
         self.clock_jumped = False
@@ -163,6 +164,7 @@
             rng,
         )
         self.agents[address] = agent
+        self.services[address] = service
         self.world.nodes[address] = agent
         return agent
 
@@ -201,6 +203,28 @@
     def kill(self, address: NodeId) -> None:
         self.world.nodes.pop(address)
 
+    def restart_all(self, spread_s: float = 0.4) -> None:
+        """Restart all processes and servers, as after a loss of power.
+
+        The starts are spread evenly over ``spread_s`` seconds, agents and
+        balancers in turn.
+        """
+        agents, balancers = list(self.agents), list(self.balancers)
+        nodes = [*agents, *balancers]
+        for address in nodes:
+            self.kill(address)
+        for address in agents:
+            self.world.servers.pop(address)
+            self.announcements.pop(address)
+        random.Random(len(nodes)).shuffle(nodes)
+        for address in nodes:
+            if address in self.agents:
+                self.start_server(address, self.services[address])
+                self.start_agent(address, self.services[address])
+            else:
+                self.start_balancer(address)
+            self.run(spread_s / len(nodes))
+
     def syn(
         self, flow_id: FlowId, by: int = 0, retransmission: int = 0
     ) -> None:
--- /dev/null
+++ b/testing/core/relay/test_member_query.py
@@ -0,0 +1,42 @@
+"""Tests for the choice of a balancer to ask for members."""
+
+from medlar_core.ids import NodeId
+from medlar_core.ids import PlaceName
+from medlar_core.relay.member_query import MemberQuery
+from medlar_core.relay.member_query import QUERIES_PER_HELLO
+from medlar_core.relay.member_query import QUERY_INTERVAL_S
+from medlar_core.relay.messages import Hello
+
+
+def hello(number, service_size):
+    node = NodeId(f"10.0.2.{number}:7000")
+    return Hello(node, PlaceName("a"), 1, service_size=service_size)
+
+
+def test_the_balancer_that_knows_most_members_is_asked():
+    query = MemberQuery()
+    query.record_hello(hello(1, 4))
+    query.record_hello(hello(2, 5))
+    query.record_hello(hello(3, 3))
+    assert query.due(0.0, known=3) == hello(2, 5).id
+
+
+def test_no_balancer_is_asked_once_all_members_are_known():
+    query = MemberQuery()
+    query.record_hello(hello(1, 4))
+    assert query.due(0.0, known=4) is None
+
+
+def test_a_query_without_a_reply_is_repeated_after_an_interval():
+    query = MemberQuery()
+    query.record_hello(hello(1, 4))
+    assert query.due(0.0, known=3)
+    assert query.due(QUERY_INTERVAL_S / 2, known=3) is None
+    assert query.due(QUERY_INTERVAL_S, known=3)
+
+
+def test_a_balancer_that_counts_too_many_members_is_asked_a_few_times():
+    query = MemberQuery()
+    query.record_hello(hello(1, 9))
+    asked = [query.due(float(second), known=3) for second in range(20)]
+    assert sum(node is not None for node in asked) == QUERIES_PER_HELLO
