Know all flows of a server that started with its agent

Cause: after a loss of power, agents did not know that their servers, a moment older than themselves, hold no earlier flows. Each unknown flow was tried at all servers by packets, which are limited to 400 a second and agent: at 108 peers, callers of lost flows waited up to 8 s.

Change: a server that started at most 0.5 s before its agent's process had no agent until then. Its age is checked against the number of its announcements, in case that the clock was set back.

Exposed: flows that a server accepted in the first moments of its life, if its agent was killed within that time and replaced within 0.5 s of the server's start. An agent that is asked to stop opens none meanwhile.

--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -16,6 +16,13 @@
 FIRST_SEQUENCE = 1
 """Sequence number of an incarnation's first announcement. A server first
 seen with it has no earlier flows."""
+START_GAP_S = 0.5
+"""A server that started at most so long before this agent process had no
+agent until then: an agent that is asked to stop opens no flows at its server,
+and takes longer to be replaced."""
+EXTRA_CALLS = 3
+"""Announcements beyond one an interval: the first, at the server's start, and
+repeated ones."""
 
 
 class ServerIncarnation(msgspec.Struct):
@@ -45,7 +52,12 @@
 class LocalServer:
     """Tracks the incarnation and state of the local server."""
 
-    def __init__(self, heartbeat_s: float) -> None:
+    def __init__(
+        self, heartbeat_s: float, started_at: float = float("inf")
+    ) -> None:
+        self._heartbeat_s = heartbeat_s
+        self._started_at = started_at
+        """When this process started; infinite if unknown."""
         self._silence_limit_s = MAX_MISSED_ANNOUNCEMENTS * heartbeat_s
         self._was_absent = False
         self._is_listening: bool | None = None
@@ -139,13 +151,29 @@
             event.slots,
             cold_until,
             now,
-            self._was_absent or event.sequence <= FIRST_SEQUENCE,
+            self._was_absent
+            or event.sequence <= FIRST_SEQUENCE
+            or self._started_with_agent(now, event),
             observed_since=now,
         )
         if known is None or presumed:
             return None
         return Seconds(max(known.announced_at, now - event.age_s))
 
+    def _started_with_agent(
+        self, now: Seconds, event: ServerAnnounced
+    ) -> bool:
+        """Return whether no earlier agent process relayed to the server.
+
+        Answers the start of everything after a loss of power. The number
+        of announcements shows a server that seems younger than it is, as
+        the clock was set back since it started.
+        """
+        uptime_s = now - self._started_at
+        if event.age_s > uptime_s + START_GAP_S:
+            return False
+        return event.sequence <= uptime_s / self._heartbeat_s + EXTRA_CALLS
+
     def handle_departure(self, event: ServerLeft) -> bool:
         """Record that the server ends; return whether it is the known one."""
         known = self.server
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -24,6 +24,7 @@
 from .http import serving
 from .log import LogPipe
 from .process import ExecuteOp
+from .process import now
 from .process import RelayProcess
 from .process import running
 from .process import serving_metrics
@@ -71,6 +72,7 @@
         time.time_ns() // 1_000_000,
         cfg.beat_s,
         cfg.seeds,
+        now(),
     )
     registration = Registration(access, prefix + cfg.node, rng)
     reducer = RelayAgent(identity, codec, access, registration, rng)
