Request loads for a flow in large services, and report sparsely

Cause: every agent reported to all agents of its service and to all balancers, up to 50 a second each. At 195 processes an agent sent 92 control messages a second and received 71, a balancer sent 87 and received 136 (kit, virtual time), and yet the loads by which flows were placed were up to 2.7 s old, at servers whose work takes 22 ms.

Change: where reports cannot be 0.2 s apart, the loads of two peers are requested for each flow; an empty server takes it without. Periodic reports and hello messages then only show that the sender is alive, at 5 a second and kind over all receivers. An agent that may be dead (not registered, removed by others, a SYN was repeated) is asked; one that does not reply is silent after 0.3 s, where it took 3.5 periods before. An agent confirms a flow to the one that placed it, which places it anew if it is not confirmed by the next retransmission; balancers learn the holder of every flow. A configuration is passed on by those that read it from the store alone. Balancers look at all members three times a second, not at each tick.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -46,6 +46,7 @@
 from .messages import ReportAsked
 from .pause_detector import PauseDetector
 from .registration import Registration
+from .report_requests import report_requests
 from .report_sender import ReportSender
 from .segment import Segment
 from .segment import SegmentCodec
@@ -61,7 +62,8 @@
 class AgentIdentity(msgspec.Struct, frozen=True):
     """Identity and start values of an agent.
 
-    ``heartbeat_s`` is the interval of its server's announcements.
+    ``heartbeat_s`` is the interval of its server's announcements,
+    ``started_at`` when the process started, infinite if unknown.
     """
 
     node: NodeId
@@ -70,6 +72,7 @@
     incarnation: int
     heartbeat_s: float
     seeds: tuple[NodeId, ...]
+    started_at: float = float("inf")
 
 
 class RelayAgent:
@@ -88,7 +91,9 @@
         self._access = access
         self._registration = registration
         self.members = Members(identity.node)
-        self.local_server = LocalServer(identity.heartbeat_s)
+        self.local_server = LocalServer(
+            identity.heartbeat_s, identity.started_at
+        )
         self._event_factory = EventFactory(identity.node)
         self._ctx = FlowContext(
             identity.node,
@@ -101,6 +106,7 @@
         self._flows = AgentFlows(self._ctx, rng)
         self._report_count = 0
         self._reported_state = AgentState.STARTING
+        self._reported_knows_all = False
         self._stopping = False
         self._reports = ReportSender(self.members, identity.seeds, self.report)
         self._expire_at = 0.0
@@ -270,9 +276,10 @@
     def _update_state(self, now: Seconds) -> list[RelayEffect]:
         """Report and register a change of the agent's state at once."""
         if self._state(now) is self._reported_state:
-            return []
+            return self._report_known_flows(now)
         report = self.report(now)
         old, self._reported_state = self._reported_state, report.state
+        self._reported_knows_all = report.knows_all_flows
         if old is AgentState.GONE:
             # Members ignore reports of an incarnation that they removed as
             # gone, so the agent returns as a new one.
@@ -291,24 +298,40 @@
         reports = self._reports.due(now, self._ctx.service)
         return [event, *reports, *self._store_calls(now)]
 
+    def _report_known_flows(self, now: Seconds) -> list[RelayEffect]:
+        """Report at once that this agent has come to know all its flows.
+
+        Others then query it without packets, which are limited in rate.
+        """
+        knows_all = self.local_server.knows_all_flows(now)
+        if knows_all is self._reported_knows_all:
+            return []
+        self._reported_knows_all = knows_all
+        self._reports.make_due()
+        return list(self._reports.due(now, self._ctx.service))
+
     # Peers and balancers
 
     def _handle_message(
         self, now: Seconds, src: NodeId, msg: Any
     ) -> list[RelayEffect]:
+        self.members.record_message(now, src)
         match msg:
             case AgentReport():
                 self.members.apply_report(now, msg, direct=msg.id == src)
                 service = self._ctx.service
                 return [
+                    *self._flows.handle_load(now, src, self.report),
                     *self._reports.reports_to_new_members(now, service),
                     *self._reports.correction(now, src, msg, service),
                 ]
             case LoadReport():
                 if not self.members.apply_load(now, src, msg):
                     return [Send(src, ReportAsked())]
+                return self._flows.handle_load(now, src, self.report)
             case ReportAsked():
-                return [Send(src, self.report(now))]
+                report = self._reports.report_to(now, src, self._ctx.service)
+                return [Send(src, report)]
             case Hello():
                 return self._handle_hello(now, msg)
             case Goodbye(id=node):
@@ -339,8 +362,9 @@
         service = self._ctx.service
         asker = msg.id if msg.wants_report else None
         effects: list[RelayEffect] = [
-            *self._reports.reports_to_new_balancers(now, asker),
+            *self._reports.reports_to_new_balancers(now, service, asker),
             *self._reports.reports_to_new_members(now, service),
+            *report_requests(self.members),
         ]
         if msg.service_size and self._known_count() >= msg.service_size:
             self._ctx.mark_members_known(now)
@@ -352,7 +376,9 @@
         return len(self.members.of(self._ctx.service)) + 1
 
     def _query_members(self, now: Seconds) -> list[RelayEffect]:
-        source = self._member_query.due(now, self._known_count())
+        source = self._member_query.due(
+            now, self._known_count(), self._ctx.has_confirmed_members
+        )
         if source is None:
             return []
         return [Send(source, MembersAsked(self._ctx.service))]
@@ -381,6 +407,7 @@
         if self.local_server.needs_probe(now) and now >= self._probe_at:
             self._probe_at = now + PROBE_INTERVAL_S
             effects.append(ProbeServer())
+        self.members.apply_named(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.members.expire(now, self.local_server.idle_s)
@@ -391,6 +418,8 @@
         ]
         effects += self._reports.due(now, self._ctx.service)
         effects += self._query_members(now)
+        effects += self._flows.place_late(now, self.report)
+        effects += report_requests(self.members)
         effects += self._store_calls(now)
         return effects
 
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -3,6 +3,7 @@
 import random
 
 from ..effects import Send
+from ..ids import NodeId
 from ..ids import Seconds
 from ..packets import Flag
 from ..verdict import Reason
@@ -19,6 +20,7 @@
 from .messages import OtherService
 from .placement import NewFlow
 from .placement import Placement
+from .placement import ReadReport
 from .segment import Segment
 
 MAX_HOPS_BEFORE_LOOKUP = 3
@@ -103,7 +105,24 @@
         )
         if routed:
             return self._placement.place(now, new_flow, own_report)
-        return self._placement.handle_placed(now, new_flow, own_report)
+        effects = self._placement.handle_placed(now, new_flow, own_report)
+        flow = ctx.table.get(flow_id)
+        if flow is not None and flow.holder == ctx.node:
+            # Confirms the flow to the agent that placed it here.
+            effects.append(Send(event.src, FlowHeld(flow_id, ctx.node)))
+        return effects
+
+    def handle_load(
+        self, now: Seconds, node: NodeId, read_report: ReadReport
+    ) -> list[RelayEffect]:
+        """Place the flows that waited for the load of an agent."""
+        return self._placement.handle_load(now, node, read_report)
+
+    def place_late(
+        self, now: Seconds, read_report: ReadReport
+    ) -> list[RelayEffect]:
+        """Place the flows that have waited too long for loads."""
+        return self._placement.place_late(now, read_report)
 
     def handle_server_packet(
         self, now: Seconds, segment: Segment
@@ -253,7 +272,7 @@
 
         It is placed anew if the holder accepts no new flows.
         """
-        if self._placement.accepts_flows(now, flow.holder):
+        if self._placement.accepts_flows(now, flow.holder, flow.opened_at):
             return self._forward_to_holder(now, event, flow)
         new_flow = _new_flow_from(event.segment, flow, event.packet.hops)
         new_flow = new_flow.declined_by(flow.holder)
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -33,6 +33,7 @@
 from .members import Member
 from .members import Members
 from .members import recently_reporting
+from .members import RemovalCause
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import EntryMissing
@@ -47,6 +48,7 @@
 from .owners import Owners
 from .pause_detector import PauseDetector
 from .registration import Registration
+from .report_requests import report_requests
 from .routes import Routes
 from .routes import RouteTable
 from .segment import FlowId
@@ -60,11 +62,18 @@
 """Least time between two fetches of a newer configuration from peers."""
 OWNER_TIMEOUT_S = 0.3
 """A retransmitted SYN goes to the backup owner if the owner has sent no
-report for longer."""
+message for longer: it sends one for each flow that it places."""
 CONFIG_FRESH_S = 6.0
 """A SYN to an unknown address is reset only if the configuration was
 confirmed this recently; otherwise a newer one may have a route to it."""
 
+EXPIRE_INTERVAL_S = 1.0
+RANK_INTERVAL_S = 0.3
+"""Time between two looks at which agents are silent; changes of the
+membership are applied at once."""
+FROM_STORE = "the store"
+"""Source of a configuration that the balancer passes on to all others."""
+
 _SYN = int(Flag.SYN)
 
 
@@ -101,6 +110,8 @@
         self._next_fetch_at = 0.0
         self._peer_confirmed_at = float("-inf")
         self._has_agent_reports = False
+        self._expire_at = 0.0
+        self._rank_at = 0.0
         self._pause_detector = PauseDetector()
 
     @property
@@ -240,7 +251,13 @@
         if not is_retransmitted or len(ranked) < 2:
             return ranked[0]
         owner = self.members.agents.get(ranked[0])
-        if owner is None or owner.is_silent(now, OWNER_TIMEOUT_S):
+        if owner is None:
+            return ranked[1]
+        if owner.silent_s(now) > OWNER_TIMEOUT_S and (
+            owner.report.period_s > OWNER_TIMEOUT_S
+            or owner.is_silent(now, OWNER_TIMEOUT_S)
+        ):
+            self.members.request_report(now, ranked[0])
             return ranked[1]
         return ranked[0]
 
@@ -275,6 +292,7 @@
     def _handle_message(
         self, now: Seconds, src: NodeId, msg: Any
     ) -> list[RelayEffect]:
+        self.members.record_message(now, src)
         match msg:
             case AgentReport():
                 self.members.apply_report(now, msg, direct=msg.id == src)
@@ -319,13 +337,20 @@
         pause_s = self._pause_detector.record_tick(now)
         if pause_s:
             self.members.exclude_pause(now, pause_s)
-        self.members.expire(now)
+        self.members.apply_named(now)
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_INTERVAL_S
+            self.members.expire(now)
+        removals = self.members.pop_removals()
+        if any(removal.cause is RemovalCause.SILENT for removal in removals):
+            self._hello_sender.make_due_for_agents()
         effects: list[RelayEffect] = [
-            self._event_factory.removal_event(removal)
-            for removal in self.members.pop_removals()
+            self._event_factory.removal_event(removal) for removal in removals
         ]
         effects += self._view.notify_unregistered(now)
-        self._rank_agents(now)
+        effects += report_requests(self.members)
+        if now >= self._rank_at:
+            self._rank_agents(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
 
     def _send_hellos(self, now: Seconds) -> list[RelayEffect]:
@@ -344,7 +369,7 @@
         update = self._view.handle_answer(now, event)
         effects = update.effects
         for table in update.tables:
-            effects += self._apply_routes(now, table, "the store")
+            effects += self._apply_routes(now, table, FROM_STORE)
         effects += self._handle_membership_changes(now)
         return effects + self._store_calls(now)
 
@@ -360,6 +385,8 @@
             f"configuration: in force with {len(table.routes)} routes, "
             f"replaces version {old}, received from {source}",
         )
+        if source != FROM_STORE:
+            return [event]
         return [event, *self._hello_sender.hellos_to_balancers(now)]
 
     # Owners
@@ -381,6 +408,7 @@
 
         Cached rankings are kept while the eligible agents stay the same.
         """
+        self._rank_at = now + RANK_INTERVAL_S
         by_service: dict[ServiceName, list[Member]] = {}
         ready: list[Member] = []
         for member in self.members.agents.values():
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -12,11 +12,15 @@
 from .messages import AgentReport
 from .messages import AgentState
 
+RECENT_LOAD_S = 0.2
+"""A load figure that is older is requested anew before it decides."""
 MAX_REPORT_AGE_S = 0.35
 """An agent whose last report is older is not chosen for new flows."""
 MAX_COMPARED_PEERS = 3
 """Peers compared for each flow, picked at random. Comparing all of them
 would send all flows to the same server until its next report."""
+MAX_REQUESTS = 2
+"""Peers whose load is requested for one flow."""
 FLOW_LOAD = 0.1
 """Load of an open flow, relative to one with a request in progress."""
 REMOTE_PLACE_LOAD = 0.3
@@ -46,6 +50,23 @@
         self._node = node
         self._rng = rng
 
+    def sample(
+        self,
+        now: Seconds,
+        members: list[Member],
+        excluded: Collection[NodeId],
+    ) -> list[Member]:
+        """Return some peers to compare, picked at random.
+
+        At most ``MAX_REQUESTS`` of them have no recent load figure.
+        """
+        peers = [m for m in members if _is_eligible(now, m, excluded)]
+        if len(peers) > MAX_COMPARED_PEERS:
+            peers = self._rng.sample(peers, MAX_COMPARED_PEERS)
+        outdated = [m for m in peers if not has_recent_load(now, m)]
+        left_out = outdated[MAX_REQUESTS:]
+        return [m for m in peers if m not in left_out]
+
     def select(
         self,
         now: Seconds,
@@ -57,6 +78,8 @@
     ) -> Selection | None:
         """Return the agent with the least loaded server, None for none.
 
+        Compares all members given, or some of them if these are many.
+
         ``own_report`` is this agent's report if its server accepts flows,
         ``caller_place`` the place of the caller's balancer if known. A
         server with ``limit`` waiting callers per slot is full.
@@ -103,6 +126,16 @@
     return work / max(1, report.slots)
 
 
+def has_recent_load(now: Seconds, member: Member) -> bool:
+    """Return whether a member's load is known well enough to decide.
+
+    True for one that reports often: another report is on its way.
+    """
+    if member.report.period_s <= RECENT_LOAD_S:
+        return True
+    return now - member.last_report_at <= RECENT_LOAD_S
+
+
 def _is_eligible(
     now: Seconds, member: Member, excluded: Collection[NodeId]
 ) -> bool:
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -51,6 +51,11 @@
         if self._members_known_at is None:
             self._members_known_at = now
 
+    @property
+    def has_confirmed_members(self) -> bool:
+        """Whether a balancer has counted no more members than are known."""
+        return self._members_known_at is not None
+
     def forget_members_known(self) -> None:
         """Require another hello message before all members are known."""
         self._members_known_at = None
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -14,6 +14,7 @@
 from .messages import MovedRoute
 from .routes import Routes
 from .send_interval import SendInterval
+from .send_interval import SPARSE_MESSAGES_PER_S
 from .store_view import BalancerIdentity
 from .store_view import StoreView
 
@@ -51,8 +52,13 @@
         self._members = members
         self._routes = routes
         self._view = view
-        self._balancer_interval = SendInterval(BALANCER_INTERVAL_S)
-        self._agent_interval = SendInterval(AGENT_INTERVAL_S)
+        self._watcher_interval = SendInterval(BALANCER_INTERVAL_S)
+        self._balancer_interval = SendInterval(
+            BALANCER_INTERVAL_S, SPARSE_MESSAGES_PER_S
+        )
+        self._agent_interval = SendInterval(
+            AGENT_INTERVAL_S, SPARSE_MESSAGES_PER_S
+        )
         self._unsent: list[NodeId] = []
         """Agents that the current round has not reached yet."""
         self._rotation = sum(identity.node.encode())
@@ -62,10 +68,23 @@
     def due(self, now: Seconds) -> list[Send]:
         """Return the periodic hello messages that are due at a tick."""
         effects: list[Send] = []
-        if self._balancer_interval.due(now, len(self._members.balancers)):
+        if self._interval_to_balancers(now).due(
+            now, len(self._members.balancers)
+        ):
             effects += self.hellos_to_balancers(now)
         return effects + self._next_hellos_to_agents(now)
 
+    def _interval_to_balancers(self, now: Seconds) -> SendInterval:
+        """Return the interval: others rely on those that watch the store."""
+        if self._view.is_watcher(now):
+            return self._watcher_interval
+        return self._balancer_interval
+
+    def make_due_for_agents(self) -> None:
+        """Begin a round to all agents, which names removed ones."""
+        self._agent_interval.make_due()
+        self._unsent = []
+
     def hellos_to_new_agents(self, now: Seconds) -> list[Send]:
         """Return hello messages to new agents, which ask for a report.
 
@@ -113,6 +132,9 @@
         self._greeted.update(others)
         reports = [m.report for m in self._members.agents.values()]
         hello = self._hello(now, reports)
+        interval = self._interval_to_balancers(now)
+        period_s = interval.period_s(len(self._members.balancers))
+        hello = msgspec.structs.replace(hello, period_s=period_s)
         return [Send(node, hello) for node in others]
 
     def handle_hello(self, now: Seconds, hello: Hello) -> list[Send]:
@@ -193,6 +215,7 @@
             config_age_s=now - self._view.config_confirmed_at,
             moved=self._next_moved_routes(),
             knows_moves=self._knows_moves,
+            period_s=self._agent_interval.period_s(len(self._members.agents)),
         )
 
     def _next_moved_routes(self) -> tuple[MovedRoute, ...]:
--- a/packages/core/src/medlar_core/relay/member_query.py
+++ b/packages/core/src/medlar_core/relay/member_query.py
@@ -6,8 +6,9 @@
 
 QUERY_INTERVAL_S = 0.2
 """Longer than a reply takes, as all balancers greet a new agent at once."""
-QUERIES_PER_HELLO = 3
-"""A balancer may count agents that are not to be learned from it."""
+MAX_QUERY_INTERVAL_S = 3.2
+"""Queries are repeated at intervals that double up to this: a balancer may
+count agents that are not to be learned from it, or not know their number."""
 
 
 class MemberQuery:
@@ -20,22 +21,29 @@
     def __init__(self) -> None:
         self._source: NodeId | None = None
         self._service_size = 0
-        self._queries_left = 0
+        self._interval_s = QUERY_INTERVAL_S
         self._next_at = 0.0
 
     def record_hello(self, hello: Hello) -> None:
         """Record how many members a balancer knows."""
-        if hello.service_size >= self._service_size or not self._queries_left:
+        is_repeated = self._interval_s > QUERY_INTERVAL_S
+        if hello.service_size >= self._service_size or is_repeated:
             self._source = hello.id
             self._service_size = hello.service_size
-            self._queries_left = QUERIES_PER_HELLO
 
-    def due(self, now: Seconds, known: int) -> NodeId | None:
-        """Return the balancer to ask now, if fewer members are known here."""
-        if known >= self._service_size or not self._queries_left:
+    def due(
+        self, now: Seconds, known: int, is_confirmed: bool
+    ) -> NodeId | None:
+        """Return the balancer to ask now, if members may be unknown here.
+
+        ``is_confirmed`` tells that a balancer has counted no more than are
+        known.
+        """
+        if is_confirmed and known >= self._service_size:
+            self._interval_s = QUERY_INTERVAL_S
             return None
         if now < self._next_at:
             return None
-        self._next_at = now + QUERY_INTERVAL_S
-        self._queries_left -= 1
+        self._next_at = now + self._interval_s
+        self._interval_s = min(2 * self._interval_s, MAX_QUERY_INTERVAL_S)
         return self._source
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -35,6 +35,16 @@
 AGENT_EXPIRY_S = 60.0
 """A silent agent is removed after this even if its entry in the store has
 not been seen to be missing."""
+REPLY_TIMEOUT_S = 0.3
+"""An agent that has not replied to a request for its report after this is
+silent."""
+REPEAT_REQUEST_S = 0.5
+"""Time between two requests to an agent that may have to be removed."""
+NO_REPLY_S = 1.6
+"""An agent that has not replied for this, to several requests, may be
+removed."""
+NO_REPLY_NAMED_S = 0.7
+"""The same for an agent that another process has removed."""
 BALANCER_EXPIRY_S = 30.0
 
 _NEVER = float("-inf")
@@ -61,7 +71,9 @@
     ``last_report_at`` is when the last report from the agent itself was
     received, ``added_at`` when it became known, ``unregistered_at`` since
     when the store has no entry of it. ``assigned`` counts the new flows
-    that this process forwarded to it since its last report.
+    that this process forwarded to it since its last report. ``heard_at`` is
+    when its last message of any kind was received, ``asked_at`` when its
+    report was first requested since then.
     """
 
     report: AgentReport
@@ -69,17 +81,31 @@
     added_at: float = 0.0
     unregistered_at: float | None = None
     assigned: int = 0
+    heard_at: float = _NEVER
+    asked_at: float | None = None
 
-    def is_silent(self, now: Seconds, limit_s: float = SILENT_S) -> bool:
-        """Return whether its last own report is older than a limit.
+    def silent_s(self, now: Seconds) -> float:
+        """Return the time since its last message."""
+        return now - max(self.last_report_at, self.heard_at)
+
+    def is_silent(
+        self,
+        now: Seconds,
+        limit_s: float = SILENT_S,
+        reply_limit_s: float = REPLY_TIMEOUT_S,
+    ) -> bool:
+        """Return whether its last message is older than a limit.
 
         The limit is raised to ``SILENT_REPORTS`` periods of its reports
-        if that is longer.
+        if that is longer, unless it has not replied to a request for
+        ``reply_limit_s``.
         """
-        age_s = now - self.last_report_at
-        if age_s <= limit_s:
+        silent_s = self.silent_s(now)
+        if silent_s <= limit_s:
             return False
-        return age_s > SILENT_REPORTS * self.report.period_s
+        if self.asked_at is not None and now - self.asked_at > reply_limit_s:
+            return True
+        return silent_s > SILENT_REPORTS * self.report.period_s
 
 
 class Members:
@@ -101,6 +127,13 @@
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
         self._removals: list[Removal] = []
+        self._requests: dict[NodeId, float] = {}
+        """When a report was last requested from agents that have sent no
+        message since."""
+        self._unsent_requests: list[NodeId] = []
+        self._named: dict[NodeId, Departed] = {}
+        """Agents that another process has removed and that have to reply."""
+        self._hello_periods: dict[NodeId, float] = {}
         self._views: dict[ServiceName, int] = {}
         self._views_changes = 0
         self._departures = Departures()
@@ -133,10 +166,15 @@
             self.new_agents.append(report.id)
         elif _identity(report) != _identity(member.report):
             self.changes += 1
+        if not direct or not report.period_s:
+            # The period in a relayed report is that of reports to others.
+            report = msgspec.structs.replace(
+                report, period_s=member.report.period_s
+            )
         member.report = report
         member.assigned = 0
         if direct:
-            member.last_report_at = now
+            self._record_report(now, member)
 
     def apply_load(self, now: Seconds, node: NodeId, load: LoadReport) -> bool:
         """Apply the load figures of an agent whose full report is known.
@@ -157,9 +195,42 @@
             waiting=load.waiting,
         )
         member.assigned = 0
-        member.last_report_at = now
+        self._record_report(now, member)
         return True
 
+    def record_message(self, now: Seconds, node: NodeId) -> None:
+        """Record a message of any kind as a sign of life of an agent."""
+        member = self.agents.get(node)
+        if member is not None:
+            member.heard_at = now
+            member.asked_at = None
+            self._requests.pop(node, None)
+            self._named.pop(node, None)
+
+    def _record_report(self, now: Seconds, member: Member) -> None:
+        member.last_report_at = now
+        self.record_message(now, member.report.id)
+
+    def request_report(self, now: Seconds, node: NodeId) -> None:
+        """Request the report of an agent that may be down.
+
+        Repeated after ``REPEAT_REQUEST_S`` without a reply.
+        """
+        member = self.agents.get(node)
+        if member is None:
+            return
+        if now - self._requests.get(node, _NEVER) < REPEAT_REQUEST_S:
+            return
+        if member.asked_at is None:
+            member.asked_at = now
+        self._requests[node] = now
+        self._unsent_requests.append(node)
+
+    def pop_requests(self) -> list[NodeId]:
+        """Return the agents to request a report from, since the last call."""
+        nodes, self._unsent_requests = self._unsent_requests, []
+        return nodes
+
     def pop_new_agents(self) -> list[AgentReport]:
         """Return the reports of agents that are new since the last call."""
         added = [self.agents[n] for n in self.new_agents if n in self.agents]
@@ -200,10 +271,13 @@
             if departed.id != self._node:
                 self._departures.note(now, departed)
             return
-        if not member.is_silent(now, UNREGISTERED_S):
-            return
         if member.report.incarnation > departed.incarnation:
             return
+        if member.silent_s(now) > UNREGISTERED_S:
+            self.request_report(now, departed.id)
+            self._named[departed.id] = departed
+        if not member.is_silent(now, UNREGISTERED_S, NO_REPLY_NAMED_S):
+            return
         was_heard = member.last_report_at > _NEVER
         if was_heard or member.report.stamp <= departed.stamp:
             self._remove(now, member.report, RemovalCause.NAMED)
@@ -219,6 +293,7 @@
     def apply_hello(self, now: Seconds, hello: Hello) -> None:
         """Apply a balancer's hello message and the members it names."""
         self.record_balancer(now, hello.id, hello.place)
+        self._hello_periods[hello.id] = hello.period_s
         for peer in hello.peers:
             self.add_known_balancer(now, peer)
         for departed in hello.departed:
@@ -242,14 +317,26 @@
         """
         for member in self.agents.values():
             member.last_report_at = min(now, member.last_report_at + seconds)
+            member.heard_at = min(now, member.heard_at + seconds)
+            member.asked_at = None
             if member.unregistered_at is not None:
                 member.unregistered_at += seconds
 
+    def apply_named(self, now: Seconds) -> None:
+        """Remove agents that others have removed and that do not reply."""
+        for departed in list(self._named.values()):
+            self.apply_departed(now, departed)
+
     def expire(self, now: Seconds, idle_s: float = 0.0) -> None:
         """Remove expired members.
 
         An agent remembers lost agents while flows may idle, ``idle_s``.
         """
+        for node, member in self.agents.items():
+            if member.unregistered_at is None:
+                continue
+            if member.silent_s(now) > UNREGISTERED_S:
+                self.request_report(now, node)
         expired = [
             m.report for m in self.agents.values() if _is_expired(now, m)
         ]
@@ -258,7 +345,16 @@
         self.balancers = {
             node: at
             for node, at in self.balancers.items()
-            if now - at <= BALANCER_EXPIRY_S
+            if now - at
+            <= max(
+                BALANCER_EXPIRY_S,
+                SILENT_REPORTS * self._hello_periods.get(node, 0.0),
+            )
+        }
+        self._hello_periods = {
+            node: period_s
+            for node, period_s in self._hello_periods.items()
+            if node in self.balancers
         }
         self.balancer_places = {
             node: place
@@ -337,6 +433,8 @@
         self, now: Seconds, report: AgentReport, cause: RemovalCause
     ) -> None:
         member = self.agents.pop(report.id, None)
+        self._requests.pop(report.id, None)
+        self._named.pop(report.id, None)
         if member is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
@@ -363,14 +461,18 @@
 
 
 def _is_expired(now: Seconds, member: Member) -> bool:
-    if now - _known_at(member) > AGENT_EXPIRY_S:
+    if now - _known_at(member) > max(
+        AGENT_EXPIRY_S, SILENT_REPORTS * member.report.period_s
+    ):
         return True
     since = member.unregistered_at
-    if since is None or not member.is_silent(now, UNREGISTERED_S):
+    if since is None:
+        return False
+    if not member.is_silent(now, UNREGISTERED_S, NO_REPLY_S):
         return False
     return now - since > UNREGISTERED_S
 
 
 def _known_at(member: Member) -> float:
     """Return when an agent was last heard, or became known if it never was."""
-    return max(member.last_report_at, member.added_at)
+    return max(member.last_report_at, member.heard_at, member.added_at)
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -144,7 +144,8 @@
     configuration is the newest. ``moved`` holds some routes that moved from
     one service to another, for balancers that started since;
     ``knows_moves`` is unset until the sender has received them.
-    ``wants_report`` asks the receiving agent for its report.
+    ``wants_report`` asks the receiving agent for its report. ``period_s``
+    is the time between two hello messages to the receiver, 0 if unknown.
     """
 
     id: NodeId
@@ -159,6 +160,7 @@
     moved: tuple[MovedRoute, ...] = ()
     knows_moves: bool = True
     wants_report: bool = False
+    period_s: float = 0.0
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -1,5 +1,6 @@
 """Placement of new flows: which server a SYN is delivered to."""
 
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -10,6 +11,7 @@
 from ..timeline.events import Topic
 from ..verdict import Reason
 from .choice import Choice
+from .choice import has_recent_load
 from .choice import load
 from .choice import MAX_WAITING_PER_SLOT
 from .choice import MAX_WAITING_PER_SLOT_LOW_PRIORITY
@@ -20,9 +22,11 @@
 from .flow_table import Flow
 from .forwarded import ForwardedPacket
 from .forwarded import ForwardReason
+from .members import Member
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import FlowHeld
+from .report_requests import report_requests
 from .segment import FlowId
 from .segment import Segment
 
@@ -32,6 +36,12 @@
 MAX_DECLINES = 8
 """Number of servers that may decline a new flow before it is refused."""
 
+REQUEST_TIMEOUT_S = 0.03
+"""A flow is placed without the loads that are not known after this."""
+MAX_PENDING = 2_000
+CONFIRMATION_TIMEOUT_S = 0.1
+"""An agent confirms a flow that is placed there well within this time."""
+
 _MAY_BECOME_READY = (AgentState.STARTING, AgentState.RESTARTING)
 
 
@@ -57,12 +67,32 @@
         return msgspec.structs.replace(self, declined=declined)
 
 
+class _PendingFlow(msgspec.Struct):
+    """A new flow that waits for the loads of some agents."""
+
+    new_flow: NewFlow
+    requested_at: float
+    candidates: list[NodeId]
+    awaiting: set[NodeId]
+
+
+ReadReport = Callable[[Seconds], AgentReport]
+"""Returns a new report of this agent."""
+
+
 class Placement:
-    """Places new flows of one service."""
+    """Places new flows of one service.
+
+    Answers short work in a burst at servers of one slot: a flow goes to the
+    least loaded of some servers by loads that are at most
+    ``RECENT_LOAD_S`` old. In a large service, where periodic reports are
+    older, the loads are requested for the flow.
+    """
 
     def __init__(self, ctx: FlowContext, rng: random.Random) -> None:
         self._ctx = ctx
         self._choice = Choice(ctx.node, rng)
+        self._pending: dict[FlowId, _PendingFlow] = {}
 
     def handle_placed(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
@@ -76,7 +106,9 @@
             return self.place(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self._open_here(now, new_flow)
-        best = self._select(now, new_flow, own_report)
+        peers = self._ctx.members.of(self._ctx.service)
+        recent = [m for m in peers if has_recent_load(now, m)]
+        best = self._select(now, new_flow, own_report, recent)
         if best is None or best.node == node:
             gain = 0.0
         else:
@@ -91,8 +123,79 @@
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
     ) -> list[RelayEffect]:
         """Place a new flow at the least loaded of the compared servers."""
-        best = self._select(now, new_flow, own_report)
-        if best is None or len(new_flow.declined) >= MAX_DECLINES:
+        if len(new_flow.declined) >= MAX_DECLINES:
+            return self._refuse(now, new_flow, own_report)
+        if self._is_empty(own_report, new_flow):
+            return self._open_here(now, new_flow)
+        members = self._ctx.members.of(self._ctx.service)
+        candidates = self._choice.sample(now, members, new_flow.declined)
+        outdated = {
+            member.report.id
+            for member in candidates
+            if not has_recent_load(now, member)
+        }
+        if not outdated or len(self._pending) >= MAX_PENDING:
+            return self._decide(now, new_flow, own_report, candidates)
+        self._pending[new_flow.flow_id] = _PendingFlow(
+            new_flow, now, [m.report.id for m in candidates], outdated
+        )
+        for node in outdated:
+            self._ctx.members.request_report(now, node)
+        return list(report_requests(self._ctx.members))
+
+    def handle_load(
+        self, now: Seconds, node: NodeId, read_report: ReadReport
+    ) -> list[RelayEffect]:
+        """Handle that the current load of an agent is known."""
+        complete: list[_PendingFlow] = []
+        for pending in self._pending.values():
+            if node in pending.awaiting:
+                pending.awaiting.discard(node)
+                if not pending.awaiting:
+                    complete.append(pending)
+        return self._decide_all(now, complete, read_report)
+
+    def place_late(
+        self, now: Seconds, read_report: ReadReport
+    ) -> list[RelayEffect]:
+        """Place the flows for which some loads were not received in time."""
+        late = [
+            pending
+            for pending in self._pending.values()
+            if now - pending.requested_at >= REQUEST_TIMEOUT_S
+        ]
+        return self._decide_all(now, late, read_report)
+
+    def _decide_all(
+        self,
+        now: Seconds,
+        pendings: list[_PendingFlow],
+        read_report: ReadReport,
+    ) -> list[RelayEffect]:
+        effects: list[RelayEffect] = []
+        agents = self._ctx.members.agents
+        for pending in pendings:
+            del self._pending[pending.new_flow.flow_id]
+            candidates = [
+                agents[node]
+                for node in pending.candidates
+                if node in agents and node not in pending.awaiting
+            ]
+            effects += self._decide(
+                now, pending.new_flow, read_report(now), candidates
+            )
+        return effects
+
+    def _decide(
+        self,
+        now: Seconds,
+        new_flow: NewFlow,
+        own_report: AgentReport,
+        candidates: list[Member],
+    ) -> list[RelayEffect]:
+        """Place a new flow at the best of the compared servers."""
+        best = self._select(now, new_flow, own_report, candidates)
+        if best is None:
             return self._refuse(now, new_flow, own_report)
         if best.full:
             return self._defer(new_flow)
@@ -100,11 +203,26 @@
             return self._open_here(now, new_flow)
         return self._forward(now, new_flow, best.node)
 
-    def accepts_flows(self, now: Seconds, node: NodeId) -> bool:
-        """Return whether another agent's server accepts new flows."""
+    def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
+        """Return whether no server can be better than the local one."""
+        if own_report.state is not AgentState.READY:
+            return False
+        if self._ctx.node in new_flow.declined:
+            return False
+        return not own_report.busy and not own_report.flows
+
+    def accepts_flows(self, now: Seconds, node: NodeId, since: float) -> bool:
+        """Return whether another agent's server accepts new flows.
+
+        ``since`` is when a flow was placed there, which the agent has to
+        confirm by any message.
+        """
         member = self._ctx.members.agents.get(node)
         if member is None or member.is_silent(now):
             return False
+        is_late = now - since >= CONFIRMATION_TIMEOUT_S
+        if is_late and member.silent_s(now) > now - since:
+            return False
         return member.report.state is AgentState.READY
 
     def _forward(
@@ -139,11 +257,14 @@
         return flow
 
     def _select(
-        self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
+        self,
+        now: Seconds,
+        new_flow: NewFlow,
+        own_report: AgentReport,
+        others: list[Member],
     ) -> Selection | None:
         members = self._ctx.members
         eligible = own_report if own_report.state is AgentState.READY else None
-        others = members.of(self._ctx.service)
         caller_place = members.balancer_places.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
@@ -166,7 +287,11 @@
             ctx.service,
             ctx.node,
         )
-        return [*ctx.deliver(now, flow, new_flow.segment), event]
+        effects = [*ctx.deliver(now, flow, new_flow.segment), event]
+        if new_flow.via and not new_flow.hops:
+            held = FlowHeld(new_flow.flow_id, ctx.node)
+            effects.append(Send(new_flow.via, held))
+        return effects
 
     def _defer(self, new_flow: NewFlow) -> list[RelayEffect]:
         """Drop a SYN, as all compared servers are full.
--- a/packages/core/src/medlar_core/relay/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/report_schedule.py
@@ -8,9 +8,10 @@
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
+from .choice import RECENT_LOAD_S
 from .messages import AgentReport
 from .messages import LoadReport
-from .send_interval import SendInterval
+from .send_interval import ReportInterval
 
 FULL_REPORT_INTERVAL_S = 2.0
 """Full reports are repeated at this interval, for receivers that missed a
@@ -28,7 +29,7 @@
     """
 
     def __init__(self, period_s: float) -> None:
-        self._interval = SendInterval(period_s)
+        self._interval = ReportInterval(period_s, RECENT_LOAD_S)
         self._last_without_load: AgentReport | None = None
         self._full_rounds = 0
         self._full_report_at = 0.0
@@ -42,6 +43,10 @@
         """Return whether a round is due."""
         return self._interval.is_due(now)
 
+    def period_s(self, peers: int) -> float:
+        """Return the time between two reports to each of ``peers`` peers."""
+        return self._interval.period_s(peers)
+
     def due(
         self,
         now: Seconds,
--- a/packages/core/src/medlar_core/relay/report_sender.py
+++ b/packages/core/src/medlar_core/relay/report_sender.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
@@ -60,8 +62,22 @@
             effects += self._balancers.due(now, balancers, report)
         return effects
 
+    def report_to(
+        self, now: Seconds, node: NodeId, service: ServiceName
+    ) -> AgentReport:
+        """Return a report to one process, with the period of those to it."""
+        balancers = self._members.balancers
+        if node in balancers:
+            period_s = self._balancers.period_s(len(balancers))
+        else:
+            peers = len(self._members.of(service))
+            period_s = self._peers.period_s(peers)
+        return msgspec.structs.replace(
+            self._read_report(now), period_s=period_s
+        )
+
     def reports_to_new_balancers(
-        self, now: Seconds, asker: NodeId | None = None
+        self, now: Seconds, service: ServiceName, asker: NodeId | None
     ) -> list[Send]:
         """Return reports to balancers that have been sent none.
 
@@ -78,7 +94,7 @@
             return []
         new = [node for node in known if node not in sent_at]
         sent_at.update(dict.fromkeys(new, now))
-        report = self._read_report(now)
+        report = self.report_to(now, new[0], service)
         return [Send(node, report) for node in new]
 
     def reports_to_new_members(
@@ -94,7 +110,7 @@
         ]
         if not new_members:
             return []
-        own_report = self._read_report(now)
+        own_report = self.report_to(now, new_members[0], service)
         return [Send(node, own_report) for node in new_members]
 
     def correction(
@@ -106,4 +122,5 @@
         """
         if msg.id != src or msg.service == service:
             return []
-        return [Send(src, OtherService(msg.service, self._read_report(now)))]
+        report = self.report_to(now, src, service)
+        return [Send(src, OtherService(msg.service, report))]
--- a/packages/core/src/medlar_core/relay/send_interval.py
+++ b/packages/core/src/medlar_core/relay/send_interval.py
@@ -3,7 +3,10 @@
 from ..ids import Seconds
 
 MAX_MESSAGES_PER_S = 50.0
-"""Maximum rate of one kind of periodic message, over all its receivers."""
+"""Maximum rate of a kind of message whose receivers need it to be recent."""
+SPARSE_MESSAGES_PER_S = 5.0
+"""Maximum rate of a kind of message that only shows its sender is alive, over
+all its receivers, so that its cost does not grow with the fleet."""
 
 
 class SendInterval:
@@ -13,13 +16,16 @@
     there are so many peers that the rate would be exceeded.
     """
 
-    def __init__(self, period_s: float) -> None:
+    def __init__(
+        self, period_s: float, max_per_s: float = MAX_MESSAGES_PER_S
+    ) -> None:
         self._period_s = period_s
+        self._max_per_s = max_per_s
         self._next_at = 0.0
 
     def period_s(self, peers: int) -> float:
         """Return the interval of messages to each of ``peers`` peers."""
-        return max(self._period_s, peers / MAX_MESSAGES_PER_S)
+        return max(self._period_s, peers / self._max_per_s)
 
     def is_due(self, now: Seconds) -> bool:
         """Return whether a round is due."""
@@ -35,3 +41,23 @@
     def make_due(self) -> None:
         """Make the next round due at once."""
         self._next_at = 0.0
+
+
+class ReportInterval(SendInterval):
+    """Interval of reports, which are sparse if they cannot be recent.
+
+    Few peers get reports so often that these tell the current load. Among
+    many, the load is requested when it is needed, and reports only show
+    that their sender is alive.
+    """
+
+    def __init__(self, period_s: float, recent_s: float) -> None:
+        super().__init__(period_s)
+        self._recent_s = recent_s
+
+    def period_s(self, peers: int) -> float:
+        """Return the interval of reports to each of ``peers`` peers."""
+        period_s = super().period_s(peers)
+        if period_s <= self._recent_s:
+            return period_s
+        return peers / SPARSE_MESSAGES_PER_S
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -64,6 +64,8 @@
 from .udp import UdpPort
 
 TICK_S = 0.1
+OBSERVE_INTERVAL_S = 1.0
+"""Time between two observations of the ages of all reports."""
 FETCH_LIMIT_S = 1.0
 PROBE_LIMIT_S = 0.3
 RECORDED_EVENTS_MAX = 1_200
@@ -169,12 +171,15 @@
 
     async def run_ticks(self) -> None:
         """Dispatch ticks until cancelled."""
+        observe_at = 0.0
         while True:
             started_at = now()
             self._update_socket_counters()
             self.dispatch(Tick())
-            ages = self._reducer.members.report_ages(started_at)
-            self.metrics.report_age_s.observe_all(ages)
+            if started_at >= observe_at:
+                observe_at = started_at + OBSERVE_INTERVAL_S
+                ages = self._reducer.members.report_ages(started_at)
+                self.metrics.report_age_s.observe_all(ages)
             await asyncio.sleep(TICK_S)
             self.metrics.lag_s.observe(max(0.0, now() - started_at - TICK_S))
 
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -154,7 +154,13 @@
         access = new_access(rng)
         incarnation = int(self.world.clock.now * 1_000) + self.starts
         identity = AgentIdentity(
-            address, PLACE, service, incarnation, ANNOUNCE_INTERVAL_S, seeds
+            address,
+            PLACE,
+            service,
+            incarnation,
+            ANNOUNCE_INTERVAL_S,
+            seeds,
+            self.world.clock.now,
         )
         agent = RelayAgent(
             identity,
@@ -206,20 +212,19 @@
     def restart_all(self, spread_s: float = 0.4) -> None:
         """Restart all processes and servers, as after a loss of power.
 
-        The starts are spread evenly over ``spread_s`` seconds, agents and
-        balancers in turn.
+        The servers start first. The starts of agents and balancers are
+        spread evenly over ``spread_s`` seconds.
         """
         agents, balancers = list(self.agents), list(self.balancers)
         nodes = [*agents, *balancers]
         for address in nodes:
             self.kill(address)
         for address in agents:
-            self.world.servers.pop(address)
-            self.announcements.pop(address)
+            self.start_server(address, self.services[address])
+            self._announce(address)
         random.Random(len(nodes)).shuffle(nodes)
         for address in nodes:
             if address in self.agents:
-                self.start_server(address, self.services[address])
                 self.start_agent(address, self.services[address])
             else:
                 self.start_balancer(address)
--- a/testing/core/relay/test_lost_agents.py
+++ b/testing/core/relay/test_lost_agents.py
@@ -43,6 +43,7 @@
     """Let one balancer remove an agent that the others hear."""
     members = fleet.balancers[balancer].members
     members.agents[address].last_report_at = float("-inf")
+    members.agents[address].heard_at = float("-inf")
     members.mark_unregistered(0.0, address)
     members.expire(fleet.world.clock.now)
     assert address not in members.agents
