Repeat lookups in brief doubt, and hold packets before the configuration

Cause: for some tenths of a second after all processes started, agents know different members, lookups prove nothing, and balancers have no routes. What they dropped came again up to 1.6 s later: callers that wait since before the loss of power repeat their packets ever less often.

Doubts that last, such as a lost agent, start no lookup without a packet, as before.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -419,6 +419,7 @@
         effects += self._reports.due(now, self._ctx.service)
         effects += self._query_members(now)
         effects += self._flows.place_late(now, self.report)
+        effects += self._flows.retry_lookups(now)
         effects += report_requests(self.members)
         effects += self._store_calls(now)
         return effects
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -50,6 +50,10 @@
         self._ctx.table.expire(now, idle_s)
         return self.lookup.expire(now)
 
+    def retry_lookups(self, now: Seconds) -> list[RelayEffect]:
+        """Repeat the lookups that ended without a result."""
+        return self.lookup.retry(now)
+
     def handle_forwarded(
         self, now: Seconds, event: PacketForwarded
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -18,6 +18,7 @@
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .early_packets import EarlyPackets
 from .effects import FetchRoutes
 from .effects import ForwardToAgent
 from .effects import RelayEffect
@@ -110,6 +111,7 @@
         self._next_fetch_at = 0.0
         self._peer_confirmed_at = float("-inf")
         self._has_agent_reports = False
+        self._early_packets = EarlyPackets()
         self._expire_at = 0.0
         self._rank_at = 0.0
         self._pause_detector = PauseDetector()
@@ -138,9 +140,25 @@
 
     def reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         """Handle one event and return the effects to carry out."""
+        effects = self._reduce(now, event)
+        if self._early_packets and self._can_forward:
+            for segment in self._early_packets.pop_all(now):
+                effects += self._handle_packet(now, segment)
+        return effects
+
+    @property
+    def _can_forward(self) -> bool:
+        """Whether a route table and the agents are known."""
+        if self.routes.table is None:
+            return False
+        return self._view.has_read_entries or bool(self._owners)
+
+    def _reduce(self, now: Seconds, event: Any) -> list[RelayEffect]:
         match event:
             case CallerPacketReceived(segment=segment):
-                return self._handle_packet(now, segment)
+                if self._can_forward:
+                    return self._handle_packet(now, segment)
+                self._early_packets.add(now, segment)
             case Received(src=src, msg=msg):
                 return self._handle_message(now, src, msg)
             case Tick():
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -15,6 +15,8 @@
 from .flow_table import Flow
 from .forwarded import ForwardedPacket
 from .forwarded import ForwardReason
+from .lookup_retries import LookupRequest
+from .lookup_retries import LookupRetries
 from .lookup_table import Lookup
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
@@ -33,6 +35,8 @@
 are lost."""
 QUERY_PACKETS_BURST = 400.0
 NO_NODE = NodeId("")
+NO_VIEW = 0
+"""Told by an agent that may lack a holder of the flow for longer."""
 
 _RST = int(Flag.RST)
 
@@ -50,6 +54,7 @@
     def __init__(self, ctx: FlowContext) -> None:
         self._ctx = ctx
         self._lookups = LookupTable()
+        self._retries = LookupRetries()
         self._pending_queries: dict[FlowId, _PendingQuery] = {}
         self._query_budget = TokenBucket(
             QUERY_PACKETS_PER_S, QUERY_PACKETS_BURST
@@ -65,14 +70,25 @@
             for flow_id, query in self._pending_queries.items()
             if now - query.received_at <= PENDING_QUERY_TTL_S
         }
-        return [
-            self._ctx.event(
-                late.flow_id,
-                "flows: lookup timed out without a reply from "
-                f"{', '.join(late.awaiting) or 'the local server'}",
-            )
-            for late in self._lookups.expire(now)
-        ]
+        effects: list[RelayEffect] = []
+        for late in self._lookups.expire(now):
+            self._retries.add(now, late.request)
+            missing = ", ".join(late.awaiting) or "the local server"
+            text = f"flows: lookup timed out without a reply from {missing}"
+            effects.append(self._ctx.event(late.flow_id, text))
+        return effects
+
+    def retry(self, now: Seconds) -> list[RelayEffect]:
+        """Repeat the lookups that ended without a result."""
+        effects: list[RelayEffect] = []
+        for req in self._retries.due(now):
+            flow_id = req.segment.inward
+            if self._ctx.table.get(flow_id) is not None:
+                self._retries.remove(flow_id)
+                continue
+            self._lookups.remove(flow_id)
+            effects += self.start(now, req.segment, req.packet, req.src)
+        return effects
 
     def start(
         self,
@@ -114,7 +130,8 @@
         if not self._query_budget.take(
             now, min(len(sent_to), QUERY_PACKETS_BURST)
         ):
-            text = "flows: packet dropped: query rate limit reached"
+            self._retries.add(now, LookupRequest(segment, packet, src))
+            text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
         try_local = (
             not local_denied
@@ -129,6 +146,8 @@
             local_pending=try_local,
             view=self._ctx.members.view(self._ctx.service),
             doubt=self._doubt(now, packet),
+            is_doubt_brief=not self._ctx.knows_all_members(now),
+            request=LookupRequest(segment, packet, src),
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
@@ -190,6 +209,7 @@
         lookup = self._lookups.remove(flow_id)
         if lookup is None:
             return []
+        self._retries.remove(flow_id)
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
             self._ctx.forward(holder, ForwardReason.PLACED, segment)
@@ -212,8 +232,9 @@
         lookup.awaiting.discard(src)
         if src in lookup.delegates:
             return self._reset_if_absent(now, flow_id, lookup)
-        if view != lookup.view:
+        if view != lookup.view and not lookup.doubt:
             lookup.doubt = f"{src} knows of other agents"
+            lookup.is_doubt_brief = view != NO_VIEW
         return self._reset_if_absent(now, flow_id, lookup)
 
     def handle_bounced(
@@ -264,7 +285,7 @@
         While an agent is lost, the reply tells no view, so that it proves
         nothing to an asker that does not know of that agent.
         """
-        view = 0
+        view = NO_VIEW
         if not self._ctx.lost_agents(now):
             view = self._ctx.members.view(self._ctx.service)
         return Send(asker, FlowUnknown(flow_id, view))
@@ -287,9 +308,12 @@
         if not lookup.is_complete:
             return []
         if lookup.doubt:
+            if lookup.is_doubt_brief:
+                self._retries.add(now, lookup.request)
             text = f"flows: no holder found, not reset: {lookup.doubt}"
             return [self._ctx.event(flow_id, text)]
         self._lookups.remove(flow_id)
+        self._retries.remove(flow_id)
         if lookup.asker:
             return [self._deny(now, lookup.asker, flow_id)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -11,6 +11,7 @@
 
 from ..ids import NodeId
 from ..ids import Seconds
+from .lookup_retries import LookupRequest
 from .segment import FlowId
 from .segment import Segment
 
@@ -36,6 +37,7 @@
     """The asker's view of the members when it sent the queries."""
     doubt: str
     """Why the flow may be held though all replies deny it; else empty."""
+    request: LookupRequest
     packets: list[Segment]
     sent_to: set[NodeId]
     """Agents that were sent the first queued packet as the query."""
@@ -44,6 +46,8 @@
     """The process to notify of the holder, empty for none."""
     delegates: frozenset[NodeId] = frozenset()
     """Agents of other services, each asked for a lookup in its service."""
+    is_doubt_brief: bool = False
+    """Whether the reason for the doubt is expected to pass soon."""
     asker: NodeId = NodeId("")
     """The agent that delegated this lookup, empty for none. It is told the
     result and decides on a reset."""
@@ -66,6 +70,7 @@
     """An expired lookup and the replies that it lacked."""
 
     flow_id: FlowId
+    request: LookupRequest
     awaiting: tuple[NodeId, ...]
     local_pending: bool
 
@@ -113,7 +118,10 @@
             del self._lookups[flow_id]
         return [
             IncompleteLookup(
-                flow_id, tuple(sorted(lookup.awaiting)), lookup.local_pending
+                flow_id,
+                lookup.request,
+                tuple(sorted(lookup.awaiting)),
+                lookup.local_pending,
             )
             for flow_id, lookup in late.items()
             if not lookup.is_complete
