Count the announcements that a server repeats at its start

The check against a clock that was set back allowed three, and no agent knew all flows after a loss of power.

Change: six are allowed beyond one an interval.

--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -20,9 +20,9 @@
 """A server that started at most so long before this agent process had no
 agent until then: an agent that is asked to stop opens no flows at its server,
 and takes longer to be replaced."""
-EXTRA_CALLS = 3
-"""Announcements beyond one an interval: the first, at the server's start, and
-repeated ones."""
+EXTRA_CALLS = 6
+"""Announcements beyond one an interval: a server repeats its first one at
+once while its agent does not listen yet."""
 
 
 class ServerIncarnation(msgspec.Struct):
--- a/testing/core/relay/test_local_server.py
+++ b/testing/core/relay/test_local_server.py
@@ -18,6 +18,7 @@
     ("age_s", "sequence", "expected"),
     [
         (UPTIME_S + 0.9 * START_GAP_S, 2, True),
+        pytest.param(UPTIME_S, 6, True, id="repeated its first announcement"),
         (UPTIME_S + 1.1 * START_GAP_S, 2, False),
         (30.0, 2, False),
         (float("inf"), 2, False),
