Discard connections on which something came while nobody waited

Cause (looked for after other operators' reports): an idle connection to the store was used again without a look at it. The second copy of an answer, sent at once or while the connection was idle, became the answer to the next call; a connection that was closed while idle failed it.

Change: an idle connection is read from until its next use, and closed if anything came; trailing bytes behind an answer have the same effect.

Three tests, all red before. Not covered: a copy that comes after the next request was sent; HTTP/1.1 has nothing to tell it by.

--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -55,6 +55,7 @@
         self.h11 = h11.Connection(side)
         self._reader = reader
         self._writer = writer
+        self._idle_read: asyncio.Task[bytes] | None = None
 
     async def send(self, *events: h11.Event) -> None:
         for event in events:
@@ -88,10 +89,30 @@
             return False
         if self.h11.their_state is not h11.DONE:
             return False
+        if self.h11.trailing_data[0]:
+            return False
         self.h11.start_next_cycle()
         return True
 
+    def watch_idle(self) -> None:
+        """Begin to watch an idle connection for bytes that nobody expects."""
+        self._idle_read = asyncio.create_task(self._reader.read(1))
+
+    async def is_quiet(self) -> bool:
+        """Stop watching; return whether nothing came and it is still open.
+
+        A peer that answers twice would otherwise answer the next call with
+        the second copy.
+        """
+        if self._idle_read is None:
+            return True
+        self._idle_read.cancel()
+        await asyncio.wait([self._idle_read])
+        return self._idle_read.cancelled()
+
     def close(self) -> None:
+        if self._idle_read is not None:
+            self._idle_read.cancel()
         self._writer.close()
 
 
@@ -122,7 +143,7 @@
             self._idle.pop().close()
 
     async def _call(self, req: Request) -> Response:
-        conn = self._idle.pop() if self._idle else await self._connect()
+        conn = await self._open_connection()
         is_reused = False
         try:
             headers = [
@@ -143,12 +164,22 @@
                 conn.prepare_reuse() and len(self._idle) < IDLE_CONNECTIONS_MAX
             )
             if is_reused:
+                conn.watch_idle()
                 self._idle.append(conn)
             return response
         finally:
             if not is_reused:
                 conn.close()
 
+    async def _open_connection(self) -> _Connection:
+        """Return an idle connection that is in order, or a new one."""
+        while self._idle:
+            conn = self._idle.pop()
+            if await conn.is_quiet():
+                return conn
+            conn.close()
+        return await self._connect()
+
     async def _connect(self) -> _Connection:
         host, port = split_endpoint(self._address)
         reader, writer = await asyncio.open_connection(host, port)
--- a/testing/node/relay/test_http.py
+++ b/testing/node/relay/test_http.py
@@ -101,3 +101,58 @@
     for loop_turns in range(12):
         asyncio.run(end_after(loop_turns))
     assert [r.getMessage() for r in caplog.records] == []
+
+
+def answers_per_call(repeat_after_s, *, closes=False):
+    """Return the answers to two calls of a server that repeats the first.
+
+    It sends the second copy after a time, or at once with the first if
+    that is None. If ``closes`` is set, it closes the connection instead.
+    """
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    calls = []
+
+    def response(text):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n"
+        return head.encode() + text.encode()
+
+    async def answer(reader, writer):
+        while await reader.read(1_000):
+            calls.append("call")
+            data = response(f"answer {len(calls)}")
+            if len(calls) == 1 and repeat_after_s is None:
+                data *= 2
+            writer.write(data)
+            if len(calls) == 1 and repeat_after_s is not None:
+                await asyncio.sleep(repeat_after_s)
+                if closes:
+                    break
+                writer.write(data)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(answer, host, int(port))
+        async with server:
+            client = HttpClient(address)
+            answers = []
+            for _ in range(2):
+                res = await client.call(Request("GET", "/"), 1.0)
+                answers.append(res.body)
+                await asyncio.sleep(0.1)
+            client.close()
+            await asyncio.sleep(0.1)  # the server sees the end of the file
+        return answers
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("repeat_after_s", [None, 0.01])
+def test_a_second_copy_of_an_answer_answers_no_other_call(repeat_after_s):
+    answers = answers_per_call(repeat_after_s)
+    assert answers == [b"answer 1", b"answer 2"]
+
+
+def test_a_connection_that_was_closed_while_idle_is_not_used():
+    answers = answers_per_call(0.01, closes=True)
+    assert answers == [b"answer 1", b"answer 2"]
