--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -46,7 +46,6 @@
 from .messages import ReportAsked
 from .pause_detector import PauseDetector
 from .registration import Registration
-from .report_requests import report_requests
 from .report_sender import ReportSender
 from .segment import Segment
 from .segment import SegmentCodec
@@ -364,7 +363,7 @@
         effects: list[RelayEffect] = [
             *self._reports.reports_to_new_balancers(now, service, asker),
             *self._reports.reports_to_new_members(now, service),
-            *report_requests(self.members),
+            *self.members.pop_requests(),
         ]
         if msg.service_size and self._known_count() >= msg.service_size:
             self._ctx.mark_members_known(now)
@@ -420,7 +419,7 @@
         effects += self._query_members(now)
         effects += self._flows.place_late(now, self.report)
         effects += self._flows.retry_lookups(now)
-        effects += report_requests(self.members)
+        effects += self.members.pop_requests()
         effects += self._store_calls(now)
         return effects
 
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -31,9 +31,9 @@
 from .forwarded import ForwardReason
 from .hello_sender import HelloSender
 from .hints import Hints
-from .members import Member
+from .member import Member
+from .member import recently_reporting
 from .members import Members
-from .members import recently_reporting
 from .members import RemovalCause
 from .messages import AgentReport
 from .messages import AgentState
@@ -49,7 +49,6 @@
 from .owners import Owners
 from .pause_detector import PauseDetector
 from .registration import Registration
-from .report_requests import report_requests
 from .routes import Routes
 from .routes import RouteTable
 from .segment import FlowId
@@ -366,7 +365,7 @@
             self._event_factory.removal_event(removal) for removal in removals
         ]
         effects += self._view.notify_unregistered(now)
-        effects += report_requests(self.members)
+        effects += self.members.pop_requests()
         if now >= self._rank_at:
             self._rank_agents(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -8,7 +8,7 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import Seconds
-from .members import Member
+from .member import Member
 from .messages import AgentReport
 from .messages import AgentState
 
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -20,7 +20,7 @@
 from .lookup_table import Lookup
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
-from .members import Member
+from .member import Member
 from .messages import FlowAsked
 from .messages import FlowHeld
 from .messages import FlowUnknown
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -6,7 +6,7 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
-from .members import Member
+from .member import Member
 from .members import Members
 from .messages import AgentReport
 from .messages import Goodbye
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -5,50 +5,37 @@
 A silent agent stays a member for longer if it has an entry in the store.
 """
 
-from collections.abc import Iterable
 import enum
 
 import msgspec
 import xxhash
 
+from ..effects import Send
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import Seconds
 from ..ids import ServiceName
 from .departures import Departures
+from .member import is_expired
+from .member import known_at
+from .member import Member
+from .member import NEVER
+from .member import recently_reporting
+from .member import SILENT_REPORTS
+from .member import UNREGISTERED_S
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import Departed
 from .messages import FINAL_COUNT
 from .messages import Hello
 from .messages import LoadReport
+from .messages import ReportAsked
+from .report_requests import ReportRequests
 
-SILENT_S = 0.7
-"""An agent that has sent no report for longer is silent: it isn't chosen as
-an owner."""
-SILENT_REPORTS = 3.5
-"""Reports missed before an agent is silent, where it has so many peers that
-these take longer than ``SILENT_S``."""
-UNREGISTERED_S = 2.5
-"""A silent agent without an entry in the store is removed after this: a
-live agent has written its entry again by then."""
-AGENT_EXPIRY_S = 60.0
-"""A silent agent is removed after this even if its entry in the store has
-not been seen to be missing."""
-REPLY_TIMEOUT_S = 0.3
-"""An agent that has not replied to a request for its report after this is
-silent."""
-REPEAT_REQUEST_S = 0.5
-"""Time between two requests to an agent that may have to be removed."""
-NO_REPLY_S = 1.6
-"""An agent that has not replied for this, to several requests, may be
-removed."""
 NO_REPLY_NAMED_S = 0.7
 """The same for an agent that another process has removed."""
 BALANCER_EXPIRY_S = 30.0
 
-_NEVER = float("-inf")
-
 
 class RemovalCause(enum.Enum):
     """Why a process removed an agent from its membership."""
@@ -65,49 +52,6 @@
     cause: RemovalCause
 
 
-class Member(msgspec.Struct):
-    """One agent in the membership of this process.
-
-    ``last_report_at`` is when the last report from the agent itself was
-    received, ``added_at`` when it became known, ``unregistered_at`` since
-    when the store has no entry of it. ``assigned`` counts the new flows
-    that this process forwarded to it since its last report. ``heard_at`` is
-    when its last message of any kind was received, ``asked_at`` when its
-    report was first requested since then.
-    """
-
-    report: AgentReport
-    last_report_at: float = _NEVER
-    added_at: float = 0.0
-    unregistered_at: float | None = None
-    assigned: int = 0
-    heard_at: float = _NEVER
-    asked_at: float | None = None
-
-    def silent_s(self, now: Seconds) -> float:
-        """Return the time since its last message."""
-        return now - max(self.last_report_at, self.heard_at)
-
-    def is_silent(
-        self,
-        now: Seconds,
-        limit_s: float = SILENT_S,
-        reply_limit_s: float = REPLY_TIMEOUT_S,
-    ) -> bool:
-        """Return whether its last message is older than a limit.
-
-        The limit is raised to ``SILENT_REPORTS`` periods of its reports
-        if that is longer, unless it has not replied to a request for
-        ``reply_limit_s``.
-        """
-        silent_s = self.silent_s(now)
-        if silent_s <= limit_s:
-            return False
-        if self.asked_at is not None and now - self.asked_at > reply_limit_s:
-            return True
-        return silent_s > SILENT_REPORTS * self.report.period_s
-
-
 class Members:
     """Agents and balancers that one process knows.
 
@@ -127,10 +71,7 @@
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
         self._removals: list[Removal] = []
-        self._requests: dict[NodeId, float] = {}
-        """When a report was last requested from agents that have sent no
-        message since."""
-        self._unsent_requests: list[NodeId] = []
+        self._requests = ReportRequests()
         self._named: dict[NodeId, Departed] = {}
         """Agents that another process has removed and that have to reply."""
         self._hello_periods: dict[NodeId, float] = {}
@@ -204,7 +145,7 @@
         if member is not None:
             member.heard_at = now
             member.asked_at = None
-            self._requests.pop(node, None)
+            self._requests.remove(node)
             self._named.pop(node, None)
 
     def _record_report(self, now: Seconds, member: Member) -> None:
@@ -214,22 +155,16 @@
     def request_report(self, now: Seconds, node: NodeId) -> None:
         """Request the report of an agent that may be down.
 
-        Repeated after ``REPEAT_REQUEST_S`` without a reply.
+        Repeated calls have no effect until a reply is overdue.
         """
         member = self.agents.get(node)
-        if member is None:
-            return
-        if now - self._requests.get(node, _NEVER) < REPEAT_REQUEST_S:
-            return
-        if member.asked_at is None:
-            member.asked_at = now
-        self._requests[node] = now
-        self._unsent_requests.append(node)
+        if member is not None:
+            self._requests.add(now, member)
 
-    def pop_requests(self) -> list[NodeId]:
-        """Return the agents to request a report from, since the last call."""
-        nodes, self._unsent_requests = self._unsent_requests, []
-        return nodes
+    def pop_requests(self) -> list[Send]:
+        """Return the requests for reports since the last call."""
+        nodes = self._requests.pop_unsent()
+        return [Send(node, ReportAsked()) for node in nodes]
 
     def pop_new_agents(self) -> list[AgentReport]:
         """Return the reports of agents that are new since the last call."""
@@ -278,7 +213,7 @@
             self._named[departed.id] = departed
         if not member.is_silent(now, UNREGISTERED_S, NO_REPLY_NAMED_S):
             return
-        was_heard = member.last_report_at > _NEVER
+        was_heard = member.last_report_at > NEVER
         if was_heard or member.report.stamp <= departed.stamp:
             self._remove(now, member.report, RemovalCause.NAMED)
 
@@ -338,7 +273,7 @@
             if member.silent_s(now) > UNREGISTERED_S:
                 self.request_report(now, node)
         expired = [
-            m.report for m in self.agents.values() if _is_expired(now, m)
+            m.report for m in self.agents.values() if is_expired(now, m)
         ]
         for report in expired:
             self._remove(now, report, RemovalCause.SILENT)
@@ -411,7 +346,7 @@
         return [
             now - member.last_report_at
             for member in self.agents.values()
-            if member.last_report_at > _NEVER
+            if member.last_report_at > NEVER
         ]
 
     def lost_agents(
@@ -433,7 +368,7 @@
         self, now: Seconds, report: AgentReport, cause: RemovalCause
     ) -> None:
         member = self.agents.pop(report.id, None)
-        self._requests.pop(report.id, None)
+        self._requests.remove(report.id)
         self._named.pop(report.id, None)
         if member is not None:
             self.changes += 1
@@ -445,34 +380,9 @@
             FINAL_COUNT if is_final else report.count,
             report.service,
         )
-        heard_at = _known_at(member) if member is not None else now
+        heard_at = known_at(member) if member is not None else now
         self._departures.add(now, departed, heard_at)
 
 
-def recently_reporting(
-    members: Iterable[Member], now: Seconds
-) -> list[Member]:
-    """Return the members that are not silent."""
-    return [member for member in members if not member.is_silent(now)]
-
-
 def _identity(report: AgentReport) -> tuple[int, ServiceName, AgentState]:
     return (report.incarnation, report.service, report.state)
-
-
-def _is_expired(now: Seconds, member: Member) -> bool:
-    if now - _known_at(member) > max(
-        AGENT_EXPIRY_S, SILENT_REPORTS * member.report.period_s
-    ):
-        return True
-    since = member.unregistered_at
-    if since is None:
-        return False
-    if not member.is_silent(now, UNREGISTERED_S, NO_REPLY_S):
-        return False
-    return now - since > UNREGISTERED_S
-
-
-def _known_at(member: Member) -> float:
-    """Return when an agent was last heard, or became known if it never was."""
-    return max(member.last_report_at, member.heard_at, member.added_at)
--- a/packages/core/src/medlar_core/relay/owners.py
+++ b/packages/core/src/medlar_core/relay/owners.py
@@ -12,8 +12,8 @@
 
 from ..ids import NodeId
 from ..ids import Seconds
-from .members import Member
-from .members import recently_reporting
+from .member import Member
+from .member import recently_reporting
 from .messages import AgentState
 
 BUCKETS = 256
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -22,11 +22,10 @@
 from .flow_table import Flow
 from .forwarded import ForwardedPacket
 from .forwarded import ForwardReason
-from .members import Member
+from .member import Member
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import FlowHeld
-from .report_requests import report_requests
 from .segment import FlowId
 from .segment import Segment
 
@@ -141,7 +140,7 @@
         )
         for node in outdated:
             self._ctx.members.request_report(now, node)
-        return list(report_requests(self._ctx.members))
+        return list(self._ctx.members.pop_requests())
 
     def handle_load(
         self, now: Seconds, node: NodeId, read_report: ReadReport
--- a/packages/core/src/medlar_core/relay/report_requests.py
+++ b/packages/core/src/medlar_core/relay/report_requests.py
@@ -1,10 +1,36 @@
-"""Requests for reports, of agents whose load or state has to be known now."""
+"""Requests for the reports of agents that may be down or whose load is old."""
 
-from ..effects import Send
-from .members import Members
-from .messages import ReportAsked
+from ..ids import NodeId
+from ..ids import Seconds
+from .member import Member
+from .member import NEVER
 
+REPEAT_REQUEST_S = 0.5
+"""Time between two requests to an agent that may have to be removed."""
 
-def report_requests(members: Members) -> list[Send]:
-    """Return the requests that members made since the last call."""
-    return [Send(node, ReportAsked()) for node in members.pop_requests()]
+
+class ReportRequests:
+    """Requests of one process that have not been replied to."""
+
+    def __init__(self) -> None:
+        self._requested_at: dict[NodeId, float] = {}
+        self._unsent: list[NodeId] = []
+
+    def add(self, now: Seconds, member: Member) -> None:
+        """Request a report; repeated after a time without a reply."""
+        node = member.report.id
+        if now - self._requested_at.get(node, NEVER) < REPEAT_REQUEST_S:
+            return
+        if member.asked_at is None:
+            member.asked_at = now
+        self._requested_at[node] = now
+        self._unsent.append(node)
+
+    def remove(self, node: NodeId) -> None:
+        """Forget the request to an agent that replied or was removed."""
+        self._requested_at.pop(node, None)
+
+    def pop_unsent(self) -> list[NodeId]:
+        """Return the agents to send a request to, since the last call."""
+        nodes, self._unsent = self._unsent, []
+        return nodes
--- a/testing/core/relay/test_choice.py
+++ b/testing/core/relay/test_choice.py
@@ -13,7 +13,7 @@
 from medlar_core.relay.choice import MAX_WAITING_PER_SLOT
 from medlar_core.relay.choice import MAX_WAITING_PER_SLOT_LOW_PRIORITY
 from medlar_core.relay.choice import Selection
-from medlar_core.relay.members import Member
+from medlar_core.relay.member import Member
 from medlar_core.relay.members import Members
 from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
--- a/testing/core/relay/test_member_removal.py
+++ b/testing/core/relay/test_member_removal.py
@@ -6,9 +6,9 @@
 from medlar_core.ids import Seconds
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerLeft
-from medlar_core.relay.members import Member
-from medlar_core.relay.members import SILENT_REPORTS
-from medlar_core.relay.members import SILENT_S
+from medlar_core.relay.member import Member
+from medlar_core.relay.member import SILENT_REPORTS
+from medlar_core.relay.member import SILENT_S
 from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
 from medlar_core.store import Watch
