Ask a balancer that knows more members at once

Cause: at a start of everything the first hello messages come from balancers that have not read the entries yet.

Change: a balancer that has not counted the members is not asked, and one that counts more than the last one is asked at once.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -367,7 +367,7 @@
         ]
         if msg.service_size and self._known_count() >= msg.service_size:
             self._ctx.mark_members_known(now)
-        self._member_query.record_hello(msg)
+        self._member_query.record_hello(now, msg)
         return effects + self._query_members(now)
 
     def _known_count(self) -> int:
--- a/packages/core/src/medlar_core/relay/member_query.py
+++ b/packages/core/src/medlar_core/relay/member_query.py
@@ -24,12 +24,19 @@
         self._interval_s = QUERY_INTERVAL_S
         self._next_at = 0.0
 
-    def record_hello(self, hello: Hello) -> None:
-        """Record how many members a balancer knows."""
-        is_repeated = self._interval_s > QUERY_INTERVAL_S
-        if hello.service_size >= self._service_size or is_repeated:
-            self._source = hello.id
-            self._service_size = hello.service_size
+    def record_hello(self, now: Seconds, hello: Hello) -> None:
+        """Record how many members a balancer knows.
+
+        One that knows more is asked at once. Later, any may be asked, as
+        the first may have stopped or counted too many.
+        """
+        if hello.service_size > self._service_size:
+            self._interval_s = QUERY_INTERVAL_S
+            self._next_at = now
+        elif self._interval_s < MAX_QUERY_INTERVAL_S:
+            return
+        self._source = hello.id
+        self._service_size = hello.service_size
 
     def due(
         self, now: Seconds, known: int, is_confirmed: bool
