Let a process survive a tick that fails

Cause (looked for after other operators' reports): one unexpected error in a tick stopped the whole process.

--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -64,6 +64,9 @@
 from .udp import UdpPort
 
 TICK_S = 0.1
+MAX_FAILED_TICKS = 10
+"""Ticks that may fail in a row, by a state that passes; a process that can
+do no periodic work stops."""
 OBSERVE_INTERVAL_S = 1.0
 """Time between two observations of the ages of all reports."""
 FETCH_LIMIT_S = 1.0
@@ -170,12 +173,18 @@
                 )
 
     async def run_ticks(self) -> None:
-        """Dispatch ticks until cancelled."""
+        """Dispatch ticks until cancelled.
+
+        :raises RuntimeError: if over ``MAX_FAILED_TICKS`` fail in a row.
+        """
         observe_at = 0.0
+        failed_ticks = 0
         while True:
             started_at = now()
             self._update_socket_counters()
-            self.dispatch(Tick())
+            failed_ticks = 0 if self._dispatch_tick() else failed_ticks + 1
+            if failed_ticks > MAX_FAILED_TICKS:
+                raise RuntimeError(f"{failed_ticks} ticks failed in a row")
             if started_at >= observe_at:
                 observe_at = started_at + OBSERVE_INTERVAL_S
                 ages = self._reducer.members.report_ages(started_at)
@@ -183,6 +192,15 @@
             await asyncio.sleep(TICK_S)
             self.metrics.lag_s.observe(max(0.0, now() - started_at - TICK_S))
 
+    def _dispatch_tick(self) -> bool:
+        """Dispatch a tick; return whether it was handled without an error."""
+        try:
+            self.dispatch(Tick())
+        except Exception:
+            log.exception("tick failed")
+            return False
+        return True
+
     def _gauges(self) -> dict[str, float]:
         gauges = self._reducer.gauges(now())
         return {**gauges, "log_lines_lost": self._pipe.lost}
