Answer 500 when a handler fails, and show what waits in metrics

Cause: an error in a handler of the HTTP server ended the connection's task without closing it, so that the caller waited for its time limit. Found when a gauge without a description was scraped.

Change: such a request is answered with 500 and logged. New gauges tell the flows that wait for loads and the packets that wait for a first configuration; the histograms reach 30 s.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -163,6 +163,7 @@
             "flows_open": self._ctx.table.open_count,
             "flows_waiting": self._ctx.table.busy_count,
             "flows_known": len(self._ctx.table),
+            "flows_placing": self._flows.placing_count,
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
             **self.members.gauges(now),
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -45,6 +45,11 @@
         self._ctx = ctx
         self._placement = Placement(ctx, rng)
 
+    @property
+    def placing_count(self) -> int:
+        """Number of new flows that wait for the loads of servers."""
+        return self._placement.pending_count
+
     def expire(self, now: Seconds, idle_s: float) -> list[RelayEffect]:
         """Remove expired flows, queries and lookups."""
         self._ctx.table.expire(now, idle_s)
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -131,6 +131,7 @@
         )
         return {
             "hints": len(self._hints),
+            "packets_held": len(self._early_packets),
             "configuration_version": self.routes.version,
             "configuration_age_seconds": now - confirmed_at,
             "store_failing": float(self._view.is_failing),
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -93,6 +93,11 @@
         self._choice = Choice(ctx.node, rng)
         self._pending: dict[FlowId, _PendingFlow] = {}
 
+    @property
+    def pending_count(self) -> int:
+        """Number of new flows that wait for the loads of servers."""
+        return len(self._pending)
+
     def handle_placed(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
     ) -> list[RelayEffect]:
--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -10,12 +10,15 @@
 import msgspec
 
 from ..addresses import split_endpoint
+from ..logs import part_logger
 
 READ_BYTES = 65_536
 IDLE_CONNECTIONS_MAX = 4
 BODY_BYTES_MAX = 8 * 1024 * 1024
 JSON = "application/json"
 
+log = part_logger("http")
+
 
 class Request(msgspec.Struct, frozen=True):
     """HTTP request; ``target`` is path and query."""
@@ -235,7 +238,7 @@
         return False
     body = await conn.read_body()
     req = Request(event.method.decode(), event.target.decode(), body)
-    res = await handler(req)
+    res = await _handle(handler, req)
     headers = [
         ("Content-Type", res.content_type),
         ("Content-Length", str(len(res.body))),
@@ -244,3 +247,12 @@
     parts = [h11.Data(data=res.body)] if res.body else []
     await conn.send(head, *parts, h11.EndOfMessage())
     return conn.prepare_reuse()
+
+
+async def _handle(handler: Handler, req: Request) -> Response:
+    """Return the handler's response; its errors fail this request alone."""
+    try:
+        return await handler(req)
+    except Exception:
+        log.exception("request failed", extra={"target": req.target})
+        return Response(500)
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -11,7 +11,20 @@
 from collections.abc import Mapping
 from typing import Any
 
-BUCKETS_S = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+BUCKETS_S = (
+    0.0001,
+    0.0003,
+    0.001,
+    0.003,
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    1.0,
+    3.0,
+    10.0,
+    30.0,
+)
 """Upper bounds of the buckets of all histograms, in seconds."""
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
@@ -186,6 +199,8 @@
     "flows_open": "Open flows of the own server",
     "flows_waiting": "Flows whose caller waits for an answer",
     "flows_known": "Flows known here, also those of other servers",
+    "flows_placing": "New flows that wait for the loads of servers",
+    "packets_held": "Packets that wait for a configuration or members",
     "hints": "Flows whose holder this balancer knows",
     "agents": "Agents known",
     "agents_heard": "Agents whose own word is recent",
--- a/testing/node/relay/test_http.py
+++ b/testing/node/relay/test_http.py
@@ -156,3 +156,26 @@
 def test_a_connection_that_was_closed_while_idle_is_not_used():
     answers = answers_per_call(0.01, closes=True)
     assert answers == [b"answer 1", b"answer 2"]
+
+
+def test_an_error_of_a_handler_is_answered_and_the_next_call_is_served(caplog):
+    address = free_address()
+
+    async def fail_once(req: Request) -> Response:
+        if req.target == "/fail":
+            raise KeyError("unexpected")
+        return Response(200)
+
+    async def run():
+        async with serving(address, fail_once):
+            client = HttpClient(address)
+            statuses = [
+                (await client.call(Request("GET", target), 1.0)).status
+                for target in ("/fail", "/")
+            ]
+            client.close()
+            await asyncio.sleep(0.01)
+            return statuses
+
+    assert asyncio.run(run()) == [500, 200]
+    assert "request failed" in caplog.text
