Spread sparse reports over time, and notice a cut by their absence

Cause: sparse reports went to all receivers at once, so that a balancer might hear no agent for 11 s; and one that was cut off from all agents stayed ready for 3.5 of these periods. Both came with sparse reports.

Change: a sparse report goes to one receiver at a time, five a second; after a change, two rounds go to all. A balancer that hears no agent for 1 s, or for five reports that it should have had, is not ready.

Loads are requested once they are 0.05 s old, so that none is older than 0.2 s when the flow is placed (test: 0.20 to 0.21 s before).

--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -13,7 +13,10 @@
 from .messages import AgentState
 
 RECENT_LOAD_S = 0.2
-"""A load figure that is older is requested anew before it decides."""
+"""Largest age of a load figure by which a flow is placed."""
+REQUEST_AGE_S = 0.05
+"""A figure that is older is requested anew: the flow may have to wait for
+others."""
 MAX_REPORT_AGE_S = 0.35
 """An agent whose last report is older is not chosen for new flows."""
 MAX_COMPARED_PEERS = 3
@@ -133,7 +136,7 @@
     """
     if member.report.period_s <= RECENT_LOAD_S:
         return True
-    return now - member.last_report_at <= RECENT_LOAD_S
+    return now - member.last_report_at <= REQUEST_AGE_S
 
 
 def _is_eligible(
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -71,6 +71,8 @@
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
         self._removals: list[Removal] = []
+        self.heard_at = NEVER
+        """When the last message of any agent was received."""
         self._requests = ReportRequests()
         self._named: dict[NodeId, Departed] = {}
         """Agents that another process has removed and that have to reply."""
@@ -143,6 +145,7 @@
         """Record a message of any kind as a sign of life of an agent."""
         member = self.agents.get(node)
         if member is not None:
+            self.heard_at = now
             member.heard_at = now
             member.asked_at = None
             self._requests.remove(node)
@@ -250,6 +253,7 @@
         It could receive none meanwhile, so agents that are alive would
         look silent.
         """
+        self.heard_at = min(now, self.heard_at + seconds)
         for member in self.agents.values():
             member.last_report_at = min(now, member.last_report_at + seconds)
             member.heard_at = min(now, member.heard_at + seconds)
--- a/packages/core/src/medlar_core/relay/owners.py
+++ b/packages/core/src/medlar_core/relay/owners.py
@@ -12,14 +12,21 @@
 
 from ..ids import NodeId
 from ..ids import Seconds
+from ..ids import ServiceName
 from .member import Member
 from .member import recently_reporting
+from .members import Members
 from .messages import AgentState
 
 BUCKETS = 256
 OWNERS_PER_BUCKET = 2
 """The owner and its backup owner."""
 
+CUT_OFF_S = 1.0
+"""A process that hears no agent for longer is taken to be cut off."""
+MISSED_REPORTS = 5.0
+"""The same in reports that it should have received, if these take longer."""
+
 _ACCEPTING = (AgentState.READY,)
 _ALIVE = (AgentState.READY, AgentState.DRAINING, AgentState.DOWN)
 
@@ -54,6 +61,49 @@
         return known
 
 
+class OwnerRanking:
+    """Owners of all services, from the membership of one process.
+
+    ``has_agent_reports`` tells whether enough agents are heard to forward
+    packets: a process that is cut off from them hears none.
+    """
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self.by_service: dict[ServiceName, Owners] = {}
+        self.has_agent_reports = False
+
+    def update(self, now: Seconds) -> None:
+        """Rank the agents of each service anew.
+
+        Cached rankings are kept while the eligible agents stay the same.
+        """
+        by_service: dict[ServiceName, list[Member]] = {}
+        ready: list[Member] = []
+        for member in self._members.agents.values():
+            by_service.setdefault(member.report.service, []).append(member)
+            if member.report.state is AgentState.READY:
+                ready.append(member)
+        self.has_agent_reports = self._are_heard(now, ready)
+        owners: dict[ServiceName, Owners] = {}
+        for service, members in by_service.items():
+            ids = eligible(now, members)
+            known = self.by_service.get(service)
+            if known is None or not known.are(ids):
+                known = Owners(ids)
+            owners[service] = known
+        self.by_service = owners
+
+    def _are_heard(self, now: Seconds, ready: list[Member]) -> bool:
+        if not ready:
+            return False
+        if 2 * len(recently_reporting(ready, now)) < len(ready):
+            return False
+        period_s = max(member.report.period_s for member in ready)
+        limit_s = max(CUT_OFF_S, MISSED_REPORTS * period_s / len(ready))
+        return now - self._members.heard_at <= limit_s
+
+
 def eligible(now: Seconds, members: list[Member]) -> list[NodeId]:
     """Return the agents that may own buckets.
 
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -0,0 +1,180 @@
+"""Forwarding of callers' packets by a balancer."""
+
+from ..ids import NodeId
+from ..ids import Seconds
+from ..ids import ServiceName
+from ..packets import Flag
+from ..timeline.events import Topic
+from ..verdict import Reason
+from .effects import ForwardToAgent
+from .effects import RelayEffect
+from .effects import SendToCaller
+from .event_factory import EventFactory
+from .forwarded import ForwardedPacket
+from .forwarded import ForwardReason
+from .hints import Hints
+from .members import Members
+from .owners import OwnerRanking
+from .routes import Routes
+from .segment import FlowId
+from .segment import Segment
+from .segment import SegmentCodec
+
+OWNER_TIMEOUT_S = 0.3
+"""A retransmitted SYN goes to the backup owner if the owner has sent no
+message for longer: it sends one for each flow that it places."""
+CONFIG_FRESH_S = 6.0
+"""A SYN to an unknown address is reset only if the configuration was
+confirmed this recently; otherwise a newer one may have a route to it."""
+
+
+_SYN = int(Flag.SYN)
+
+
+class PacketRouter:
+    """Chooses the agent that each packet of a caller is sent to."""
+
+    def __init__(
+        self,
+        codec: SegmentCodec,
+        members: Members,
+        routes: Routes,
+        owners: OwnerRanking,
+        event_factory: EventFactory,
+    ) -> None:
+        self._codec = codec
+        self._members = members
+        self._routes = routes
+        self._owners = owners
+        self._event_factory = event_factory
+        self.hints = Hints()
+
+    def handle_packet(
+        self, now: Seconds, segment: Segment, config_confirmed_at: float
+    ) -> list[RelayEffect]:
+        """Forward a packet of a caller, or refuse or drop it.
+
+        ``config_confirmed_at`` is when the configuration was last known to
+        be the newest.
+        """
+        flow_id = segment.inward
+        services = self._routes.services(flow_id)
+        if not services:
+            is_fresh = now - config_confirmed_at <= CONFIG_FRESH_S
+            return self._handle_unknown_address(segment, is_fresh)
+        dst = self._hinted_holder(flow_id, segment, services)
+        if dst is None:
+            owners = self._owners.by_service.get(services[0])
+            if owners is None or not owners.ids:
+                return [
+                    self._drop_event(segment, services[0], Reason.NO_SERVER)
+                ]
+            ranked = owners.ranked(flow_id.key)
+            dst = self._responsive_owner(now, ranked, segment)
+        is_new = bool(segment.flags & _SYN)
+        others = {} if is_new else self._other_owners(now, flow_id, services)
+        packet = ForwardedPacket(
+            int(ForwardReason.ROUTED),
+            services[0],
+            segment.data,
+            (),
+            tuple(others),
+            low_priority=is_new
+            and self._routes.has_low_priority(flow_id, services[0]),
+            other_owners=tuple(filter(None, others.values())),
+        )
+        if not is_new:
+            return [ForwardToAgent(dst, packet)]
+        event = self._event_factory.flow_event(
+            Topic.PLACEMENT,
+            f"flows: new, {segment.ack} retransmissions, "
+            "forwarded to its owner",
+            flow_id,
+            services[0],
+            dst,
+        )
+        return [ForwardToAgent(dst, packet), event]
+
+    def _other_owners(
+        self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
+    ) -> dict[ServiceName, NodeId | None]:
+        """Return an agent of each further service that may hold a flow.
+
+        A service without agents holds none, unless it has lost ones.
+        """
+        found: dict[ServiceName, NodeId | None] = {}
+        for service in services[1:]:
+            owners = self._owners.by_service.get(service)
+            if owners is not None and owners.ids:
+                found[service] = owners.ranked(flow_id.key)[0]
+            elif self._members.lost_agents(now, service, self._routes.idle_s):
+                found[service] = None
+        return found
+
+    def _hinted_holder(
+        self,
+        flow_id: FlowId,
+        segment: Segment,
+        services: tuple[ServiceName, ...],
+    ) -> NodeId | None:
+        """Return the cached holder of an open flow.
+
+        None if it is not a known agent of the services of its route.
+
+        A SYN opens a flow anew, so it removes the hint.
+        """
+        if segment.flags & _SYN:
+            self.hints.remove(flow_id)
+            return None
+        holder = self.hints.get(flow_id)
+        if holder is None:
+            return None
+        member = self._members.agents.get(holder)
+        if member is None or member.report.service not in services:
+            self.hints.remove(flow_id)
+            return None
+        return holder
+
+    def _responsive_owner(
+        self, now: Seconds, ranked: tuple[NodeId, ...], segment: Segment
+    ) -> NodeId:
+        """Return the owner, or the backup owner if the owner may be down.
+
+        Only a retransmitted SYN goes to the backup owner: it shows that
+        the first one was not answered.
+        """
+        is_retransmitted = segment.flags & _SYN and segment.ack
+        if not is_retransmitted or len(ranked) < 2:
+            return ranked[0]
+        owner = self._members.agents.get(ranked[0])
+        if owner is None:
+            return ranked[1]
+        if owner.silent_s(now) > OWNER_TIMEOUT_S and (
+            owner.report.period_s > OWNER_TIMEOUT_S
+            or owner.is_silent(now, OWNER_TIMEOUT_S)
+        ):
+            self._members.request_report(now, ranked[0])
+            return ranked[1]
+        return ranked[0]
+
+    def _handle_unknown_address(
+        self, segment: Segment, is_fresh: bool
+    ) -> list[RelayEffect]:
+        flow_id = segment.inward
+        if not segment.flags & _SYN or not is_fresh:
+            return [self._drop_event(segment, "", Reason.UNKNOWN_ADDRESS)]
+        event = self._event_factory.flow_event(
+            Topic.PACKET,
+            "flows: refused",
+            flow_id,
+            why=Reason.UNKNOWN_ADDRESS,
+        )
+        data = self._codec.reset(flow_id, segment.ack)
+        return [SendToCaller(flow_id.caller, data), event]
+
+    def _drop_event(
+        self, segment: Segment, service: str, why: Reason
+    ) -> RelayEffect:
+        return self._event_factory.flow_event(
+            Topic.PACKET, "flows: dropped", segment.inward, service, why=why
+        )
--- a/packages/core/src/medlar_core/relay/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/report_schedule.py
@@ -18,6 +18,8 @@
 change."""
 FULL_REPORT_ROUNDS = 3
 """Rounds of full reports after a change, as datagrams may be lost."""
+WHOLE_ROUNDS = 2
+"""Rounds to all receivers after a change where reports are sparse."""
 
 
 class ReportSchedule:
@@ -33,11 +35,14 @@
         self._last_without_load: AgentReport | None = None
         self._full_rounds = 0
         self._full_report_at = 0.0
+        self._whole_rounds = 0
+        self._rotation = 0
 
     def make_due(self) -> None:
         """Make a round due at once, with the full report."""
         self._interval.make_due()
         self._full_rounds = FULL_REPORT_ROUNDS
+        self._whole_rounds = WHOLE_ROUNDS
 
     def is_due(self, now: Seconds) -> bool:
         """Return whether a round is due."""
@@ -59,6 +64,8 @@
         report = msgspec.structs.replace(
             read_report(), period_s=self._interval.period_s(len(nodes))
         )
+        if self._interval.is_sparse(len(nodes)):
+            return [Send(node, report) for node in self._next_nodes(nodes)]
         if self._is_full_report_due(now, report):
             return [Send(node, report) for node in nodes]
         load = LoadReport(
@@ -70,6 +77,14 @@
         )
         return [Send(node, load) for node in nodes]
 
+    def _next_nodes(self, nodes: Sequence[NodeId]) -> Sequence[NodeId]:
+        """Return who gets a sparse report: all after a change, else one."""
+        if self._whole_rounds:
+            self._whole_rounds -= 1
+            return nodes
+        self._rotation = (self._rotation + 1) % len(nodes)
+        return [nodes[self._rotation]]
+
     def _is_full_report_due(self, now: Seconds, report: AgentReport) -> bool:
         without_load = msgspec.structs.replace(
             report, count=0, busy=0, flows=0, waiting=0
--- a/packages/core/src/medlar_core/relay/send_interval.py
+++ b/packages/core/src/medlar_core/relay/send_interval.py
@@ -55,9 +55,25 @@
         super().__init__(period_s)
         self._recent_s = recent_s
 
+    def is_sparse(self, peers: int) -> bool:
+        """Return whether reports to so many peers cannot be recent."""
+        return super().period_s(peers) > self._recent_s
+
     def period_s(self, peers: int) -> float:
         """Return the interval of reports to each of ``peers`` peers."""
-        period_s = super().period_s(peers)
-        if period_s <= self._recent_s:
-            return period_s
-        return peers / SPARSE_MESSAGES_PER_S
+        if self.is_sparse(peers):
+            return peers / SPARSE_MESSAGES_PER_S
+        return super().period_s(peers)
+
+    def due(self, now: Seconds, peers: int) -> bool:
+        """Return whether reports are due; start the next interval if so.
+
+        Sparse ones go to one peer at a time.
+        """
+        if not self.is_due(now):
+            return False
+        step_s = 1.0 / SPARSE_MESSAGES_PER_S
+        self._next_at = now + (
+            step_s if self.is_sparse(peers) else self.period_s(peers)
+        )
+        return True
