Let agents send sparse reports to balancers in different orders

Change: the order starts at a hash of the agent's address. A balancer is taken to be cut off after 1.5 s, or 12 missed reports: with 12 agents and 11 balancers a gap of 1 s would not be rare.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -107,7 +107,9 @@
         self._reported_state = AgentState.STARTING
         self._reported_knows_all = False
         self._stopping = False
-        self._reports = ReportSender(self.members, identity.seeds, self.report)
+        self._reports = ReportSender(
+            identity.node, self.members, identity.seeds, self.report
+        )
         self._expire_at = 0.0
         self._probe_at = 0.0
         self._member_query = MemberQuery()
--- a/packages/core/src/medlar_core/relay/owners.py
+++ b/packages/core/src/medlar_core/relay/owners.py
@@ -22,9 +22,9 @@
 OWNERS_PER_BUCKET = 2
 """The owner and its backup owner."""
 
-CUT_OFF_S = 1.0
+CUT_OFF_S = 1.5
 """A process that hears no agent for longer is taken to be cut off."""
-MISSED_REPORTS = 5.0
+MISSED_REPORTS = 12.0
 """The same in reports that it should have received, if these take longer."""
 
 _ACCEPTING = (AgentState.READY,)
--- a/packages/core/src/medlar_core/relay/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/report_schedule.py
@@ -27,16 +27,17 @@
 
     Most rounds send a :class:`LoadReport`, those after a change and some
     others the full report. Rounds are due at an interval, or at once
-    after :meth:`make_due`.
+    after :meth:`make_due`. ``rotation`` differs between processes, so that
+    sparse reports of many do not reach one receiver at the same time.
     """
 
-    def __init__(self, period_s: float) -> None:
+    def __init__(self, period_s: float, rotation: int = 0) -> None:
         self._interval = ReportInterval(period_s, RECENT_LOAD_S)
         self._last_without_load: AgentReport | None = None
         self._full_rounds = 0
         self._full_report_at = 0.0
         self._whole_rounds = 0
-        self._rotation = 0
+        self._rotation = rotation
 
     def make_due(self) -> None:
         """Make a round due at once, with the full report."""
--- a/packages/core/src/medlar_core/relay/report_sender.py
+++ b/packages/core/src/medlar_core/relay/report_sender.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from ..effects import Send
 from ..ids import NodeId
@@ -31,6 +32,7 @@
 
     def __init__(
         self,
+        node: NodeId,
         members: Members,
         seeds: tuple[NodeId, ...],
         read_report: ReadReport,
@@ -39,8 +41,9 @@
         self._members = members
         self._read_report = read_report
         self._introduced_at: dict[NodeId, float] = {}
-        self._peers = ReportSchedule(PEER_REPORT_INTERVAL_S)
-        self._balancers = ReportSchedule(BALANCER_REPORT_INTERVAL_S)
+        rotation = xxhash.xxh3_64_intdigest(node.encode())
+        self._peers = ReportSchedule(PEER_REPORT_INTERVAL_S, rotation)
+        self._balancers = ReportSchedule(BALANCER_REPORT_INTERVAL_S, rotation)
 
     def make_due(self) -> None:
         """Make the reports to all due at once."""
