Report another server at once, and ask silent agents again

Cause: with sparse reports, an agent whose server was replaced by one of another service without a change of state was known to that service only after up to a whole period (22 s among 109 peers); and an agent that had been cut off and asked meanwhile stayed silent for as long.

Change: a change of the server is reported in whole rounds and written to the store.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -105,6 +105,7 @@
         self._flows = AgentFlows(self._ctx, rng)
         self._report_count = 0
         self._reported_state = AgentState.STARTING
+        self._reported_server: tuple[str, str, int] = ("", "", 0)
         self._reported_knows_all = False
         self._stopping = False
         self._reports = ReportSender(
@@ -278,9 +279,10 @@
     def _update_state(self, now: Seconds) -> list[RelayEffect]:
         """Report and register a change of the agent's state at once."""
         if self._state(now) is self._reported_state:
-            return self._report_known_flows(now)
+            return self._report_server(now)
         report = self.report(now)
         old, self._reported_state = self._reported_state, report.state
+        self._reported_server = _server_of(report)
         self._reported_knows_all = report.knows_all_flows
         if old is AgentState.GONE:
             # Members ignore reports of an incarnation that they removed as
@@ -300,14 +302,24 @@
         reports = self._reports.due(now, self._ctx.service)
         return [event, *reports, *self._store_calls(now)]
 
-    def _report_known_flows(self, now: Seconds) -> list[RelayEffect]:
-        """Report at once that this agent has come to know all its flows.
+    def _report_server(self, now: Seconds) -> list[RelayEffect]:
+        """Report at once another server, or that all its flows are known.
 
-        Others then query it without packets, which are limited in rate.
+        A server of another service has to be known to its service. An
+        agent that knows all flows is queried without packets, which are
+        limited in rate.
         """
-        knows_all = self.local_server.knows_all_flows(now)
-        if knows_all is self._reported_knows_all:
+        report = self.report(now)
+        server = _server_of(report)
+        knows_all = report.knows_all_flows
+        if (server, knows_all) == (
+            self._reported_server,
+            self._reported_knows_all,
+        ):
             return []
+        if server != self._reported_server:
+            self._update_registration(report)
+        self._reported_server = server
         self._reported_knows_all = knows_all
         self._reports.make_due()
         return list(self._reports.due(now, self._ctx.service))
@@ -366,7 +378,7 @@
         effects: list[RelayEffect] = [
             *self._reports.reports_to_new_balancers(now, service, asker),
             *self._reports.reports_to_new_members(now, service),
-            *self.members.pop_requests(),
+            *self.members.pop_requests(now),
         ]
         if msg.service_size and self._known_count() >= msg.service_size:
             self._ctx.mark_members_known(now)
@@ -422,7 +434,7 @@
         effects += self._query_members(now)
         effects += self._flows.place_late(now, self.report)
         effects += self._flows.retry_lookups(now)
-        effects += self.members.pop_requests()
+        effects += self.members.pop_requests(now)
         effects += self._store_calls(now)
         return effects
 
@@ -438,3 +450,7 @@
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
         self._registration.issue_next_call(now)
         return list(self._access.due(now))
+
+
+def _server_of(report: AgentReport) -> tuple[str, str, int]:
+    return report.service, report.server, report.server_born
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -228,7 +228,7 @@
             self._event_factory.removal_event(removal) for removal in removals
         ]
         effects += self._view.notify_unregistered(now)
-        effects += self.members.pop_requests()
+        effects += self.members.pop_requests(now)
         if now >= self._rank_at:
             self._rank_agents(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -164,8 +164,9 @@
         if member is not None:
             self._requests.add(now, member)
 
-    def pop_requests(self) -> list[Send]:
+    def pop_requests(self, now: Seconds) -> list[Send]:
         """Return the requests for reports since the last call."""
+        self._requests.repeat(now)
         nodes = self._requests.pop_unsent()
         return [Send(node, ReportAsked()) for node in nodes]
 
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -145,7 +145,7 @@
         )
         for node in outdated:
             self._ctx.members.request_report(now, node)
-        return list(self._ctx.members.pop_requests())
+        return list(self._ctx.members.pop_requests(now))
 
     def handle_load(
         self, now: Seconds, node: NodeId, read_report: ReadReport
--- a/packages/core/src/medlar_core/relay/report_requests.py
+++ b/packages/core/src/medlar_core/relay/report_requests.py
@@ -7,6 +7,8 @@
 
 REPEAT_REQUEST_S = 0.5
 """Time between two requests to an agent that may have to be removed."""
+REPEAT_SILENT_S = 1.0
+"""The same while only its reply is missing."""
 
 
 class ReportRequests:
@@ -26,6 +28,19 @@
         self._requested_at[node] = now
         self._unsent.append(node)
 
+    def repeat(self, now: Seconds) -> None:
+        """Repeat the request that has waited for a reply the longest.
+
+        An agent that was cut off would else stay silent until its next
+        report, which may be long in a large fleet.
+        """
+        requested_at = self._requested_at
+        node = min(requested_at, key=requested_at.__getitem__, default=None)
+        if node is None or now - requested_at[node] < REPEAT_SILENT_S:
+            return
+        requested_at[node] = now
+        self._unsent.append(node)
+
     def remove(self, node: NodeId) -> None:
         """Forget the request to an agent that replied or was removed."""
         self._requested_at.pop(node, None)
--- a/testing/core/relay/test_member_removal.py
+++ b/testing/core/relay/test_member_removal.py
@@ -176,3 +176,17 @@
             if member.is_silent(fleet.world.clock.now, 2.5)
         }
     assert silent == set()
+
+
+def test_an_agent_that_was_cut_off_is_soon_not_silent_any_more():
+    fleet = Fleet(agents=40)
+    fleet.run(10.0)
+    first, second = node("agent", 0), node("agent", 1)
+    members = fleet.agents[first].members
+    fleet.world.cut_links.add((second, first))
+    members.request_report(fleet.world.clock.now, second)
+    fleet.run(2.0)
+    assert members.agents[second].is_silent(fleet.world.clock.now)
+    fleet.world.cut_links.clear()
+    fleet.run(1.5)
+    assert not members.agents[second].is_silent(fleet.world.clock.now)
--- a/testing/core/relay/test_placement.py
+++ b/testing/core/relay/test_placement.py
@@ -4,9 +4,11 @@
 from medlar_core.relay.choice import Choice
 from medlar_core.relay.choice import RECENT_LOAD_S
 
+from .kit import ANNOUNCE_INTERVAL_S
 from .kit import Fleet
 from .kit import flow
 from .kit import node
+from .kit import OFFICE
 
 AGENTS = 40
 FLOWS = 160
@@ -84,3 +86,20 @@
         fleet.data(flow_id, seq=500)
         fleet.run(0.01)
         assert fleet.world.forward_count == before + 1
+
+
+def test_a_server_of_another_service_is_known_to_all_at_once():
+    fleet = Fleet(agents=AGENTS, balancers=14)
+    fleet.add_agents(range(AGENTS, 2 * AGENTS), OFFICE)
+    fleet.run(10.0)
+    address = node("agent", 3)
+    fleet.start_server(address, OFFICE)
+    fleet.run(ANNOUNCE_INTERVAL_S + TIMER_S)
+    known = [
+        process.members.agents[address].report.service
+        for process in (
+            fleet.agents[node("agent", AGENTS + 5)],
+            *fleet.balancers.values(),
+        )
+    ]
+    assert set(known) == {OFFICE}
