--- a/testing/core/relay/test_idle_traffic.py
+++ b/testing/core/relay/test_idle_traffic.py
@@ -4,6 +4,9 @@
 
 from medlar_core.effects import CallStore
 from medlar_core.effects import Send
+from medlar_core.events import Received
+from medlar_core.relay.messages import encode
+from medlar_core.relay.store_view import WATCHER_COUNT
 
 from .kit import Fleet
 from .kit import node
@@ -11,39 +14,54 @@
 
 MAX_DATAGRAMS_PER_S = 15.0
 """Largest rate at which a process sends control messages at any size."""
-MAX_SLOPE = 1.2
-"""Largest ratio of that rate at 300 processes to the rate at 30."""
-PERIOD_S = 60.0
+MAX_BALANCER_BYTES_PER_S = 5_000.0
+"""Largest mean of what a balancer sends and receives, datagrams' heads
+included."""
+MAX_STORE_CALLS_PER_S = 0.1
+"""Largest mean rate of the store calls of a process."""
+DATAGRAM_HEAD_BYTES = 28
+SIZE = 195
+"""Processes."""
+PERIOD_S = 30.0
 SETTLE_S = 10.0
 
 
 class _CountingReducer:
-    """Counts the messages and store calls of a reducer."""
+    """Counts the messages and store calls of a reducer, and their bytes."""
 
     def __init__(self, reducer):
         self.reducer = reducer
         self.sent = 0
+        self.bytes = 0
         self.store_calls = 0
 
     def reduce(self, now, event):
+        if isinstance(event, Received):
+            self.bytes += _size(event.msg)
         effects = self.reducer.reduce(now, event)
         for effect in effects:
-            self.sent += isinstance(effect, Send)
+            if isinstance(effect, Send):
+                self.sent += 1
+                self.bytes += _size(effect.msg)
             self.store_calls += isinstance(effect, CallStore)
         return effects
 
 
-def _counters(processes):
-    """Run an idle fleet of a size; return the counter of each process.
+def _size(msg):
+    return DATAGRAM_HEAD_BYTES + len(encode(msg))
 
-    A fifth of its servers are of a second service, a third of the
+
+@pytest.fixture(scope="module")
+def counters():
+    """Run an idle fleet; return the counter of each process.
+
+    A fifth of its servers are of a second service, three tenths of the
     processes are balancers.
     """
-    balancers = processes * 3 // 10
-    agents = processes - balancers
+    balancers = SIZE * 3 // 10
+    agents = SIZE - balancers
     fleet = Fleet(agents=agents * 4 // 5, balancers=balancers)
-    offices = range(agents * 4 // 5, agents)
-    fleet.add_agents(offices, OFFICE)
+    fleet.add_agents(range(agents * 4 // 5, agents), OFFICE)
     fleet.run(SETTLE_S)
     counters = {}
     for address, reducer in list(fleet.world.nodes.items()):
@@ -53,27 +71,28 @@
     return counters
 
 
-def _busiest_per_s(counters, kind):
-    """Return the mean rate of messages of the processes of a kind.
-
-    The balancers that watch the store for all others are left out.
-    """
-    first = node(kind, 0).rsplit(".", 1)[0]
-    rates = [
-        counter.sent / PERIOD_S
+def _of_kind(counters, kind):
+    subnet = node(kind, 0).rsplit(".", 1)[0]
+    return [
+        counter
         for address, counter in counters.items()
-        if address.startswith(first)
+        if address.startswith(subnet)
     ]
-    return sorted(rates)[-4]
 
 
-@pytest.fixture(scope="module")
-def counters_by_size():
-    return {size: _counters(size) for size in (30, 195)}
+@pytest.mark.parametrize("kind", ["agent", "balancer"])
+def test_the_messages_of_a_process_stay_within_their_limit(counters, kind):
+    """The balancers that watch the store for all others are left out."""
+    rates = sorted(c.sent / PERIOD_S for c in _of_kind(counters, kind))
+    assert rates[-1 - WATCHER_COUNT] <= MAX_DATAGRAMS_PER_S
 
 
-@pytest.mark.parametrize("kind", ["agent", "balancer"])
-def test_the_messages_of_a_process_stay_within_their_limit(
-    counters_by_size, kind
-):
-    assert _busiest_per_s(counters_by_size[195], kind) <= MAX_DATAGRAMS_PER_S
+def test_the_bytes_of_a_balancer_stay_within_their_limit(counters):
+    balancers = _of_kind(counters, "balancer")
+    mean = sum(c.bytes for c in balancers) / len(balancers) / PERIOD_S
+    assert mean <= MAX_BALANCER_BYTES_PER_S
+
+
+def test_the_store_calls_of_a_process_stay_within_their_limit(counters):
+    calls = sum(counter.store_calls for counter in counters.values())
+    assert calls / len(counters) / PERIOD_S <= MAX_STORE_CALLS_PER_S
