Drop a SYN rather than refuse it while peers' loads are not known

Cause: if the local server had declined a flow and the two peers that were asked did not reply within the time limit, the flow was refused as if all servers had declined it.

Change: it is refused only if no agent is left to ask; else its caller retransmits it. Packets that a balancer held for too long are logged.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -124,8 +124,19 @@
         if self._early_packets and self._can_forward:
             for segment in self._early_packets.pop_all(now):
                 effects += self._handle_packet(now, segment)
+            effects += self._early_packets_event()
         return effects
 
+    def _early_packets_event(self) -> list[RelayEffect]:
+        dropped = self._early_packets.pop_dropped()
+        if not dropped:
+            return []
+        text = f"input: discarded {dropped} packets held for too long"
+        event = self._event_factory.state_event(
+            Topic.PROCESS, text, reason="stale"
+        )
+        return [event]
+
     def _handle_packet(
         self, now: Seconds, segment: Segment
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -200,6 +200,9 @@
         """Place a new flow at the best of the compared servers."""
         best = self._select(now, new_flow, own_report, candidates)
         if best is None:
+            members = self._ctx.members.of(self._ctx.service)
+            if self._choice.sample(now, members, new_flow.declined):
+                return self._drop(new_flow, "loads unknown")
             return self._refuse(now, new_flow, own_report)
         if best.full:
             return self._defer(new_flow)
@@ -303,10 +306,13 @@
         The caller retransmits it, which spreads a burst over time.
         Opened now, the flow would delay those that wait already.
         """
+        return self._drop(new_flow, "servers full")
+
+    def _drop(self, new_flow: NewFlow, text: str) -> list[RelayEffect]:
         return [
             self._ctx.event_factory.flow_event(
                 Topic.ADMISSION,
-                "flows: SYN dropped until it is retransmitted, servers full",
+                f"flows: SYN dropped until it is retransmitted, {text}",
                 new_flow.flow_id,
                 self._ctx.service,
                 why=Reason.QUEUE_FULL,
--- a/testing/core/relay/test_member_removal.py
+++ b/testing/core/relay/test_member_removal.py
@@ -190,3 +190,20 @@
     fleet.world.cut_links.clear()
     fleet.run(1.5)
     assert not members.agents[second].is_silent(fleet.world.clock.now)
+
+
+def test_an_agent_that_others_removed_by_mistake_is_soon_back():
+    fleet = Fleet(agents=40, balancers=60)
+    fleet.run(10.0)
+    address = node("agent", 1)
+    removers = [node("balancer", number) for number in range(30, 60)]
+    for remover in removers:
+        members = fleet.balancers[remover].members
+        members.agents[address].last_report_at = float("-inf")
+        members.agents[address].heard_at = float("-inf")
+        members.mark_unregistered(0.0, address)
+        members.expire(fleet.world.clock.now)
+        assert address not in members.agents
+    fleet.run(4.0)
+    for remover in removers:
+        assert address in fleet.balancers[remover].members.agents
--- a/testing/core/relay/test_placement.py
+++ b/testing/core/relay/test_placement.py
@@ -103,3 +103,17 @@
         )
     ]
     assert set(known) == {OFFICE}
+
+
+def test_a_flow_is_not_refused_while_the_loads_of_peers_are_not_known():
+    fleet = Fleet(agents=AGENTS)
+    owner = node("agent", 3)
+    fleet.world.servers[owner].capacity = 0
+    fleet.world.cut_links.update(
+        (peer, owner) for peer in fleet.agents if peer != owner
+    )
+    opened = [flow(number) for number in range(FLOWS)]
+    for flow_id in opened:
+        fleet.syn(flow_id)
+        fleet.run(TIMER_S)
+    assert fleet.reset_count(opened) == 0
