--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,8 @@
 demo: $(STAMP) ## Run the Authority's deployment on loopback
 	$(BIN)/python -m medlar_standins.demo
 
-soak: $(STAMP) ## Soak real processes: SEED=n MINUTES=m, or RUNS=k seeds
-	$(BIN)/python -m testing.users_platform.soak --seed $(SEED) --minutes $(MINUTES) --runs $(RUNS)
+soak: $(STAMP) ## Soak real processes: SEED=n MINUTES=m, or RUNS=k seeds; LARGE=1
+	$(BIN)/python -m testing.users_platform.soak --seed $(SEED) --minutes $(MINUTES) --runs $(RUNS) $(if $(LARGE),--large)
 
 clean: ## Remove what the build made
 	rm -rf build $(VENV)
--- a/testing/users_platform/soak/__main__.py
+++ b/testing/users_platform/soak/__main__.py
@@ -9,6 +9,8 @@
 import defopt
 import msgspec
 
+from .run import LARGE
+from .run import SMALL
 from .run import soak
 
 BLOCK = 40
@@ -22,6 +24,7 @@
     runs: int = 0,
     block: int = BLOCK,
     keep: Path | None = None,
+    large: bool = False,
 ) -> int:
     """Run consecutive seeds; print each run and its violations.
 
@@ -30,6 +33,7 @@
     :param runs: number of runs, instead of minutes
     :param block: second byte of the loopback addresses
     :param keep: folder that receives the logs of failed runs
+    :param large: play 30 processes instead of 9
     """
     deadline = time.monotonic() + 60.0 * minutes
     failed = 0
@@ -41,7 +45,15 @@
     ):
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
-            outcome = asyncio.run(soak(seed + completed, RUN_S, block, folder))
+            outcome = asyncio.run(
+                soak(
+                    seed + completed,
+                    RUN_S,
+                    block,
+                    folder,
+                    LARGE if large else SMALL,
+                )
+            )
             if outcome.violations and keep is not None:
                 folder.rename(keep / f"soak-{outcome.seed}")
                 folder.mkdir()
--- a/testing/users_platform/soak/run.py
+++ b/testing/users_platform/soak/run.py
@@ -35,9 +35,6 @@
 from .store import Proxy
 from .store import ProxyMode
 
-BALANCERS = 3
-SERVICES = ("desk", "desk", "desk", "desk", "office", "office")
-"""The service of the server beside each agent."""
 FIRST_ROUTES = {8001: "desk", 8002: "office"}
 EXTRA_PORTS = 4
 START_LIMIT_S = 20.0
@@ -74,6 +71,18 @@
 PORTS = Ports()
 
 
+class FleetSize(msgspec.Struct, frozen=True):
+    """Number of balancers, and the service of the server of each agent."""
+
+    balancers: int
+    services: tuple[str, ...]
+
+
+SMALL = FleetSize(3, ("desk",) * 4 + ("office",) * 2)
+LARGE = FleetSize(12, ("desk",) * 14 + ("office",) * 4)
+"""So many that reports are sparse and loads are requested."""
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """Result of one run."""
 
@@ -91,7 +100,10 @@
     need different blocks.
     """
 
-    def __init__(self, seed: int, block: int, folder: Path) -> None:
+    def __init__(
+        self, seed: int, block: int, folder: Path, size: FleetSize
+    ) -> None:
+        self.size = size
         self.checker = Checker()
         self.store = FaultyStore()
         self.processes: list[Process] = []
@@ -106,7 +118,7 @@
         sock.setblocking(False)
         sock.bind((self._ip(9, 1), PORTS.packets))
         self._sock = sock
-        hosts = [self._ip(1, n) for n in range(BALANCERS)]
+        hosts = [self._ip(1, n) for n in range(size.balancers)]
         self.router = Router(
             self._rng,
             sock,
@@ -119,9 +131,9 @@
         self.callers = Callers(
             self.checker, self._rng, sock, self.router, self._must_stay_open
         )
-        for number in range(BALANCERS):
+        for number in range(size.balancers):
             self._add_instance(self._ip(1, number), "frontend")
-        for number, service in enumerate(SERVICES):
+        for number, service in enumerate(size.services):
             self._add_instance(self._ip(2, number), "side", service)
 
     @contextlib.asynccontextmanager
@@ -273,7 +285,7 @@
         now = time.monotonic()
         if now - self._store_disturbed_at <= UNDISTURBED_S:
             return False
-        for number, server in enumerate(self.servers, BALANCERS):
+        for number, server in enumerate(self.servers, self.size.balancers):
             disturbed_at = self._disturbed.get(number, float("-inf"))
             if server.holds(flow) and now - disturbed_at > UNDISTURBED_S:
                 return True
@@ -313,19 +325,25 @@
             )
 
 
-async def soak(seed: int, seconds: float, block: int, folder: Path) -> Outcome:
+async def soak(
+    seed: int,
+    seconds: float,
+    block: int,
+    folder: Path,
+    size: FleetSize = SMALL,
+) -> Outcome:
     """Execute one run and return its result.
 
     :raises TimeoutError: if the fleet does not start.
     """
-    fleet = Fleet(seed, block, folder)
-    faults = draw(seed, len(fleet.processes), len(SERVICES), seconds)
+    fleet = Fleet(seed, block, folder, size)
+    faults = draw(seed, len(fleet.processes), len(size.services), seconds)
     async with (
         fleet.running(),
         _run_in_background(fleet.router.poll_readiness()),
     ):
         async with asyncio.timeout(START_LIMIT_S):
-            while fleet.router.in_rotation() < BALANCERS:
+            while fleet.router.in_rotation() < fleet.size.balancers:
                 await asyncio.sleep(0.1)
         started_at = time.monotonic()
         async with _run_in_background(fleet.callers.open_flows()):
