--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -274,6 +274,15 @@
         self.configure(RouteTable(version, (route,), idle_s))
         self.run(1.0)
 
+    def remove_by_mistake(self, balancer: NodeId, address: NodeId) -> None:
+        """Let one balancer remove an agent that the others hear."""
+        members = self.balancers[balancer].members
+        members.agents[address].last_report_at = float("-inf")
+        members.agents[address].heard_at = float("-inf")
+        members.mark_unregistered(0.0, address)
+        members.expire(self.world.clock.now)
+        assert address not in members.agents
+
     def reset_count(self, flows: Iterable[FlowId]) -> int:
         """Return how many resets the callers of flows received."""
         return sum(self.packet_count(f, Flag.RST) for f in flows)
--- a/testing/core/relay/test_lost_agents.py
+++ b/testing/core/relay/test_lost_agents.py
@@ -39,21 +39,11 @@
         assert address in balancer.members.agents
 
 
-def remove_by_mistake(fleet, balancer, address):
-    """Let one balancer remove an agent that the others hear."""
-    members = fleet.balancers[balancer].members
-    members.agents[address].last_report_at = float("-inf")
-    members.agents[address].heard_at = float("-inf")
-    members.mark_unregistered(0.0, address)
-    members.expire(fleet.world.clock.now)
-    assert address not in members.agents
-
-
 def test_a_new_agent_believes_the_reports_of_one_that_others_removed():
     fleet = Fleet()
     address = node("agent", 2)
     held = fleet.flows_at(address)
-    remove_by_mistake(fleet, node("balancer", 2), address)
+    fleet.remove_by_mistake(node("balancer", 2), address)
     fleet.add_agents(range(10, 20))
     fleet.run(5.0)
     for number in range(10, 20):
--- a/testing/core/relay/test_member_removal.py
+++ b/testing/core/relay/test_member_removal.py
@@ -198,12 +198,7 @@
     address = node("agent", 1)
     removers = [node("balancer", number) for number in range(30, 60)]
     for remover in removers:
-        members = fleet.balancers[remover].members
-        members.agents[address].last_report_at = float("-inf")
-        members.agents[address].heard_at = float("-inf")
-        members.mark_unregistered(0.0, address)
-        members.expire(fleet.world.clock.now)
-        assert address not in members.agents
+        fleet.remove_by_mistake(remover, address)
     fleet.run(4.0)
     for remover in removers:
         assert address in fleet.balancers[remover].members.agents
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -1,5 +1,7 @@
 """Open flows whose route moves to other services."""
 
+import pytest
+
 from medlar_core.events import Received
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerPacketReceived
@@ -74,24 +76,13 @@
     assert fleet.reset_count(opened) == 0
 
 
-def test_a_balancer_started_since_a_route_moved_keeps_its_flows():
-    fleet = two_services()
-    opened = [fleet.open(number, by=0) for number in range(20)]
-    fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
-    fleet.start_balancer(node("balancer", 9))
-    fleet.run(3.0)
-    for flow_id in opened:
-        fleet.data(flow_id, by=9, seq=500)
-    fleet.run(0.5)
-    assert fleet.reset_count(opened) == 0
-
-
-def test_a_balancer_learns_of_moved_routes_as_soon_as_it_starts():
+@pytest.mark.parametrize("running_s", [0.3, 3.0])
+def test_a_balancer_started_since_a_route_moved_keeps_its_flows(running_s):
     fleet = two_services()
     opened = [fleet.open(number, by=0) for number in range(20)]
     fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
     fleet.start_balancer(node("balancer", 9))
-    fleet.run(0.3)
+    fleet.run(running_s)
     for flow_id in opened:
         fleet.data(flow_id, by=9, seq=500)
     fleet.run(0.5)
