Name every member once in the reply to an agent that asks

Cause: the messages of one reply each moved the rotation by one further, so that one member between two messages was left out, six of 109; the agent asked again 0.2 s later.

Change: the reply is cut from the list itself. One test, red before.

--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -101,10 +101,16 @@
     ) -> list[Send]:
         """Return as many hello messages as name all agents of a service."""
         reports = [member.report for member in self._members.of(service)]
-        count = -(-len(reports) // REPORTS_PER_FULL_HELLO)
+        hello = self._hello(now, reports)
+        step = REPORTS_PER_FULL_HELLO
         return [
-            Send(node, self._hello(now, reports, REPORTS_PER_FULL_HELLO))
-            for _ in range(count)
+            Send(
+                node,
+                msgspec.structs.replace(
+                    hello, agents=tuple(reports[start : start + step])
+                ),
+            )
+            for start in range(0, len(reports), step)
         ]
 
     def hellos_to_balancers(self, now: Seconds) -> list[Send]:
@@ -192,12 +198,8 @@
         self._rotation += 1
         return tuple((peers[start:] + peers[:start])[:PEERS_PER_HELLO])
 
-    def _hello(
-        self,
-        now: Seconds,
-        reports: list[AgentReport],
-        limit: int = REPORTS_PER_HELLO,
-    ) -> Hello:
+    def _hello(self, now: Seconds, reports: list[AgentReport]) -> Hello:
+        limit = REPORTS_PER_HELLO
         start = 0
         if len(reports) > limit:
             start = self._rotation % len(reports)
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -1,7 +1,9 @@
+from medlar_core.events import Received
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.messages import MembersAsked
 
 from .kit import AGENTS
 from .kit import DESK
@@ -265,3 +267,13 @@
     for number in range(6):
         opened = fleet.open(number, by=number % 3)
         assert fleet.answer_count(opened) == 1
+
+
+def test_the_reply_to_an_agent_that_asks_names_all_members():
+    fleet = Fleet(agents=60)
+    asker, asked = node("agent", 0), node("balancer", 0)
+    effects = fleet.balancers[asked].reduce(
+        fleet.world.clock.now, Received(asker, MembersAsked(DESK))
+    )
+    named = {report.id for effect in effects for report in effect.msg.agents}
+    assert named == set(fleet.agents)
