Read the time of an announcement before the server's age

Not traced for sure.

Cause of one way to it: the age of a server was worked out before the time of its announcement was read. An agent that was interrupted in between took the server for younger than it was, and reset the flows that it had accepted meanwhile as those of the server before it.

Change: the time is read first, so that an interruption makes the server seem older: such flows are kept, and bounced if they are not its own. The test is red with the former order.

--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -86,7 +86,7 @@
     async def control(req: Request) -> Response:
         res, event = await read_control(req)
         if event is not None:
-            process.dispatch(with_age(event, time.time()))
+            dispatch_announcement(process, event)
         else:
             body = res.body.decode(errors="replace")
             process.report_unreadable("announcement", "the server", body)
@@ -114,6 +114,18 @@
     log.info("stopped")
 
 
+def dispatch_announcement(process: RelayProcess, event: Any) -> None:
+    """Dispatch a call of the server with the server's age filled in.
+
+    The time of the event is read before the age. If the process is
+    interrupted in between, the server seems older than it is: were it to
+    seem younger, flows that it has accepted would be reset as those of the
+    server before it.
+    """
+    at = now()
+    process.dispatch(with_age(event, time.time()), at)
+
+
 def with_age(event: Any, wall_s: float) -> Any:
     """Return an announcement with the age of the server filled in.
 
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -132,9 +132,12 @@
             split_endpoint(cfg.server) if cfg.server else ("", 0)
         )
 
-    def dispatch(self, event: Any) -> None:
-        """Pass an event to the reducer and execute the returned effects."""
-        started_at = now()
+    def dispatch(self, event: Any, at: Seconds | None = None) -> None:
+        """Pass an event to the reducer and execute the returned effects.
+
+        ``at`` is when the event happened, by default now.
+        """
+        started_at = now() if at is None else at
         effects = self._reducer.reduce(started_at, event)
         self.metrics.decision_s.observe(now() - started_at)
         for effect in effects:
--- a/testing/node/relay/test_process.py
+++ b/testing/node/relay/test_process.py
@@ -8,6 +8,7 @@
 from medlar_core.relay.events import ServerPhase
 from medlar_core.relay.members import Members
 from medlar_fakes.relay import FakeCodec
+from medlar_node.relay import agent
 from medlar_node.relay.agent import with_age
 from medlar_node.relay.log import LogPipe
 from medlar_node.relay.process import RelayProcess
@@ -76,3 +77,56 @@
         "s", 1_000_000, 1, "desk", ServerPhase.READY, 2, 0.0
     )
     assert with_age(event, wall_s).age_s == age_s
+
+
+CLOCK_ERROR_S = 1e-6
+
+
+class SlowClocks:
+    """Monotonic and wall clock of a process that is interrupted.
+
+    Each reading of the wall clock takes ``interrupted_s``, before or after
+    the moment that it returns.
+    """
+
+    def __init__(self, interrupted_s, *, before):
+        self.at = 100.0
+        self.interrupted_s = interrupted_s
+        self.before = before
+
+    def now(self):
+        return self.at
+
+    def time(self):
+        if self.before:
+            self.at += self.interrupted_s
+            return 1_000.0 + self.at
+        wall = 1_000.0 + self.at
+        self.at += self.interrupted_s
+        return wall
+
+
+class RecordingProcess:
+    def __init__(self, clocks):
+        self.clocks = clocks
+        self.started_at = None
+
+    def dispatch(self, event, at=None):
+        at = self.clocks.now() if at is None else at
+        self.started_at = at - event.age_s
+
+
+@pytest.mark.parametrize("before", [True, False])
+def test_an_interrupted_agent_takes_no_server_for_younger_than_it_is(
+    monkeypatch, before
+):
+    clocks = SlowClocks(0.05, before=before)
+    monkeypatch.setattr(agent, "now", clocks.now)
+    monkeypatch.setattr(agent.time, "time", clocks.time)
+    started_at = 99.97
+    event = ServerAnnounced(
+        "s", int((1_000 + started_at) * 1_000), 1, "d", ServerPhase.READY, 1, 0
+    )
+    process = RecordingProcess(clocks)
+    agent.dispatch_announcement(process, event)
+    assert process.started_at <= started_at + CLOCK_ERROR_S
