Reset no flow at a server's end that it had not accepted

Change: a flow is reset at the end of a server only if that server had answered its SYN or sent a packet of it. The test is red before.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -186,16 +186,16 @@
 
         Flows opened after ``at`` are kept: the next server incarnation
         may have accepted them before its first announcement, and bounces
-        their next packet if it did not. Flows that are not established
-        are removed without a reset, as a retransmitted SYN may have
-        opened them at another server.
+        their next packet if it did not. Flows that the server did not
+        accept, or that are not established, are removed without a reset:
+        a retransmitted SYN may have opened them at another server.
         """
         effects: list[RelayEffect] = []
         for flow_id, flow in self._ctx.table.local_flows():
             if flow.opened_at > at:
                 continue
             self._ctx.table.remove(flow_id)
-            if flow.established:
+            if flow.accepted and flow.established:
                 effects += self._ctx.reset(
                     flow_id, flow.acked_seq, Reason.SERVER_DIED
                 )
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -4,12 +4,19 @@
 
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
+from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.flow_lookup import QUERY_PACKETS_BURST
 from medlar_core.relay.flow_lookup import QUERY_PACKETS_PER_S
+from medlar_core.relay.forwarded import ForwardedPacket
+from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.segment import Segment
+from medlar_fakes.relay import encode
+from medlar_fakes.relay import FakeCodec
 from medlar_fakes.relay import FakeServer
 
 from .kit import ANNOUNCE_INTERVAL_S
+from .kit import DESK
 from .kit import Fleet
 from .kit import flow
 from .kit import node
@@ -342,3 +349,27 @@
     fleet.run(0.2)
     forwarded = fleet.world.forward_count - before - 2_000
     assert forwarded <= 20 * (QUERY_PACKETS_BURST + 0.2 * QUERY_PACKETS_PER_S)
+
+
+def test_a_flow_that_a_dead_server_never_accepted_is_not_reset_at_its_end():
+    fleet = Fleet()
+    address = node("agent", 2)
+    held = fleet.flows_at(node("agent", 1), 20)
+    fleet.world.servers.pop(address)
+    announcement = fleet.announcements.pop(address)
+    for flow_id in held:
+        # Their SYN went to the dead server first, through an agent that
+        # stopped, and a balancer still has that hint.
+        for flags, size in ((Flag.SYN, 0), (Flag.ACK, 50)):
+            data = encode(Segment(b"", flags, *flow_id, size, 100, 501))
+            packet = ForwardedPacket(int(ForwardReason.PLACED), DESK, data)
+            event = PacketForwarded(
+                node("balancer", 0), packet, FakeCodec().decode(data)
+            )
+            fleet.world.dispatch(address, event)
+    fleet.run(0.2)
+    fleet.start_server(address)
+    assert fleet.announcements[address].server != announcement.server
+    fleet.run(1.5)
+    assert held
+    assert fleet.reset_count(held) == 0
