Call placement and lookup without pass-through methods

AgentFlows repeated four methods of its parts, ReadReport stood twice, and an agent made a whole report at each tick to see whether its server had changed. The callers now use the parts, as they did the lookup; what was last reported of the server is one value. No behaviour changes.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -74,6 +74,16 @@
     started_at: float = float("inf")
 
 
+class _ServerFacts(msgspec.Struct, frozen=True):
+    """What others have to know at once, beside the agent's state.
+
+    ``server`` is the service, name and start of the local server.
+    """
+
+    server: tuple[ServiceName, str, int]
+    knows_all_flows: bool
+
+
 class RelayAgent:
     """Handles the events of one agent and returns effects."""
 
@@ -105,8 +115,7 @@
         self._flows = AgentFlows(self._ctx, rng)
         self._report_count = 0
         self._reported_state = AgentState.STARTING
-        self._reported_server: tuple[str, str, int] = ("", "", 0)
-        self._reported_knows_all = False
+        self._reported_server: _ServerFacts | None = None
         self._stopping = False
         self._reports = ReportSender(
             identity.node, self.members, identity.seeds, self.report
@@ -166,7 +175,7 @@
             "flows_open": self._ctx.table.open_count,
             "flows_waiting": self._ctx.table.busy_count,
             "flows_known": len(self._ctx.table),
-            "flows_placing": self._flows.placing_count,
+            "flows_placing": self._flows.placement.pending_count,
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
             **self.members.gauges(now),
@@ -282,8 +291,7 @@
             return self._report_server(now)
         report = self.report(now)
         old, self._reported_state = self._reported_state, report.state
-        self._reported_server = _server_of(report)
-        self._reported_knows_all = report.knows_all_flows
+        self._reported_server = self._server_facts(now)
         if old is AgentState.GONE:
             # Members ignore reports of an incarnation that they removed as
             # gone, so the agent returns as a new one.
@@ -309,21 +317,26 @@
         agent that knows all flows is queried without packets, which are
         limited in rate.
         """
-        report = self.report(now)
-        server = _server_of(report)
-        knows_all = report.knows_all_flows
-        if (server, knows_all) == (
-            self._reported_server,
-            self._reported_knows_all,
-        ):
+        facts, reported = self._server_facts(now), self._reported_server
+        if facts == reported:
             return []
-        if server != self._reported_server:
-            self._update_registration(report)
-        self._reported_server = server
-        self._reported_knows_all = knows_all
+        self._reported_server = facts
+        if reported is None or facts.server != reported.server:
+            self._update_registration(self.report(now))
         self._reports.make_due()
         return list(self._reports.due(now, self._ctx.service))
 
+    def _server_facts(self, now: Seconds) -> _ServerFacts:
+        server = self.local_server.server
+        return _ServerFacts(
+            (
+                self._ctx.service,
+                server.name if server else "",
+                server.born_ms if server else 0,
+            ),
+            self.local_server.knows_all_flows(now),
+        )
+
     # Peers and balancers
 
     def _handle_message(
@@ -335,14 +348,14 @@
                 self.members.apply_report(now, msg, direct=msg.id == src)
                 service = self._ctx.service
                 return [
-                    *self._flows.handle_load(now, src, self.report),
+                    *self._flows.placement.handle_load(now, src, self.report),
                     *self._reports.reports_to_new_members(now, service),
                     *self._reports.correction(now, src, msg, service),
                 ]
             case LoadReport():
                 if not self.members.apply_load(now, src, msg):
                     return [Send(src, ReportAsked())]
-                return self._flows.handle_load(now, src, self.report)
+                return self._flows.placement.handle_load(now, src, self.report)
             case ReportAsked():
                 report = self._reports.report_to(now, src, self._ctx.service)
                 return [Send(src, report)]
@@ -432,8 +445,8 @@
         ]
         effects += self._reports.due(now, self._ctx.service)
         effects += self._query_members(now)
-        effects += self._flows.place_late(now, self.report)
-        effects += self._flows.retry_lookups(now)
+        effects += self._flows.placement.place_late(now, self.report)
+        effects += self._flows.lookup.retry(now)
         effects += self.members.pop_requests(now)
         effects += self._store_calls(now)
         return effects
@@ -450,7 +463,3 @@
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
         self._registration.issue_next_call(now)
         return list(self._access.due(now))
-
-
-def _server_of(report: AgentReport) -> tuple[str, str, int]:
-    return report.service, report.server, report.server_born
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -3,7 +3,6 @@
 import random
 
 from ..effects import Send
-from ..ids import NodeId
 from ..ids import Seconds
 from ..packets import Flag
 from ..verdict import Reason
@@ -20,7 +19,6 @@
 from .messages import OtherService
 from .placement import NewFlow
 from .placement import Placement
-from .placement import ReadReport
 from .segment import Segment
 
 MAX_HOPS_BEFORE_LOOKUP = 3
@@ -43,22 +41,13 @@
     def __init__(self, ctx: FlowContext, rng: random.Random) -> None:
         self.lookup = FlowLookup(ctx)
         self._ctx = ctx
-        self._placement = Placement(ctx, rng)
-
-    @property
-    def placing_count(self) -> int:
-        """Number of new flows that wait for the loads of servers."""
-        return self._placement.pending_count
+        self.placement = Placement(ctx, rng)
 
     def expire(self, now: Seconds, idle_s: float) -> list[RelayEffect]:
         """Remove expired flows, queries and lookups."""
         self._ctx.table.expire(now, idle_s)
         return self.lookup.expire(now)
 
-    def retry_lookups(self, now: Seconds) -> list[RelayEffect]:
-        """Repeat the lookups that ended without a result."""
-        return self.lookup.retry(now)
-
     def handle_forwarded(
         self, now: Seconds, event: PacketForwarded
     ) -> list[RelayEffect]:
@@ -113,26 +102,14 @@
             packet.low_priority,
         )
         if routed:
-            return self._placement.place(now, new_flow, own_report)
-        effects = self._placement.handle_placed(now, new_flow, own_report)
+            return self.placement.place(now, new_flow, own_report)
+        effects = self.placement.handle_placed(now, new_flow, own_report)
         flow = ctx.table.get(flow_id)
         if flow is not None and flow.holder == ctx.node:
             # Confirms the flow to the agent that placed it here.
             effects.append(Send(event.src, FlowHeld(flow_id, ctx.node)))
         return effects
 
-    def handle_load(
-        self, now: Seconds, node: NodeId, read_report: ReadReport
-    ) -> list[RelayEffect]:
-        """Place the flows that waited for the load of an agent."""
-        return self._placement.handle_load(now, node, read_report)
-
-    def place_late(
-        self, now: Seconds, read_report: ReadReport
-    ) -> list[RelayEffect]:
-        """Place the flows that have waited too long for loads."""
-        return self._placement.place_late(now, read_report)
-
     def handle_server_packet(
         self, now: Seconds, segment: Segment
     ) -> list[RelayEffect]:
@@ -164,7 +141,7 @@
         if flow is None:
             return []
         new_flow = _new_flow_from(segment, flow).declined_by(self._ctx.node)
-        return self._placement.place(now, new_flow, own_report)
+        return self.placement.place(now, new_flow, own_report)
 
     def handle_bounced(
         self, now: Seconds, segment: Segment
@@ -268,7 +245,7 @@
         if flow.accepted or own_report.state is AgentState.READY:
             return self._ctx.deliver(now, flow, segment)
         new_flow = _new_flow_from(segment, flow).declined_by(self._ctx.node)
-        return self._placement.place(now, new_flow, own_report)
+        return self.placement.place(now, new_flow, own_report)
 
     def _handle_remote_syn(
         self,
@@ -281,11 +258,11 @@
 
         It is placed anew if the holder accepts no new flows.
         """
-        if self._placement.accepts_flows(now, flow.holder, flow.opened_at):
+        if self.placement.accepts_flows(now, flow.holder, flow.opened_at):
             return self._forward_to_holder(now, event, flow)
         new_flow = _new_flow_from(event.segment, flow, event.packet.hops)
         new_flow = new_flow.declined_by(flow.holder)
-        return self._placement.place(now, new_flow, own_report)
+        return self.placement.place(now, new_flow, own_report)
 
     def _drop_over_hop_limit(self, event: PacketForwarded) -> RelayEffect:
         text = "flows: packet dropped: hop limit exceeded"
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -1,6 +1,5 @@
 """Placement of new flows: which server a SYN is delivered to."""
 
-from collections.abc import Callable
 import random
 
 import msgspec
@@ -26,6 +25,7 @@
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import FlowHeld
+from .report_sender import ReadReport
 from .segment import FlowId
 from .segment import Segment
 
@@ -75,10 +75,6 @@
     awaiting: set[NodeId]
 
 
-ReadReport = Callable[[Seconds], AgentReport]
-"""Returns a new report of this agent."""
-
-
 class Placement:
     """Places new flows of one service.
 
