Give sparse reports their step through the interval they share

ReportInterval repeated the body of SendInterval.due; it now names its step alone. Whether a configuration is passed on is decided where it came from, not by comparing the text of a log line. One request a lookup, a limit's docstring that had lost its neighbour. No behaviour changes.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -52,8 +52,6 @@
 RANK_INTERVAL_S = 0.3
 """Time between two looks at which agents are silent; changes of the
 membership are applied at once."""
-FROM_STORE = "the store"
-"""Source of a configuration that the balancer passes on to all others."""
 
 
 class RelayBalancer:
@@ -260,7 +258,10 @@
         update = self._view.handle_answer(now, event)
         effects = update.effects
         for table in update.tables:
-            effects += self._apply_routes(now, table, FROM_STORE)
+            applied = self._apply_routes(now, table, "the store")
+            if applied:
+                effects += applied
+                effects += self._hello_sender.hellos_to_balancers(now)
         effects += self._handle_membership_changes(now)
         return effects + self._store_calls(now)
 
@@ -276,9 +277,7 @@
             f"configuration: in force with {len(table.routes)} routes, "
             f"replaces version {old}, received from {source}",
         )
-        if source != FROM_STORE:
-            return [event]
-        return [event, *self._hello_sender.hellos_to_balancers(now)]
+        return [event]
 
     def _handle_membership_changes(self, now: Seconds) -> list[RelayEffect]:
         effects: list[RelayEffect] = []
--- a/packages/core/src/medlar_core/relay/early_packets.py
+++ b/packages/core/src/medlar_core/relay/early_packets.py
@@ -22,7 +22,7 @@
         self._packets: collections.deque[tuple[float, Segment]] = (
             collections.deque()
         )
-        self.dropped = 0
+        self._dropped = 0
 
     def __len__(self) -> int:
         return len(self._packets)
@@ -32,16 +32,16 @@
         self._packets.append((now, segment))
         if len(self._packets) > MAX_PACKETS:
             self._packets.popleft()
-            self.dropped += 1
+            self._dropped += 1
 
     def pop_all(self, now: Seconds) -> list[Segment]:
         """Return the packets that are not too old, in their order."""
         packets = [seg for at, seg in self._packets if now - at <= MAX_AGE_S]
-        self.dropped += len(self._packets) - len(packets)
+        self._dropped += len(self._packets) - len(packets)
         self._packets.clear()
         return packets
 
     def pop_dropped(self) -> int:
         """Return how many packets were dropped since the last call."""
-        dropped, self.dropped = self.dropped, 0
+        dropped, self._dropped = self._dropped, 0
         return dropped
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -127,10 +127,11 @@
         sent_to = {
             m.report.id for m in candidates if not m.report.knows_all_flows
         }
+        req = LookupRequest(segment, packet, src)
         if not self._query_budget.take(
             now, min(len(sent_to), QUERY_PACKETS_BURST)
         ):
-            self._retries.add(now, LookupRequest(segment, packet, src))
+            self._retries.add(now, req)
             text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
         try_local = (
@@ -147,7 +148,7 @@
             view=self._ctx.members.view(self._ctx.service),
             doubt=self._doubt(now, packet),
             is_doubt_brief=not self._ctx.knows_all_members(now),
-            request=LookupRequest(segment, packet, src),
+            request=req,
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -199,12 +199,11 @@
         return tuple((peers[start:] + peers[:start])[:PEERS_PER_HELLO])
 
     def _hello(self, now: Seconds, reports: list[AgentReport]) -> Hello:
-        limit = REPORTS_PER_HELLO
         start = 0
-        if len(reports) > limit:
+        if len(reports) > REPORTS_PER_HELLO:
             start = self._rotation % len(reports)
-            self._rotation += limit
-        included = (reports[start:] + reports[:start])[:limit]
+            self._rotation += REPORTS_PER_HELLO
+        included = (reports[start:] + reports[:start])[:REPORTS_PER_HELLO]
         return Hello(
             id=self._identity.node,
             place=self._identity.place,
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -33,7 +33,8 @@
 from .report_requests import ReportRequests
 
 NO_REPLY_NAMED_S = 0.7
-"""The same for an agent that another process has removed."""
+"""An agent that another process has removed, and that has not replied for
+this, is removed here too."""
 BALANCER_EXPIRY_S = 30.0
 
 
--- a/packages/core/src/medlar_core/relay/send_interval.py
+++ b/packages/core/src/medlar_core/relay/send_interval.py
@@ -35,9 +35,13 @@
         """Return whether a round is due; start the next interval if so."""
         if not self.is_due(now):
             return False
-        self._next_at = now + self.period_s(peers)
+        self._next_at = now + self._step_s(peers)
         return True
 
+    def _step_s(self, peers: int) -> float:
+        """Return the time between two times that messages are due."""
+        return self.period_s(peers)
+
     def make_due(self) -> None:
         """Make the next round due at once."""
         self._next_at = 0.0
@@ -65,15 +69,8 @@
             return peers / SPARSE_MESSAGES_PER_S
         return super().period_s(peers)
 
-    def due(self, now: Seconds, peers: int) -> bool:
-        """Return whether reports are due; start the next interval if so.
-
-        Sparse ones go to one peer at a time.
-        """
-        if not self.is_due(now):
-            return False
-        step_s = 1.0 / SPARSE_MESSAGES_PER_S
-        self._next_at = now + (
-            step_s if self.is_sparse(peers) else self.period_s(peers)
-        )
-        return True
+    def _step_s(self, peers: int) -> float:
+        """Return a shorter time for sparse reports, which go to one peer."""
+        if self.is_sparse(peers):
+            return 1.0 / SPARSE_MESSAGES_PER_S
+        return self.period_s(peers)
