Keep what is known of a balancer in one place

KnownBalancer holds the four values and knows when it expires. Choice picked its peers twice in the same words, and compared whole members to leave some out. No behaviour changes, but that place, confirmation and period of a balancer that said goodbye go with it, not up to a second later.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -210,7 +210,9 @@
     def _handle_hello(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
         config_confirmed_at = now - msg.config_age_s
         self.members.apply_hello(now, msg)
-        self.members.config_confirmed_at[msg.id] = config_confirmed_at
+        sender = self.members.balancers.get(msg.id)
+        if sender is not None:
+            sender.config_confirmed_at = config_confirmed_at
         effects = self._handle_membership_changes(now)
         effects += self._hello_sender.handle_hello(now, msg)
         if msg.version == self.routes.version:
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/choice.py
@@ -63,12 +63,21 @@
 
         At most ``MAX_REQUESTS`` of them have no recent load figure.
         """
+        peers = self._peers(now, members, excluded)
+        outdated = [m for m in peers if not has_recent_load(now, m)]
+        left_out = {m.report.id for m in outdated[MAX_REQUESTS:]}
+        return [m for m in peers if m.report.id not in left_out]
+
+    def _peers(
+        self,
+        now: Seconds,
+        members: list[Member],
+        excluded: Collection[NodeId],
+    ) -> list[Member]:
         peers = [m for m in members if _is_eligible(now, m, excluded)]
         if len(peers) > MAX_COMPARED_PEERS:
             peers = self._rng.sample(peers, MAX_COMPARED_PEERS)
-        outdated = [m for m in peers if not has_recent_load(now, m)]
-        left_out = outdated[MAX_REQUESTS:]
-        return [m for m in peers if m not in left_out]
+        return peers
 
     def select(
         self,
@@ -87,9 +96,7 @@
         ``caller_place`` the place of the caller's balancer if known. A
         server with ``limit`` waiting callers per slot is full.
         """
-        peers = [m for m in members if _is_eligible(now, m, excluded)]
-        if len(peers) > MAX_COMPARED_PEERS:
-            peers = self._rng.sample(peers, MAX_COMPARED_PEERS)
+        peers = self._peers(now, members, excluded)
         candidates = [(m.report, m.assigned) for m in peers]
         if own_report is not None and self._node not in excluded:
             candidates.insert(0, (own_report, 0))
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -12,16 +12,15 @@
 
 from ..effects import Send
 from ..ids import NodeId
-from ..ids import PlaceName
 from ..ids import Seconds
 from ..ids import ServiceName
 from .departures import Departures
+from .known_balancer import KnownBalancer
 from .member import is_expired
 from .member import known_at
 from .member import Member
 from .member import NEVER
 from .member import recently_reporting
-from .member import SILENT_REPORTS
 from .member import UNREGISTERED_S
 from .messages import AgentReport
 from .messages import AgentState
@@ -35,7 +34,6 @@
 NO_REPLY_NAMED_S = 0.7
 """An agent that another process has removed, and that has not replied for
 this, is removed here too."""
-BALANCER_EXPIRY_S = 30.0
 
 
 class RemovalCause(enum.Enum):
@@ -63,11 +61,7 @@
     def __init__(self, node: NodeId) -> None:
         self._node = node
         self.agents: dict[NodeId, Member] = {}
-        self.balancers: dict[NodeId, float] = {}
-        self.balancer_places: dict[NodeId, PlaceName] = {}
-        self.config_confirmed_at: dict[NodeId, float] = {}
-        """When each balancer last had its configuration confirmed by the
-        store, from its hello messages."""
+        self.balancers: dict[NodeId, KnownBalancer] = {}
         self.changes = 0
         self.new_agents: list[NodeId] = []
         """Agents added or restarted since the last ``pop_new_agents``."""
@@ -77,7 +71,6 @@
         self._requests = ReportRequests()
         self._named: dict[NodeId, Departed] = {}
         """Agents that another process has removed and that have to reply."""
-        self._hello_periods: dict[NodeId, float] = {}
         self._views: dict[ServiceName, int] = {}
         self._views_changes = 0
         self._departures = Departures()
@@ -222,18 +215,14 @@
         if was_heard or member.report.stamp <= departed.stamp:
             self._remove(now, member.report, RemovalCause.NAMED)
 
-    def record_balancer(
-        self, now: Seconds, node: NodeId, place: PlaceName
-    ) -> None:
-        """Record a sign of life of a balancer."""
-        if node != self._node:
-            self.balancers[node] = now
-            self.balancer_places[node] = place
-
     def apply_hello(self, now: Seconds, hello: Hello) -> None:
         """Apply a balancer's hello message and the members it names."""
-        self.record_balancer(now, hello.id, hello.place)
-        self._hello_periods[hello.id] = hello.period_s
+        self.add_known_balancer(now, hello.id)
+        balancer = self.balancers.get(hello.id)
+        if balancer is not None:
+            balancer.heard_at = now
+            balancer.place = hello.place
+            balancer.period_s = hello.period_s
         for peer in hello.peers:
             self.add_known_balancer(now, peer)
         for departed in hello.departed:
@@ -246,8 +235,8 @@
 
         This is no sign of life of a balancer that is already known.
         """
-        if node != self._node:
-            self.balancers.setdefault(node, now)
+        if node != self._node and node not in self.balancers:
+            self.balancers[node] = KnownBalancer(now)
 
     def exclude_pause(self, now: Seconds, seconds: float) -> None:
         """Exclude a pause of this process from the age of reports.
@@ -284,28 +273,9 @@
         for report in expired:
             self._remove(now, report, RemovalCause.SILENT)
         self.balancers = {
-            node: at
-            for node, at in self.balancers.items()
-            if now - at
-            <= max(
-                BALANCER_EXPIRY_S,
-                SILENT_REPORTS * self._hello_periods.get(node, 0.0),
-            )
-        }
-        self._hello_periods = {
-            node: period_s
-            for node, period_s in self._hello_periods.items()
-            if node in self.balancers
-        }
-        self.balancer_places = {
-            node: place
-            for node, place in self.balancer_places.items()
-            if node in self.balancers
-        }
-        self.config_confirmed_at = {
-            node: at
-            for node, at in self.config_confirmed_at.items()
-            if node in self.balancers
+            node: balancer
+            for node, balancer in self.balancers.items()
+            if not balancer.is_expired(now)
         }
         self._departures.expire(now, idle_s)
 
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -266,16 +266,20 @@
         own_report: AgentReport,
         others: list[Member],
     ) -> Selection | None:
-        members = self._ctx.members
         eligible = own_report if own_report.state is AgentState.READY else None
-        caller_place = members.balancer_places.get(new_flow.via)
+        via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
             if new_flow.low_priority
             else MAX_WAITING_PER_SLOT
         )
         return self._choice.select(
-            now, eligible, others, new_flow.declined, caller_place, limit
+            now,
+            eligible,
+            others,
+            new_flow.declined,
+            via.place if via else None,
+            limit,
         )
 
     def _open_here(self, now: Seconds, new_flow: NewFlow) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -138,15 +138,18 @@
         """
         if _NEVER in (self._entries.synced_at, self._configuration.synced_at):
             return True
-        members = self._members
-        before = [n for n in members.balancers if n < self._identity.node]
+        before = [
+            balancer
+            for node, balancer in self._members.balancers.items()
+            if node < self._identity.node
+        ]
         queued = max(0, len(before) - WATCHER_COUNT)
-        limit_s = WATCHER_HELLO_TIMEOUT_S + queued * WATCHER_STAGGER_S
+        delay_s = queued * WATCHER_STAGGER_S
         watchers_before = sum(
-            now - members.balancers[node] <= limit_s
-            and now - members.config_confirmed_at.get(node, _NEVER)
-            <= WATCHER_CONFIG_TIMEOUT_S + queued * WATCHER_STAGGER_S
-            for node in before
+            now - balancer.heard_at <= WATCHER_HELLO_TIMEOUT_S + delay_s
+            and now - balancer.config_confirmed_at
+            <= WATCHER_CONFIG_TIMEOUT_S + delay_s
+            for balancer in before
         )
         return watchers_before < WATCHER_COUNT
 
