--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -209,6 +209,7 @@
         self._lab = lab
         self._misses: dict[str, int] = {}
         self._ready: dict[str, bool] = {}
+        self.polled_at: dict[str, float] = {}
         self.chosen: dict[wire.FlowId, str] = {}
         """Node that took the last packet of each flow."""
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -238,6 +239,7 @@
         """Poll the readiness of one balancer."""
         while True:
             started_at = time.monotonic()
+            self.polled_at[node.name] = started_at
             status = await http.call(
                 (node.ip, READINESS), "GET", "/-/readiness", limit_s=0.4
             )
