review: weights in the stand-ins, and cases that can't run say so

Routes may have weights for several services. Servers start after their agents listen, as in a deployment. A script whose flows don't open ends with 2 instead of passing.

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -282,7 +282,8 @@
         )["roles"]
         self.store = Store()
         self.version = FIRST_VERSION
-        self.routes: dict[tuple[str, int], str] = {}
+        self.routes: dict[tuple[str, int], str | dict[str, int]] = {}
+        """The service of each address, or the weights of several."""
         self.limits = dict(LIMITS)
         self.broken_flows: list[str] = []
         """The system's resets that break the rule FLOW."""
@@ -327,6 +328,7 @@
             )
             for node in [*self.balancers, *self.agents]:
                 node.start()
+            await self._wait_for_agents()
             for server in self.servers:
                 await server.start()
             for node in self.balancers:
@@ -350,10 +352,10 @@
                     "timeout_ms": 2_000,
                     "target_latency_ms": 143,
                     "priority": 2,
-                    "service": service,
                     "max_attempts": 2,
+                    **_target(target),
                 }
-                for number, ((host, port), service) in enumerate(
+                for number, ((host, port), target) in enumerate(
                     self.routes.items()
                 )
             ],
@@ -394,15 +396,36 @@
 
     async def open_feeds(self, addresses, gap_s: float = 0.04) -> list:
         """Open a flow to each address, with one request; return the open."""
-        feeds = []
-        for number, address in enumerate(addresses):
-            feed = self.clients.flow(address)
-            if await feed.open() and await feed.request(f"first-{number}"):
-                feeds.append(feed)
-            await asyncio.sleep(gap_s)
+        feeds = [self.clients.flow(address) for address in addresses]
+
+        async def open_feed(number: int) -> bool:
+            await asyncio.sleep(number * gap_s)
+            feed = feeds[number]
+            return await feed.open() and await feed.request(f"first-{number}")
+
+        numbers = range(len(feeds))
+        opened = await asyncio.gather(*map(open_feed, numbers))
+        feeds = [feeds[number] for number in numbers if opened[number]]
         self.record(f"{len(feeds)} feeds opened and answered")
+        self.require_most(len(feeds), len(addresses))
         return feeds
 
+    def require_most(self, opened: int, wanted: int) -> None:
+        """Check that most of the flows are open before the trouble.
+
+        :raises CannotRunError: if they are not.
+        """
+        if 2 * opened < wanted:
+            self.give_up(f"only {opened} of {wanted} flows are open")
+
+    def give_up(self, why: str) -> None:
+        """End the case without a result.
+
+        :raises CannotRunError: always.
+        """
+        self.record(f"could not run: {why}")
+        raise CannotRunError(why)
+
     async def request_all(self, feeds, name: str) -> int:
         """Send a request on each feed; return how many were answered."""
         held = sum(self.holder(feed) is not None for feed in feeds)
@@ -488,6 +511,16 @@
 
     # Parts
 
+    async def _wait_for_agents(self) -> None:
+        """Wait until the agents answer; servers start after them."""
+        until = time.monotonic() + START_LIMIT_S
+        for node in self.agents:
+            address = (node.ip, READINESS)
+            while await http.call(address, "GET", "/-/readiness") != 200:
+                if time.monotonic() > until:
+                    self.give_up("the agents did not start in time")
+                await asyncio.sleep(0.05)
+
     async def _wait_until_ready(self) -> None:
         until = time.monotonic() + START_LIMIT_S
         while self.routers.ready_count < len(self.balancers):
@@ -566,6 +599,18 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _target(target: str | dict[str, int]) -> dict:
+    """Return the fields of a route that tell where new flows are sent."""
+    if isinstance(target, str):
+        return {"service": target}
+    return {
+        "traffic_split": [
+            {"service": service, "weight": weight}
+            for service, weight in target.items()
+        ]
+    }
+
+
 def play(case_file: str, coro) -> None:
     """Play a case and exit with its result; errors of the case exit with 2."""
     if not (ROOT / "target" / "deps" / "medlar_platform").is_dir():
