review: case 3 by a change of weights

The agent that forgets the other services of a route is now shown by weights that change and change back, which the kinds of disruption name, instead of a route that is moved whole.

--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,4 +1,4 @@
-"""Open flows that pause while the operator raises ``idle_timeout_ms``."""
+"""Flows opened while the weights of a route change, then a rolling restart."""
 
 import asyncio
 from pathlib import Path
@@ -11,37 +11,58 @@
 from standins.lab import play  # noqa: E402
 
 ROUTE = ("198.18.0.1", 443)
-FEEDS = 40
-SHORT_IDLE_MS = 10_000
-LONG_IDLE_MS = 30_000
-SETTLE_S = 1.0
-OLDEST_IDLE_S = 9.9
-"""Idle time of the oldest feed when the change is acknowledged: less than
-the shorter timeout."""
-REQUEST_AFTER_S = 7.0
-"""From the acknowledgement to the feeds' next requests: more than the three
-seconds in which a configuration has to be in force everywhere."""
+FEEDS = 60
+MOSTLY_DESK = {"desk": 90, "office": 10}
+MOSTLY_OFFICE = {"desk": 10, "office": 90}
+WEIGHTS_CHANGE_S = 0.1
+WEIGHTS_CHANGE_BACK_S = 1.5
+ROLL_S = 3.0
+ROLL_GAP_S = 1.3
+SECOND_REQUEST_S = 13.5
+"""Less than the idle timeout after the feeds' first requests."""
+
+
+async def open_feed(feed, name: str) -> None:
+    """Open a feed with one request."""
+    if await feed.open():
+        await feed.request(name)
 
 
 async def scenario(record_file: Path) -> int:
-    lab = Lab(record_file, balancers=3, servers={"desk": 3}, is_planned=True)
-    lab.routes = {ROUTE: "desk"}
-    lab.limits["idle_timeout_ms"] = (
-        SHORT_IDLE_MS if lab.trouble else LONG_IDLE_MS
+    lab = Lab(
+        record_file,
+        balancers=3,
+        servers={"desk": 3, "office": 3},
+        is_planned=True,
     )
+    lab.routes = {ROUTE: MOSTLY_DESK}
     async with lab.running():
-        await asyncio.sleep(SETTLE_S)
-        feeds = await lab.open_feeds([ROUTE] * FEEDS)
-        since = min(feed.last_packet_at for feed in feeds)
-        await lab.at(OLDEST_IDLE_S, since)
-        idle_s = [time.monotonic() - feed.last_packet_at for feed in feeds]
-        lab.record(
-            f"feeds are idle for {min(idle_s):.2f} to {max(idle_s):.2f} s"
-        )
+        since = time.monotonic()
+        feeds = [lab.clients.flow(ROUTE) for _ in range(FEEDS)]
+        opening = [
+            asyncio.create_task(open_feed(feed, f"first-{number}"))
+            for number, feed in enumerate(feeds)
+        ]
         if lab.trouble:
-            lab.limits["idle_timeout_ms"] = LONG_IDLE_MS
+            await lab.at(WEIGHTS_CHANGE_S, since)
+            lab.routes = {ROUTE: MOSTLY_OFFICE}
             lab.publish()
-        await asyncio.sleep(REQUEST_AFTER_S)
+            await lab.at(WEIGHTS_CHANGE_BACK_S, since)
+            lab.routes = {ROUTE: MOSTLY_DESK}
+            lab.publish()
+        await asyncio.gather(*opening)
+        feeds = [feed for feed in feeds if feed.state == "open"]
+        places = [lab.holder(feed).service for feed in feeds]
+        lab.record(
+            f"{len(feeds)} feeds are open, {places.count('desk')} at desk, "
+            f"{places.count('office')} at office"
+        )
+        lab.require_most(len(feeds), FEEDS)
+        await lab.at(ROLL_S, since)
+        for node in lab.balancers:
+            await node.restart_after_term()
+            await asyncio.sleep(ROLL_GAP_S)
+        await lab.at(SECOND_REQUEST_S, since)
         await lab.request_all(feeds, "second")
         return lab.result()
 
