--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -51,6 +51,7 @@
         await lab.at(RESTART_S, since)
         is_open = [feed.state == "open" for feed in feeds]
         lab.record(f"{sum(is_open)} of {len(feeds)} feeds are open")
+        lab.require_most(sum(is_open), len(feeds))
         if lab.trouble:
             await lab.balancers[0].restart_after_term()
         await lab.at(END_S, since)
