--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -56,14 +56,16 @@
             lab.routes = {ROUTE: "office"}
             lab.publish()
         await lab.at(OPENING_S, since)
-        tasks = []
+        feeds, tasks = [], []
         for number in range(FEEDS):
             feed = lab.clients.flow(ROUTE)
+            feeds.append(feed)
             talking = talk(feed, f"feed{number}", since + END_S)
             tasks.append(asyncio.create_task(talking))
             await asyncio.sleep(0.005)
         await restart
         await asyncio.gather(*tasks)
+        lab.require_most(sum(f.opened_at > 0 for f in feeds), FEEDS)
         return lab.result()
 
 
