review: the idle timeout becomes case 1, past the bound of a change

In a fleet of 40 agents the outdated timeout is applied later than 3 s after the acknowledgement, so that no reading of the bound excuses it.

--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,4 +1,4 @@
-"""Open flows of a moved route, after all balancers were killed at once."""
+"""Open flows that pause while the operator raises ``idle_timeout_ms``."""
 
 import asyncio
 from pathlib import Path
@@ -11,34 +11,46 @@
 from standins.lab import play  # noqa: E402
 
 ROUTE = ("198.18.0.1", 443)
-FEEDS = 30
-ROUTE_MOVES_S = 1.0
-SECOND_REQUEST_S = 5.0
-"""Longer after the move than a configuration may take everywhere."""
-KILL_S = 6.0
-THIRD_REQUEST_S = 12.5
-"""Kill, restart after half a second, then more than the stability window.
-The feeds are idle for half of the idle timeout."""
+SERVERS = 40
+FEEDS = 80
+SHORT_IDLE_MS = 10_000
+LONG_IDLE_MS = 30_000
+PROPAGATION_S = 3.0
+CHANGE_S = 13.2
+"""From the start of the processes to the change."""
+OPENING_S = CHANGE_S - 6.8
+"""The feeds fall silent from here on, each at another time. By the old timeout
+they are idle for too long from 3.2 s after the change on."""
+GAP_S = 0.01
+REQUEST_S = CHANGE_S + 9.0
 
 
 async def scenario(record_file: Path) -> int:
-    lab = Lab(record_file, balancers=3, servers={"desk": 3, "office": 2})
+    lab = Lab(
+        record_file, balancers=3, servers={"desk": SERVERS}, is_planned=True
+    )
     lab.routes = {ROUTE: "desk"}
+    lab.limits["idle_timeout_ms"] = (
+        SHORT_IDLE_MS if lab.trouble else LONG_IDLE_MS
+    )
     async with lab.running():
-        feeds = await lab.open_feeds([ROUTE] * FEEDS)
-        since = time.monotonic()
-        await lab.at(ROUTE_MOVES_S, since)
-        lab.routes = {ROUTE: "office"}
-        lab.publish()
-        await lab.at(SECOND_REQUEST_S, since)
-        await lab.request_all(feeds, "second")
-        await lab.at(KILL_S, since)
+        since = lab.started_at
+        await lab.at(OPENING_S, since)
+        feeds = await lab.open_feeds([ROUTE] * FEEDS, GAP_S)
+        await lab.at(CHANGE_S, since)
+        changed_at = time.monotonic()
         if lab.trouble:
-            await asyncio.gather(
-                *(node.restart_after_kill() for node in lab.balancers)
-            )
-        await lab.at(THIRD_REQUEST_S, since)
-        await lab.request_all(feeds, "third")
+            lab.limits["idle_timeout_ms"] = LONG_IDLE_MS
+            lab.publish()
+        idle_s = [changed_at - feed.last_packet_at for feed in feeds]
+        lab.record(
+            f"{len(feeds)} feeds are idle for {min(idle_s):.2f} to "
+            f"{max(idle_s):.2f} s"
+        )
+        if max(idle_s) + PROPAGATION_S >= SHORT_IDLE_MS / 1_000:
+            lab.give_up("the feeds were opened too early")
+        await lab.at(REQUEST_S, since)
+        await lab.request_all(feeds, "second")
         return lab.result()
 
 
