review: scripts that run as they are, and end what they started

The record lists each request sent, answered and run. Routes have loopback addresses, and a restarted process is told that it is no first start.

--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -11,7 +11,7 @@
 from standins.lab import Lab  # noqa: E402
 from standins.lab import play  # noqa: E402
 
-ROUTES = [("198.18.0.1", 4_000 + number) for number in range(60)]
+ROUTES = [("127.198.18.1", 4_000 + number) for number in range(60)]
 ROUTES_MOVE_S = 3.0
 RESTART_S = 8.0
 END_S = 18.0
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -10,7 +10,7 @@
 from standins.lab import Lab  # noqa: E402
 from standins.lab import play  # noqa: E402
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.198.18.1", 443)
 FEEDS = 30
 ROUTE_MOVES_S = 1.0
 SECOND_REQUEST_S = 5.0
--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -11,7 +11,7 @@
 from standins.lab import Lab  # noqa: E402
 from standins.lab import play  # noqa: E402
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.198.18.1", 443)
 FEEDS = 60
 ANSWERED_S = 0.1
 """The poll is answered by then."""
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -40,10 +40,18 @@
                 break
         if self.state == "opening":
             self.state = "failed"
+        self._host.record(f"client {self.id.client[1]}: flow is {self.state}")
         return self.state == "open"
 
     async def request(self, name: str, deadline_s: float = 2.5) -> bool:
         """Send a request; return whether its own answer came in time."""
+        self._host.record(f"client {self.id.client[1]} sends {name}")
+        is_answered = await self._request(name, deadline_s)
+        end = "is answered" if is_answered else f"no answer, {self.state}"
+        self._host.record(f"client {self.id.client[1]}: {name}: {end}")
+        return is_answered
+
+    async def _request(self, name: str, deadline_s: float) -> bool:
         data = (
             f"GET /{name} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {name}\r\n\r\n"
         ).encode()
@@ -145,7 +153,7 @@
         self.flows: dict[wire.FlowId, ClientFlow] = {}
         self.foreign: list[str] = []
         self.damaged: list[str] = []
-        self._record = record
+        self.record = record
         self._ports = iter(range(20_000, 60_000))
         self._sock = sock
         asyncio.get_running_loop().add_reader(sock, self._read)
@@ -167,7 +175,7 @@
             packet = wire.decode(datagram)
             if not packet.is_genuine and not packet.is_system_reset:
                 self.damaged.append(str(packet))
-                self._record(f"client got a packet nobody wrote: {packet}")
+                self.record(f"client got a packet nobody wrote: {packet}")
                 continue
             flow = self.flows.get(wire.FlowId(packet.dst, packet.src))
             if flow is not None:
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -143,6 +143,12 @@
 
     def start(self) -> None:
         """Start the process, as the deploy file says."""
+        if self._child is not None:
+            # Set only when the whole system starts for the first time.
+            text = self.settings.read_text()
+            self.settings.write_text(
+                text.replace("bootstrap = true", "bootstrap = false")
+            )
         self._ends_asked = False
         self.undisturbed_since = time.monotonic()
         env = {k: os.environ[k] for k in ("PATH", "HOME") if k in os.environ}
@@ -447,6 +453,11 @@
         others = [*self.clients.foreign, *self.clients.damaged]
         others += [text for s in self.servers for text in s.damaged]
         self.record(f"damaged or foreign packets and answers: {len(others)}")
+        runs = [run[2] for server in self.servers for run in server.runs]
+        self.record(
+            f"{len(set(runs))} requests ran, {len(runs) - len(set(runs))} of "
+            "them again"
+        )
         self.record(f"processes that ended by themselves: {self.own_ends()}")
         is_broken = self.broken_flows or others or self.own_ends()
         return BROKEN if is_broken else HELD
@@ -619,12 +630,22 @@
     record_file = Path(case_file).resolve().parent / "record.txt"
 
     async def limited() -> int:
+        # A case that is told to stop ends its processes first.
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(115):
             return await coro(record_file)
 
     try:
         status = asyncio.run(limited())
-    except (CannotRunError, OSError, TimeoutError) as exc:
+    except (
+        CannotRunError,
+        OSError,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as exc:
         print(f"not run: {exc!r}", file=sys.stderr)
         status = NOT_RUN
     except Exception as exc:  # noqa: BLE001  an error of the case itself
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -183,6 +183,7 @@
             flow = ServerFlow(random.randrange(1 << 32), packet.seq)
             self.flows[flow_id] = flow
             self.taken.append((time.monotonic(), self.service, flow_id))
+            self._record(f"server {self.id} takes {flow_id.client[1]}")
         if not flow.is_open:
             flags = wire.SYN | wire.ACK
             self._send(flow_id, flags, flow.seq, packet.seq)
@@ -215,6 +216,7 @@
             self.runs.append(
                 (time.monotonic(), self.service, request, flow_id)
             )
+            self._record(f"server {self.id} runs {request}")
             self._tasks.append(
                 asyncio.create_task(self._work(flow_id, flow, request))
             )
