Drop no flow by an outdated idle timeout and then deny it

Cause: an agent dropped flows by the timeout that it knew, and still said that it knew all flows of its server. The claim named no timeout and no version, so that a missing entry passed for a proof.

Change: each packet carries a FlowScope with the balancer's version and idle timeout, a required field that every hop passes on. An agent knows all flows for an idle timeout, and not while a flow that it has dropped may be open by it; queries name the timeout of the asker. Such an agent asks for the packet and tries it at its server, so the flow is found and its request answered. Agents learn the timeout from packets too, and log what they drop.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -37,6 +37,7 @@
 from .messages import EntryMissing
 from .messages import FlowAsked
 from .messages import FlowHeld
+from .messages import FlowPacketAsked
 from .messages import FlowUnknown
 from .messages import Goodbye
 from .messages import Hello
@@ -363,8 +364,10 @@
                 return self._handle_hello(now, msg)
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
-            case FlowAsked(flow=flow):
-                return self._flows.lookup.handle_query(now, flow, src)
+            case FlowAsked():
+                return self._flows.lookup.handle_query(now, msg, src)
+            case FlowPacketAsked(flow=flow):
+                return self._flows.lookup.handle_packet_asked(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.lookup.handle_held(now, flow, holder, src)
             case FlowUnknown(flow=flow, view=view):
@@ -378,8 +381,7 @@
 
     def _handle_hello(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
         self.members.apply_hello(now, msg)
-        if msg.version >= self._event_factory.version and msg.idle_s:
-            self.local_server.idle_s = msg.idle_s
+        self.local_server.apply_idle(msg.version, msg.idle_s)
         self._event_factory.version = max(
             self._event_factory.version, msg.version
         )
@@ -438,7 +440,7 @@
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.members.expire(now, self.local_server.idle_s)
-            effects += self._flows.expire(now, self.local_server.idle_s)
+            effects += self._flows.expire(now)
         effects += [
             self._event_factory.removal_event(removal)
             for removal in self.members.pop_removals()
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -43,16 +43,16 @@
         self._ctx = ctx
         self.placement = Placement(ctx, rng)
 
-    def expire(self, now: Seconds, idle_s: float) -> list[RelayEffect]:
+    def expire(self, now: Seconds) -> list[RelayEffect]:
         """Remove expired flows, queries and lookups."""
-        self._ctx.table.expire(now, idle_s)
-        return self.lookup.expire(now)
+        return [*self._ctx.expire_flows(now), *self.lookup.expire(now)]
 
     def handle_forwarded(
         self, now: Seconds, event: PacketForwarded
     ) -> list[RelayEffect]:
         """Handle a forwarded packet other than a SYN."""
         flow_id = event.segment.inward
+        self._record_scope(event)
         flow = self._ctx.table.get(flow_id)
         packet = event.packet
         if packet.hops > MAX_HOPS:
@@ -80,6 +80,7 @@
     ) -> list[RelayEffect]:
         """Handle a forwarded SYN; ``own_report`` is this agent's report."""
         ctx = self._ctx
+        self._record_scope(event)
         flow_id = event.segment.inward
         flow = ctx.table.get(flow_id)
         packet = event.packet
@@ -100,6 +101,7 @@
             via,
             packet.hops,
             packet.low_priority,
+            packet.scope,
         )
         if routed:
             return self.placement.place(now, new_flow, own_report)
@@ -140,7 +142,8 @@
         flow = self._remove_local(segment)
         if flow is None:
             return []
-        new_flow = _new_flow_from(segment, flow).declined_by(self._ctx.node)
+        new_flow = self._new_flow_from(segment, flow)
+        new_flow = new_flow.declined_by(self._ctx.node)
         return self.placement.place(now, new_flow, own_report)
 
     def handle_bounced(
@@ -150,6 +153,12 @@
         was_local = self._remove_local(segment) is not None
         return self.lookup.handle_bounced(now, segment, was_local)
 
+    def _record_scope(self, event: PacketForwarded) -> None:
+        """Record what the balancer of a packet told of its flow."""
+        scope = event.packet.scope
+        self._ctx.scopes.record(event.segment.inward.address, scope)
+        self._ctx.local_server.apply_idle(scope.version, scope.idle_s)
+
     def _remove_local(self, segment: Segment) -> Flow | None:
         """Remove and return a flow whose holder is this agent in the table."""
         flow = self._ctx.table.get(segment.inward)
@@ -204,6 +213,7 @@
             flow.holder,
             ForwardReason.PLACED,
             event.segment,
+            event.packet.scope,
             flow.declined,
             hops,
         )
@@ -244,7 +254,8 @@
         """
         if flow.accepted or own_report.state is AgentState.READY:
             return self._ctx.deliver(now, flow, segment)
-        new_flow = _new_flow_from(segment, flow).declined_by(self._ctx.node)
+        new_flow = self._new_flow_from(segment, flow)
+        new_flow = new_flow.declined_by(self._ctx.node)
         return self.placement.place(now, new_flow, own_report)
 
     def _handle_remote_syn(
@@ -260,7 +271,7 @@
         """
         if self.placement.accepts_flows(now, flow.holder, flow.opened_at):
             return self._forward_to_holder(now, event, flow)
-        new_flow = _new_flow_from(event.segment, flow, event.packet.hops)
+        new_flow = self._new_flow_from(event.segment, flow, event.packet.hops)
         new_flow = new_flow.declined_by(flow.holder)
         return self.placement.place(now, new_flow, own_report)
 
@@ -268,14 +279,16 @@
         text = "flows: packet dropped: hop limit exceeded"
         return self._ctx.event(event.segment.inward, text)
 
-
-def _new_flow_from(segment: Segment, flow: Flow, hops: int = 0) -> NewFlow:
-    """Return the placement request for the SYN of a known flow."""
-    return NewFlow(
-        segment.inward,
-        segment,
-        flow.declined,
-        flow.via,
-        hops,
-        flow.low_priority,
-    )
+    def _new_flow_from(
+        self, segment: Segment, flow: Flow, hops: int = 0
+    ) -> NewFlow:
+        """Return the placement request for the SYN of a known flow."""
+        return NewFlow(
+            segment.inward,
+            segment,
+            flow.declined,
+            flow.via,
+            hops,
+            flow.low_priority,
+            self._ctx.scopes.get(segment.inward.address),
+        )
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -16,6 +16,8 @@
 from .forwarded import ForwardReason
 from .local_server import LocalServer
 from .members import Members
+from .scope import FlowScope
+from .scope import KnownScopes
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
@@ -43,6 +45,7 @@
         self.local_server = local_server
         self.event_factory = event_factory
         self.table = FlowTable(node)
+        self.scopes = KnownScopes()
         self._codec = codec
         self._members_known_at: float | None = None
 
@@ -65,11 +68,37 @@
         since = self._members_known_at
         return since is not None and now - since >= MEMBERS_SETTLE_S
 
-    def lost_agents(self, now: Seconds) -> list[NodeId]:
-        """Return removed agents whose servers may still hold flows."""
-        idle_s = self.local_server.idle_s
+    def lost_agents(self, now: Seconds, scope: FlowScope) -> list[NodeId]:
+        """Return removed agents whose servers may hold flows of a scope."""
+        idle_s = max(self.local_server.idle_s, scope.idle_s)
         return self.members.lost_agents(now, self.service, idle_s)
 
+    def knows_all_flows(self, now: Seconds, scope: FlowScope) -> bool:
+        """Return whether the table has all flows that the server may hold.
+
+        True only of flows that idle no longer than the scope allows.
+        """
+        return self.local_server.knows_all_flows(now, scope.idle_s)
+
+    def expire_flows(self, now: Seconds) -> list[RelayEffect]:
+        """Remove expired flows from the table."""
+        idle_s = self.local_server.idle_s
+        dropped = self.table.expire(now, idle_s)
+        if not dropped:
+            return []
+        last_packet_at = max(flow.last_packet_at for flow in dropped)
+        self.local_server.record_dropped(last_packet_at)
+        text = (
+            f"flows: dropped {len(dropped)} of the local server, idle for "
+            f"{now - last_packet_at:.2f} s or more; idle timeout "
+            f"{idle_s:.2f} s"
+        )
+        return [
+            self.event_factory.state_event(
+                Topic.HANDOVER, text, self.service, self.node
+            )
+        ]
+
     def deliver(
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
@@ -89,12 +118,18 @@
         dst: NodeId,
         why: ForwardReason,
         segment: Segment,
+        scope: FlowScope,
         declined: tuple[NodeId, ...] = (),
         hops: int = 1,
     ) -> ForwardToAgent:
         """Forward a packet to another agent."""
         packet = ForwardedPacket(
-            int(why), self.service, segment.data, declined, hops=hops
+            reason=int(why),
+            service=self.service,
+            data=segment.data,
+            declined=declined,
+            hops=hops,
+            scope=scope,
         )
         return ForwardToAgent(dst, packet)
 
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -23,7 +23,9 @@
 from .member import Member
 from .messages import FlowAsked
 from .messages import FlowHeld
+from .messages import FlowPacketAsked
 from .messages import FlowUnknown
+from .scope import FlowScope
 from .segment import FlowId
 from .segment import Segment
 
@@ -46,6 +48,7 @@
 
     node: NodeId
     received_at: float
+    scope: FlowScope
 
 
 class FlowLookup:
@@ -134,9 +137,9 @@
             self._retries.add(now, req)
             text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
-        try_local = (
-            not local_denied
-            and not self._ctx.local_server.knows_all_flows(now)
+        scope = packet.scope
+        try_local = not local_denied and not self._ctx.knows_all_flows(
+            now, scope
         )
         if try_local:
             sent_to.add(self._ctx.node)
@@ -157,7 +160,9 @@
             asker=asker,
         )
         self._lookups.add(flow_id, lookup)
-        effects = [self._query(member, segment) for member in candidates]
+        effects = [
+            self._query(member, segment, scope) for member in candidates
+        ]
         effects += _delegations(packet)
         if try_local:
             effects.append(self._ctx.deliver_untracked(segment))
@@ -174,25 +179,43 @@
         the sender queries the other agents as well.
         """
         flow_id = event.segment.inward
-        if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(now, event.src, flow_id)]
-        self._pending_queries[flow_id] = _PendingQuery(event.src, now)
+        scope = event.packet.scope
+        if self._ctx.knows_all_flows(now, scope):
+            return [self._deny(now, event.src, flow_id, scope)]
+        query = _PendingQuery(event.src, now, scope)
+        self._pending_queries[flow_id] = query
         return [self._ctx.deliver_untracked(event.segment)]
 
     def handle_query(
-        self, now: Seconds, flow_id: FlowId, src: NodeId
+        self, now: Seconds, query: FlowAsked, src: NodeId
     ) -> list[RelayEffect]:
         """Answer from the table whether the local server holds a flow.
 
-        An agent that has lost its table does not reply; it is queried
-        with a packet once its reports say that its table is incomplete.
+        An agent whose table does not tell asks for a packet: it has lost
+        the table, or has dropped flows sooner than the asker allows.
         """
+        flow_id = query.flow
         flow = self._ctx.table.get(flow_id)
         if flow is not None and flow.holder == self._ctx.node:
             return [Send(src, FlowHeld(flow_id, self._ctx.node))]
-        if self._ctx.local_server.knows_all_flows(now):
-            return [self._deny(now, src, flow_id)]
-        return []
+        scope = FlowScope(0, query.idle_s)
+        if self._ctx.knows_all_flows(now, scope):
+            return [self._deny(now, src, flow_id, scope)]
+        return [Send(src, FlowPacketAsked(flow_id))]
+
+    def handle_packet_asked(
+        self, now: Seconds, flow_id: FlowId, src: NodeId
+    ) -> list[RelayEffect]:
+        """Send the packet of a lookup to an agent that asks for it."""
+        lookup = self._lookups.get(flow_id)
+        if lookup is None or src not in lookup.awaiting:
+            return []
+        if src in lookup.sent_to or not self._query_budget.take(now, 1):
+            return []
+        lookup.sent_to.add(src)
+        scope = lookup.request.packet.scope
+        first = lookup.packets[0]
+        return [self._ctx.forward(src, ForwardReason.LOOKUP, first, scope)]
 
     def handle_held(
         self, now: Seconds, flow_id: FlowId, holder: NodeId, src: NodeId
@@ -213,7 +236,12 @@
         self._retries.remove(flow_id)
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
-            self._ctx.forward(holder, ForwardReason.PLACED, segment)
+            self._ctx.forward(
+                holder,
+                ForwardReason.PLACED,
+                segment,
+                lookup.request.packet.scope,
+            )
             for segment in lookup.packets_for(holder, src)
         ]
         effects += _notices(lookup, flow_id, holder)
@@ -250,7 +278,7 @@
         flow_id = segment.inward
         query = self._pending_queries.pop(flow_id, None)
         if query is not None:
-            return [self._deny(now, query.node, flow_id)]
+            return [self._deny(now, query.node, flow_id, query.scope)]
         lookup = self._lookups.get(flow_id)
         if lookup is not None:
             lookup.local_pending = False
@@ -258,7 +286,10 @@
         if not was_local:
             return []
         packet = ForwardedPacket(
-            ForwardReason.ROUTED, self._ctx.service, segment.data
+            reason=int(ForwardReason.ROUTED),
+            service=self._ctx.service,
+            data=segment.data,
+            scope=self._ctx.scopes.get(flow_id.address),
         )
         return self.start(now, segment, packet, local_denied=True)
 
@@ -280,23 +311,27 @@
         effects.append(ctx.event(flow_id, text))
         return effects
 
-    def _deny(self, now: Seconds, asker: NodeId, flow_id: FlowId) -> Send:
+    def _deny(
+        self, now: Seconds, asker: NodeId, flow_id: FlowId, scope: FlowScope
+    ) -> Send:
         """Reply that the local server does not hold a flow.
 
         While an agent is lost, the reply tells no view, so that it proves
         nothing to an asker that does not know of that agent.
         """
         view = NO_VIEW
-        if not self._ctx.lost_agents(now):
+        if not self._ctx.lost_agents(now, scope):
             view = self._ctx.members.view(self._ctx.service)
         return Send(asker, FlowUnknown(flow_id, view))
 
-    def _query(self, member: Member, segment: Segment) -> RelayEffect:
+    def _query(
+        self, member: Member, segment: Segment, scope: FlowScope
+    ) -> RelayEffect:
         """Query by flow id if the table suffices; packets are larger."""
         node = member.report.id
         if member.report.knows_all_flows:
-            return Send(node, FlowAsked(segment.inward))
-        return self._ctx.forward(node, ForwardReason.LOOKUP, segment)
+            return Send(node, FlowAsked(segment.inward, scope.idle_s))
+        return self._ctx.forward(node, ForwardReason.LOOKUP, segment, scope)
 
     def _reset_if_absent(
         self, now: Seconds, flow_id: FlowId, lookup: Lookup
@@ -316,7 +351,8 @@
         self._lookups.remove(flow_id)
         self._retries.remove(flow_id)
         if lookup.asker:
-            return [self._deny(now, lookup.asker, flow_id)]
+            scope = lookup.request.packet.scope
+            return [self._deny(now, lookup.asker, flow_id, scope)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
     def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
@@ -327,7 +363,7 @@
             return f"it is routed to {packet.service}"
         if len(packet.other_owners) < len(packet.other_services):
             return "no agent of another service of its route is known"
-        lost = self._ctx.lost_agents(now)
+        lost = self._ctx.lost_agents(now, packet.scope)
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
@@ -339,7 +375,10 @@
         ForwardToAgent(
             owner,
             ForwardedPacket(
-                int(ForwardReason.DELEGATED), service, packet.data
+                reason=int(ForwardReason.DELEGATED),
+                service=service,
+                data=packet.data,
+                scope=packet.scope,
             ),
         )
         for service, owner in zip(
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -167,8 +167,11 @@
             if flow.holder == self._node and not flow.closed:
                 yield flow_id, flow
 
-    def expire(self, now: Seconds, idle_s: float) -> None:
-        """Remove closed flows and those idle for over ``idle_s`` seconds."""
+    def expire(self, now: Seconds, idle_s: float) -> list[Flow]:
+        """Remove closed flows and those idle for over ``idle_s`` seconds.
+
+        Returns those that the local server may still hold.
+        """
         expired = []
         for flow_id, flow in self._flows.items():
             idle_for_s = now - flow.last_packet_at
@@ -176,8 +179,14 @@
                 expired.append(flow_id)
             elif flow.busy and idle_for_s > _busy_timeout(flow):
                 self._set_busy(flow, False)
+        dropped = [
+            flow
+            for flow in map(self._flows.__getitem__, expired)
+            if flow.holder == self._node and not is_done(flow)
+        ]
         for flow_id in expired:
             self.remove(flow_id)
+        return dropped
 
     def _set_busy(self, flow: Flow, busy: bool) -> None:
         flow.busy = busy
@@ -199,13 +208,17 @@
     )
 
 
+def is_done(flow: Flow) -> bool:
+    """Return whether both ends have sent their last packet."""
+    return flow.caller_done and flow.server_done
+
+
 def _time_to_live_s(flow: Flow, idle_s: float) -> float:
     """Return after how many idle seconds an entry is removed.
 
     A flow is open until both ends have sent their last packet.
     """
-    is_done = flow.caller_done and flow.server_done
-    return min(CLOSED_TTL_S, idle_s) if is_done else idle_s
+    return min(CLOSED_TTL_S, idle_s) if is_done(flow) else idle_s
 
 
 def _busy_timeout(flow: Flow) -> float:
--- a/packages/core/src/medlar_core/relay/forwarded.py
+++ b/packages/core/src/medlar_core/relay/forwarded.py
@@ -6,6 +6,8 @@
 
 from ..ids import NodeId
 from ..ids import ServiceName
+from .scope import FlowScope
+from .scope import UNKNOWN_SCOPE
 
 
 class ForwardReason(enum.IntEnum):
@@ -23,7 +25,7 @@
     ``service``, and for its result."""
 
 
-class ForwardedPacket(msgspec.Struct, array_like=True, omit_defaults=True):
+class ForwardedPacket(msgspec.Struct, array_like=True, kw_only=True):
     """A datagram with the service that its address is routed to.
 
     ``reason`` is a :class:`ForwardReason`. ``declined`` names agents whose
@@ -33,7 +35,26 @@
     of each. ``via`` is the balancer that
     received a SYN from the caller; ``hops`` counts the agents that have
     forwarded the packet. ``low_priority`` is set in a SYN if room has to be
-    left at a server for flows of higher priority.
+    left at a server for flows of higher priority. ``scope`` is what the
+    balancer told of the flow; who forwards the packet passes it on.
+    """
+
+    reason: int
+    service: ServiceName
+    data: bytes
+    declined: tuple[NodeId, ...] = ()
+    other_services: tuple[ServiceName, ...] = ()
+    via: NodeId = NodeId("")
+    hops: int = 0
+    low_priority: bool = False
+    other_owners: tuple[NodeId, ...] = ()
+    scope: FlowScope
+
+
+class _UnscopedPacket(msgspec.Struct, array_like=True):
+    """The fields of a packet from a process of an earlier version.
+
+    It may end after any of those that have a default.
     """
 
     reason: int
@@ -49,6 +70,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(ForwardedPacket)
+_unscoped_decoder = msgspec.msgpack.Decoder(_UnscopedPacket)
 
 
 def encode(packet: ForwardedPacket) -> bytes:
@@ -61,4 +83,9 @@
 
     :raises msgspec.DecodeError: if the data is not a forwarded packet.
     """
-    return _decoder.decode(data)
+    try:
+        return _decoder.decode(data)
+    except msgspec.ValidationError:
+        packet = _unscoped_decoder.decode(data)
+        fields = msgspec.structs.asdict(packet)
+        return ForwardedPacket(**fields, scope=UNKNOWN_SCOPE)
--- a/packages/core/src/medlar_core/relay/local_server.py
+++ b/packages/core/src/medlar_core/relay/local_server.py
@@ -8,6 +8,7 @@
 from .events import ServerLeft
 from .events import ServerPhase
 from .flow_table import DEFAULT_IDLE_S
+from .member import NEVER
 from .messages import AgentReport
 from .messages import AgentState
 
@@ -42,6 +43,9 @@
     """Since when all its packets have passed through this process."""
     presumed: bool = False
     """Whether it was restored from the store entry and not announced yet."""
+    dropped_packet_at: float = NEVER
+    """Time of the latest packet of all its flows that the agent has dropped
+    as idle for too long."""
 
     @property
     def is_draining(self) -> bool:
@@ -63,8 +67,24 @@
         self._is_listening: bool | None = None
         self._entry: AgentReport | None = None
         self.idle_s = DEFAULT_IDLE_S
+        """How long a flow may be idle, by the newest version known."""
+        self._idle_version = 0
         self.server: ServerIncarnation | None = None
 
+    def apply_idle(self, version: int, idle_s: float) -> None:
+        """Apply the idle timeout of flows of a configuration version."""
+        if idle_s and version >= self._idle_version:
+            self._idle_version = version
+            self.idle_s = idle_s
+
+    def record_dropped(self, last_packet_at: float) -> None:
+        """Record the latest packet of flows dropped as idle for too long."""
+        server = self.server
+        if server is not None:
+            server.dropped_packet_at = max(
+                server.dropped_packet_at, last_packet_at
+            )
+
     def handle_probe(self, now: Seconds, is_listening: bool) -> bool:
         """Record whether anything listens at the server's address.
 
@@ -203,21 +223,29 @@
             return AgentState.DRAINING
         return AgentState.READY
 
-    def knows_all_flows(self, now: Seconds) -> bool:
+    def knows_all_flows(self, now: Seconds, idle_s: float = 0.0) -> bool:
         """Return whether the agent's table has all flows of the server.
 
-        True after ``idle_s`` of observation: a flow without a packet in
-        that time has expired. Also true if there is no server. A server
-        that no longer announces itself may still run and hold flows.
+        ``idle_s`` is how long these may be idle, if that is more than this
+        agent has been told. True after as long an observation: a flow
+        without a packet in that time has expired. False while a dropped flow
+        may not have expired by this timeout. Also true if there is no
+        server. A server that no longer announces itself may still run and
+        hold flows.
         """
+        idle_s = max(idle_s, self.idle_s)
         server = self.server
         if server is None:
             return self._was_absent
-        if server.all_flows_known or server.phase is ServerPhase.LEFT:
+        if server.phase is ServerPhase.LEFT:
             return True
         if self.state(now) is AgentState.DOWN and self._is_listening is False:
             return True
-        return now - server.observed_since > self.idle_s
+        if now - server.dropped_packet_at <= idle_s:
+            return False
+        if server.all_flows_known:
+            return True
+        return now - server.observed_since > idle_s
 
     def _is_same(self, event: ServerAnnounced) -> bool:
         known = self.server
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -170,7 +170,21 @@
 
 
 class FlowAsked(msgspec.Struct, frozen=True, array_like=True, tag="q"):
-    """Lookup query: asks an agent that knows all its flows for one."""
+    """Lookup query: asks an agent that knows all its flows for one.
+
+    ``idle_s`` is how long the flow may be idle, 0 from processes of earlier
+    versions.
+    """
+
+    flow: FlowId
+    idle_s: float = 0.0
+
+
+class FlowPacketAsked(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Reply to a lookup query by an agent that may not know the flow.
+
+    It asks for a packet of the flow, to try it at its server.
+    """
 
     flow: FlowId
 
@@ -218,6 +232,7 @@
     | Hello
     | Goodbye
     | FlowAsked
+    | FlowPacketAsked
     | FlowHeld
     | FlowUnknown
     | EntryMissing
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -16,6 +16,7 @@
 from .members import Members
 from .owners import OwnerRanking
 from .routes import Routes
+from .scope import FlowScope
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
@@ -74,14 +75,14 @@
         is_new = bool(segment.flags & _SYN)
         others = {} if is_new else self._other_owners(now, flow_id, services)
         packet = ForwardedPacket(
-            int(ForwardReason.ROUTED),
-            services[0],
-            segment.data,
-            (),
-            tuple(others),
+            reason=int(ForwardReason.ROUTED),
+            service=services[0],
+            data=segment.data,
+            other_services=tuple(others),
             low_priority=is_new
             and self._routes.has_low_priority(flow_id, services[0]),
             other_owners=tuple(filter(None, others.values())),
+            scope=FlowScope(self._routes.version, self._routes.idle_s),
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -26,6 +26,7 @@
 from .messages import AgentState
 from .messages import FlowHeld
 from .report_sender import ReadReport
+from .scope import FlowScope
 from .segment import FlowId
 from .segment import Segment
 
@@ -50,15 +51,17 @@
     ``declined`` names agents whose servers did not accept it, ``via`` is
     the balancer that received it from the caller; ``hops`` counts the
     agents that forwarded it. ``low_priority`` is set if room has to be left
-    at a server for flows of higher priority.
+    at a server for flows of higher priority; ``scope`` is what a balancer
+    told of it.
     """
 
     flow_id: FlowId
     segment: Segment
     declined: tuple[NodeId, ...]
     via: NodeId
-    hops: int = 0
-    low_priority: bool = False
+    hops: int
+    low_priority: bool
+    scope: FlowScope
 
     def declined_by(self, node: NodeId) -> "NewFlow":
         """Return the same flow with one more agent in ``declined``."""
@@ -236,13 +239,14 @@
             member.assigned += 1
         self._add(now, new_flow, node)
         packet = ForwardedPacket(
-            int(ForwardReason.PLACED),
-            self._ctx.service,
-            new_flow.segment.data,
-            new_flow.declined,
+            reason=int(ForwardReason.PLACED),
+            service=self._ctx.service,
+            data=new_flow.segment.data,
+            declined=new_flow.declined,
             via=new_flow.via,
             hops=new_flow.hops + 1,
             low_priority=new_flow.low_priority,
+            scope=new_flow.scope,
         )
         effects: list[RelayEffect] = [ForwardToAgent(node, packet)]
         if new_flow.via:
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -31,6 +31,7 @@
 from medlar_core.relay.routes import Route
 from medlar_core.relay.routes import RouteTable
 from medlar_core.relay.routes import Share
+from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
@@ -80,7 +81,12 @@
 def forwarded(flow_id: FlowId) -> PacketForwarded:
     """Return the event that a balancer forwarded data of a flow."""
     data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
-    packet = ForwardedPacket(int(ForwardReason.ROUTED), DESK, data)
+    packet = ForwardedPacket(
+        reason=int(ForwardReason.ROUTED),
+        service=DESK,
+        data=data,
+        scope=FlowScope(1, FLOW_IDLE_S),
+    )
     return PacketForwarded(
         node("balancer", 0), packet, FakeCodec().decode(data)
     )
@@ -379,6 +385,18 @@
         return effects
 
 
+class WithoutHellos:
+    """Loses the hello messages to a reducer."""
+
+    def __init__(self, reducer: Reducer) -> None:
+        self.reducer = reducer
+
+    def reduce(self, now: Seconds, event: Any) -> list[Any]:
+        if isinstance(event, Received) and isinstance(event.msg, Hello):
+            return []
+        return self.reducer.reduce(now, event)
+
+
 def read_table(text: str) -> RouteTable:
     try:
         return msgspec.json.decode(text, type=RouteTable)
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -10,6 +10,7 @@
 from medlar_core.relay.forwarded import ForwardedPacket
 from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
@@ -19,6 +20,7 @@
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
+from .kit import FLOW_IDLE_S
 from .kit import node
 
 
@@ -362,7 +364,12 @@
         # stopped, and a balancer still has that hint.
         for flags, size in ((Flag.SYN, 0), (Flag.ACK, 50)):
             data = encode(Segment(b"", flags, *flow_id, size, 100, 501))
-            packet = ForwardedPacket(int(ForwardReason.PLACED), DESK, data)
+            packet = ForwardedPacket(
+                reason=int(ForwardReason.PLACED),
+                service=DESK,
+                data=data,
+                scope=FlowScope(1, FLOW_IDLE_S),
+            )
             event = PacketForwarded(
                 node("balancer", 0), packet, FakeCodec().decode(data)
             )
