Pass the services of a flow's route on with every packet

Cause: an agent that forwarded by an outdated entry built a packet without the lists of other services. The next one searched its own service alone and took its denials for a proof. A bounced packet, a packet hinted to another service and a repeated lookup lost or ignored the lists as well.

Change: the services are part of FlowScope, a required field of a forwarded packet. Agents keep the newest scope of an address; each lookup starts from it. Where none is known, nothing is reset.

UnresponsiveServer moved from test_flows.py to the kit.

--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -26,6 +26,7 @@
 from .messages import FlowPacketAsked
 from .messages import FlowUnknown
 from .scope import FlowScope
+from .scope import ServiceOwner
 from .segment import FlowId
 from .segment import Segment
 
@@ -137,19 +138,20 @@
             self._retries.add(now, req)
             text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
-        scope = packet.scope
+        scope = self._ctx.scopes.get(flow_id.address)
         try_local = not local_denied and not self._ctx.knows_all_flows(
             now, scope
         )
         if try_local:
             sent_to.add(self._ctx.node)
-        delegates = frozenset(packet.other_owners)
+        others = () if asker else scope.others(self._ctx.service)
+        delegates = frozenset(s.owner for s in others if s.owner)
         lookup = Lookup(
             started_at=now,
             awaiting={member.report.id for member in candidates} | delegates,
             local_pending=try_local,
             view=self._ctx.members.view(self._ctx.service),
-            doubt=self._doubt(now, packet),
+            doubt=self._doubt(now, packet, scope),
             is_doubt_brief=not self._ctx.knows_all_members(now),
             request=req,
             packets=[segment],
@@ -158,12 +160,13 @@
             via=src if not asker else NO_NODE,
             delegates=delegates,
             asker=asker,
+            scope=scope,
         )
         self._lookups.add(flow_id, lookup)
         effects = [
             self._query(member, segment, scope) for member in candidates
         ]
-        effects += _delegations(packet)
+        effects += _delegations(segment, others, scope)
         if try_local:
             effects.append(self._ctx.deliver_untracked(segment))
         text = f"flows: unknown flow; queried {len(candidates)} agents"
@@ -213,9 +216,10 @@
         if src in lookup.sent_to or not self._query_budget.take(now, 1):
             return []
         lookup.sent_to.add(src)
-        scope = lookup.request.packet.scope
-        first = lookup.packets[0]
-        return [self._ctx.forward(src, ForwardReason.LOOKUP, first, scope)]
+        query = self._ctx.forward(
+            src, ForwardReason.LOOKUP, lookup.packets[0], lookup.scope
+        )
+        return [query]
 
     def handle_held(
         self, now: Seconds, flow_id: FlowId, holder: NodeId, src: NodeId
@@ -237,10 +241,7 @@
         self._ctx.table.put(now, flow_id, holder)
         effects: list[RelayEffect] = [
             self._ctx.forward(
-                holder,
-                ForwardReason.PLACED,
-                segment,
-                lookup.request.packet.scope,
+                holder, ForwardReason.PLACED, segment, lookup.scope
             )
             for segment in lookup.packets_for(holder, src)
         ]
@@ -351,39 +352,44 @@
         self._lookups.remove(flow_id)
         self._retries.remove(flow_id)
         if lookup.asker:
-            scope = lookup.request.packet.scope
-            return [self._deny(now, lookup.asker, flow_id, scope)]
+            return [self._deny(now, lookup.asker, flow_id, lookup.scope)]
         return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
 
-    def _doubt(self, now: Seconds, packet: ForwardedPacket) -> str:
+    def _doubt(
+        self, now: Seconds, packet: ForwardedPacket, scope: FlowScope
+    ) -> str:
         """Return why an agent that is not queried may hold a flow."""
         if not self._ctx.knows_all_members(now):
             return "members not known yet"
-        if packet.service != self._ctx.service:
+        if not scope.is_known:
+            return "no balancer has told the services of its route"
+        service = self._ctx.service
+        if packet.service != service and not scope.services:
             return f"it is routed to {packet.service}"
-        if len(packet.other_owners) < len(packet.other_services):
+        if not all(other.owner for other in scope.others(service)):
             return "no agent of another service of its route is known"
-        lost = self._ctx.lost_agents(now, packet.scope)
+        lost = self._ctx.lost_agents(now, scope)
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
 
 
-def _delegations(packet: ForwardedPacket) -> list[RelayEffect]:
+def _delegations(
+    segment: Segment, others: tuple[ServiceOwner, ...], scope: FlowScope
+) -> list[RelayEffect]:
     """Ask an agent of each other service for a lookup in its service."""
     return [
         ForwardToAgent(
-            owner,
+            other.owner,
             ForwardedPacket(
                 reason=int(ForwardReason.DELEGATED),
-                service=service,
-                data=packet.data,
-                scope=packet.scope,
+                service=other.service,
+                data=segment.data,
+                scope=scope,
             ),
         )
-        for service, owner in zip(
-            packet.other_services, packet.other_owners, strict=False
-        )
+        for other in others
+        if other.owner
     ]
 
 
--- a/packages/core/src/medlar_core/relay/forwarded.py
+++ b/packages/core/src/medlar_core/relay/forwarded.py
@@ -29,25 +29,24 @@
     """A datagram with the service that its address is routed to.
 
     ``reason`` is a :class:`ForwardReason`. ``declined`` names agents whose
-    servers did not accept the flow. ``other_services`` names further
-    services that may hold the flow, opened under an earlier version of the
-    configuration or another choice by weight, and ``other_owners`` an agent
-    of each. ``via`` is the balancer that
+    servers did not accept the flow. ``via`` is the balancer that
     received a SYN from the caller; ``hops`` counts the agents that have
     forwarded the packet. ``low_priority`` is set in a SYN if room has to be
     left at a server for flows of higher priority. ``scope`` is what the
     balancer told of the flow; who forwards the packet passes it on.
+    ``unused_1`` and ``unused_2`` are services and agents in packets of
+    earlier versions, which keep their places.
     """
 
     reason: int
     service: ServiceName
     data: bytes
     declined: tuple[NodeId, ...] = ()
-    other_services: tuple[ServiceName, ...] = ()
+    unused_1: tuple[str, ...] = ()
     via: NodeId = NodeId("")
     hops: int = 0
     low_priority: bool = False
-    other_owners: tuple[NodeId, ...] = ()
+    unused_2: tuple[str, ...] = ()
     scope: FlowScope
 
 
@@ -61,11 +60,11 @@
     service: ServiceName
     data: bytes
     declined: tuple[NodeId, ...] = ()
-    other_services: tuple[ServiceName, ...] = ()
+    unused_1: tuple[str, ...] = ()
     via: NodeId = NodeId("")
     hops: int = 0
     low_priority: bool = False
-    other_owners: tuple[NodeId, ...] = ()
+    unused_2: tuple[str, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -12,6 +12,7 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from .lookup_retries import LookupRequest
+from .scope import FlowScope
 from .segment import FlowId
 from .segment import Segment
 
@@ -42,6 +43,7 @@
     sent_to: set[NodeId]
     """Agents that were sent the first queued packet as the query."""
     acked_seq: int
+    scope: FlowScope
     via: NodeId
     """The process to notify of the holder, empty for none."""
     delegates: frozenset[NodeId] = frozenset()
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -17,6 +17,7 @@
 from .owners import OwnerRanking
 from .routes import Routes
 from .scope import FlowScope
+from .scope import ServiceOwner
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
@@ -27,7 +28,7 @@
 CONFIG_FRESH_S = 6.0
 """A SYN to an unknown address is reset only if the configuration was
 confirmed this recently; otherwise a newer one may have a route to it."""
-
+NO_OWNER = NodeId("")
 
 _SYN = int(Flag.SYN)
 
@@ -73,16 +74,14 @@
             ranked = owners.ranked(flow_id.key)
             dst = self._responsive_owner(now, ranked, segment)
         is_new = bool(segment.flags & _SYN)
-        others = {} if is_new else self._other_owners(now, flow_id, services)
+        scope = self._scope(now, flow_id, services)
         packet = ForwardedPacket(
             reason=int(ForwardReason.ROUTED),
             service=services[0],
             data=segment.data,
-            other_services=tuple(others),
             low_priority=is_new
             and self._routes.has_low_priority(flow_id, services[0]),
-            other_owners=tuple(filter(None, others.values())),
-            scope=FlowScope(self._routes.version, self._routes.idle_s),
+            scope=scope,
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
@@ -96,21 +95,28 @@
         )
         return [ForwardToAgent(dst, packet), event]
 
-    def _other_owners(
+    def _scope(
         self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
-    ) -> dict[ServiceName, NodeId | None]:
-        """Return an agent of each further service that may hold a flow.
+    ) -> FlowScope:
+        """Return what has to be searched for a flow of these services.
 
-        A service without agents holds none, unless it has lost ones.
+        A further service without agents holds none, unless it has lost
+        ones.
         """
-        found: dict[ServiceName, NodeId | None] = {}
-        for service in services[1:]:
+        routes = self._routes
+        if len(services) == 1:
+            return FlowScope(routes.version, routes.idle_s)
+        found: list[ServiceOwner] = []
+        for service in services:
             owners = self._owners.by_service.get(service)
             if owners is not None and owners.ids:
-                found[service] = owners.ranked(flow_id.key)[0]
-            elif self._members.lost_agents(now, service, self._routes.idle_s):
-                found[service] = None
-        return found
+                owner = owners.ranked(flow_id.key)[0]
+                found.append(ServiceOwner(service, owner))
+            elif service == services[0] or self._members.lost_agents(
+                now, service, routes.idle_s
+            ):
+                found.append(ServiceOwner(service, NO_OWNER))
+        return FlowScope(routes.version, routes.idle_s, tuple(found))
 
     def _hinted_holder(
         self,
--- a/packages/core/src/medlar_core/relay/scope.py
+++ b/packages/core/src/medlar_core/relay/scope.py
@@ -2,8 +2,23 @@
 
 import msgspec
 
+from ..ids import NodeId
+from ..ids import ServiceName
 from .segment import Endpoint
 
+MAX_ADDRESSES = 4_000
+"""Addresses whose scopes an agent remembers; more than are configured."""
+
+
+class ServiceOwner(msgspec.Struct, frozen=True, array_like=True):
+    """A service, and an agent of it that looks flows up among its agents.
+
+    ``owner`` is empty if the balancer knows no agent of the service.
+    """
+
+    service: ServiceName
+    owner: NodeId
+
 
 class FlowScope(msgspec.Struct, frozen=True, array_like=True):
     """What has to be searched before a flow counts as held by no server.
@@ -11,11 +26,23 @@
     Each packet carries it from hop to hop. ``version`` is of the
     configuration that it was made under, 0 if no balancer has told it.
     ``idle_s`` is how long a flow may be idle: an agent that has dropped
-    flows sooner does not know all flows of its server.
+    flows sooner does not know all flows of its server. ``services`` are
+    those that the flow's route names now, by its weights, or has named
+    before; empty if it is only the one that the packet names.
     """
 
     version: int
     idle_s: float
+    services: tuple[ServiceOwner, ...] = ()
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a balancer has told it."""
+        return self.version > 0
+
+    def others(self, service: ServiceName) -> tuple[ServiceOwner, ...]:
+        """Return the services other than one."""
+        return tuple(s for s in self.services if s.service != service)
 
 
 UNKNOWN_SCOPE = FlowScope(0, 0.0)
@@ -36,6 +63,8 @@
         known = self._by_address.get(address)
         if known is None or scope.version >= known.version:
             self._by_address[address] = scope
+        if len(self._by_address) > MAX_ADDRESSES:
+            del self._by_address[next(iter(self._by_address))]
 
     def get(self, address: Endpoint) -> FlowScope:
         """Return the newest scope of the flows to an address."""
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -353,6 +353,13 @@
         return random.Random(self.starts)
 
 
+class UnresponsiveServer(FakeServer):
+    """Answers nothing, as if all packets to it were lost."""
+
+    def handle(self, segment: Segment) -> list[Segment]:
+        return []
+
+
 class CountingReducer:
     """Counts what reaches a reducer and what it sends.
 
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -14,7 +14,6 @@
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
-from medlar_fakes.relay import FakeServer
 
 from .kit import ANNOUNCE_INTERVAL_S
 from .kit import DESK
@@ -22,11 +21,7 @@
 from .kit import flow
 from .kit import FLOW_IDLE_S
 from .kit import node
-
-
-class UnresponsiveServer(FakeServer):
-    def handle(self, segment):
-        return []
+from .kit import UnresponsiveServer
 
 
 def test_a_flow_stays_at_its_server_through_every_balancer():
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -11,6 +11,7 @@
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
+from medlar_fakes.relay import FakeServer
 
 from .kit import DESK
 from .kit import Fleet
@@ -20,6 +21,7 @@
 from .kit import node
 from .kit import OFFICE
 from .kit import table
+from .kit import UnresponsiveServer
 
 
 def two_services():
@@ -131,3 +133,66 @@
         fleet.data(flow_id, by=1, seq=500)
         fleet.run(0.5)
     assert fleet.answer_count(flow_id) > 1
+
+
+def test_an_outdated_entry_does_not_hide_the_other_services_of_a_flow():
+    """Guards against resets by agents that forget the route's services."""
+    fleet = two_services()
+    fleet.route_to(2, {DESK: 9, OFFICE: 1})
+    desk = [node("agent", number) for number in range(4)]
+    for address in desk:
+        fleet.world.servers[address] = UnresponsiveServer()
+    flows = [flow(number) for number in range(30)]
+    for flow_id in flows:
+        fleet.syn(flow_id, by=0)
+    fleet.run(0.05)
+    fleet.route_to(3, {DESK: 1, OFFICE: 9})
+    for flow_id in flows:
+        fleet.syn(flow_id, by=0, retransmission=1)
+    fleet.run(0.05)
+    for address in desk:
+        fleet.world.servers[address] = FakeServer()
+    opened = [
+        flow_id
+        for number in range(10, 14)
+        for flow_id in fleet.world.servers[node("agent", number)].flows
+    ]
+    fleet.route_to(4, {DESK: 9, OFFICE: 1})
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(3.0)
+    for flow_id in opened:
+        fleet.data(flow_id, by=9, seq=500)
+    fleet.run(1.0)
+    assert len(opened) > 10
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.answer_count(flow_id) == 1 for flow_id in opened)
+
+
+def test_a_packet_hinted_to_another_service_is_found_in_that_of_its_route():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(10)]
+    fleet.route_to(2, {OFFICE: 1})
+    fleet.route_to(3, {DESK: 1})
+    for flow_id in opened:
+        held = FlowHeld(flow_id, node("agent", 10))
+        fleet.world.dispatch(node("balancer", 1), Received(held.holder, held))
+        fleet.data(flow_id, by=1, seq=500)
+    fleet.run(0.2)
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.answer_count(flow_id) == 2 for flow_id in opened)
+
+
+def test_a_bounced_packet_whose_services_nobody_told_resets_no_flow():
+    fleet = two_services()
+    (flow_id, *_) = fleet.flows_at(node("agent", 2))
+    fleet.kill(node("agent", 2))
+    agent = fleet.start_agent(node("agent", 2))
+    fleet.run(1.0)
+    answer = Segment(b"", Flag.ACK, *flow_id[::-1], 50, 500, 501)
+    bounced = Segment(b"", Flag.ACK | Flag.BOUNCED, *flow_id, 50, 500, 501)
+    for segment in (answer, bounced):
+        event = ServerPacketReceived(FakeCodec().decode(encode(segment)))
+        fleet.world.dispatch(node("agent", 2), event)
+    fleet.run(1.0)
+    assert agent.gauges(fleet.world.clock.now)["flows_known"] == 0
+    assert fleet.reset_count([flow_id]) == 0
