Keep the services of moved routes in the store

Cause: which services a route named before was in the balancers' memory alone. After their loss the newest configuration's service was searched only, and its denials passed for a proof.

Change: a record in the store names all services of each address and the idle timeout. It is written when a configuration adds to it, and read with the members' entries, so that a start needs no further call. A configuration that moves a recorded address to a service not recorded is in force once the record has it, or after 1 s. Peers get the record with a configuration. The lists of moved routes in hello messages are gone; their fields keep their places for processes of earlier versions.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -37,9 +37,13 @@
 from .owners import OwnerRanking
 from .packet_router import PacketRouter
 from .pause_detector import PauseDetector
+from .pending_routes import PendingRoutes
 from .registration import Registration
 from .routes import Routes
 from .routes import RouteTable
+from .scope_record import share
+from .scope_record import SharedRoutes
+from .scope_store import ScopeStore
 from .segment import Segment
 from .segment import SegmentCodec
 from .store_view import BalancerIdentity
@@ -49,6 +53,7 @@
 FETCH_INTERVAL_S = 1.0
 """Least time between two fetches of a newer configuration from peers."""
 EXPIRE_INTERVAL_S = 1.0
+FROM_STORE = "the store"
 RANK_INTERVAL_S = 0.3
 """Time between two looks at which agents are silent; changes of the
 membership are applied at once."""
@@ -67,6 +72,8 @@
     ) -> None:
         self.members = Members(identity.node)
         self.routes = Routes()
+        self._scopes = ScopeStore(access, identity.record)
+        self._pending_routes = PendingRoutes(self._scopes)
         self.stopping = False
         self._event_factory = EventFactory(identity.node)
         self._view = StoreView(
@@ -75,6 +82,7 @@
             access,
             registration,
             self.members,
+            self._scopes,
             self._event_factory,
         )
         self._hello_sender = HelloSender(
@@ -85,6 +93,7 @@
             codec,
             self.members,
             self.routes,
+            self._scopes,
             self._owners,
             self._event_factory,
         )
@@ -105,6 +114,13 @@
             and not self.stopping
         )
 
+    @property
+    def shared_routes(self) -> SharedRoutes | None:
+        """What other balancers may fetch, None before it is known."""
+        if self.routes.table is None:
+            return None
+        return share(self.routes.table, self._scopes.stored)
+
     def gauges(self, now: Seconds) -> dict[str, float]:
         """Return the current gauge values by metric name."""
         return {
@@ -167,7 +183,9 @@
             case StoreAnswered():
                 return self._handle_store_answer(now, event)
             case RoutesFetched(table=table, src=src):
-                return self._apply_routes(now, table, f"balancer {src}")
+                if event.record is not None:
+                    self._scopes.learn(event.record)
+                return self._offer_routes(now, table, f"balancer {src}")
             case SeedsChanged(seeds=seeds):
                 self._hello_sender.seeds = seeds
             case StopAsked():
@@ -214,7 +232,6 @@
         if sender is not None:
             sender.config_confirmed_at = config_confirmed_at
         effects = self._handle_membership_changes(now)
-        effects += self._hello_sender.handle_hello(now, msg)
         if msg.version == self.routes.version:
             self._peer_confirmed_at = max(
                 self._peer_confirmed_at, config_confirmed_at
@@ -242,6 +259,7 @@
         effects += self.members.pop_requests(now)
         if now >= self._rank_at:
             self._rank_agents(now)
+        effects += self._put_in_force(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
 
     def _send_hellos(self, now: Seconds) -> list[RelayEffect]:
@@ -260,26 +278,41 @@
         update = self._view.handle_answer(now, event)
         effects = update.effects
         for table in update.tables:
-            applied = self._apply_routes(now, table, "the store")
-            if applied:
-                effects += applied
-                effects += self._hello_sender.hellos_to_balancers(now)
+            effects += self._offer_routes(now, table, FROM_STORE)
+        effects += self._put_in_force(now)
         effects += self._handle_membership_changes(now)
         return effects + self._store_calls(now)
 
-    def _apply_routes(
+    def _offer_routes(
         self, now: Seconds, table: RouteTable, source: str
     ) -> list[RelayEffect]:
+        """Put a newer configuration in force, once its services are recorded.
+
+        Repeated offers of one version have no effect.
+        """
+        if table.version <= self.routes.version:
+            return []
+        self._pending_routes.offer(now, table, source)
+        return self._put_in_force(now)
+
+    def _put_in_force(self, now: Seconds) -> list[RelayEffect]:
+        ready = self._pending_routes.pop_ready(now)
+        if ready is None:
+            return []
+        table, source, is_recorded = ready
         old = self.routes.version
         if not self.routes.apply(table):
             return []
         self._event_factory.version = table.version
+        text = "" if is_recorded else ", its services are not recorded"
         event = self._event_factory.state_event(
             Topic.CONFIGURATION,
             f"configuration: in force with {len(table.routes)} routes, "
-            f"replaces version {old}, received from {source}",
+            f"replaces version {old}, received from {source}{text}",
         )
-        return [event]
+        if source != FROM_STORE or self.stopping:
+            return [event]
+        return [event, *self._hello_sender.hellos_to_balancers(now)]
 
     def _handle_membership_changes(self, now: Seconds) -> list[RelayEffect]:
         effects: list[RelayEffect] = []
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -8,6 +8,7 @@
 from ..ids import ServiceName
 from .forwarded import ForwardedPacket
 from .routes import RouteTable
+from .scope_record import ScopeRecord
 from .segment import Segment
 
 
@@ -32,10 +33,14 @@
 
 
 class RoutesFetched(msgspec.Struct, frozen=True):
-    """The route table of a balancer was fetched."""
+    """The route table of a balancer and its record were fetched.
+
+    Balancers of earlier versions have no record.
+    """
 
     src: NodeId
     table: RouteTable
+    record: ScopeRecord | None = None
 
 
 class SeedsChanged(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -11,7 +11,6 @@
 from .messages import AgentReport
 from .messages import Goodbye
 from .messages import Hello
-from .messages import MovedRoute
 from .routes import Routes
 from .send_interval import SendInterval
 from .send_interval import SPARSE_MESSAGES_PER_S
@@ -30,8 +29,6 @@
 report."""
 PEERS_PER_HELLO = 4
 """Other balancers named in one hello message."""
-MOVED_ROUTES_PER_HELLO = 8
-"""Moved routes in one hello message; the others follow in the next ones."""
 REPORTS_PER_FULL_HELLO = 16
 """Reports in one hello message to an agent that asks for all: as many as fit
 into one datagram."""
@@ -62,7 +59,6 @@
         self._unsent: list[NodeId] = []
         """Agents that the current round has not reached yet."""
         self._rotation = sum(identity.node.encode())
-        self._knows_moves = False
         self._greeted: set[NodeId] = set()
 
     def due(self, now: Seconds) -> list[Send]:
@@ -143,15 +139,6 @@
         hello = msgspec.structs.replace(hello, period_s=period_s)
         return [Send(node, hello) for node in others]
 
-    def handle_hello(self, now: Seconds, hello: Hello) -> list[Send]:
-        """Learn the moved routes, and tell a balancer that lacks them."""
-        self._routes.add_moved(hello.moved)
-        is_told = hello.knows_moves or bool(hello.moved)
-        self._knows_moves = self._knows_moves or is_told
-        if hello.knows_moves or not self._routes.moved:
-            return []
-        return [Send(hello.id, self._hello(now, []))]
-
     def goodbyes(self) -> list[Send]:
         """Return the messages to all known processes that this one stops."""
         dsts: list[NodeId] = [*self._members.agents, *self._members.balancers]
@@ -214,16 +201,9 @@
             idle_s=self._routes.idle_s,
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
-            moved=self._next_moved_routes(),
-            knows_moves=self._knows_moves,
             period_s=self._agent_interval.period_s(len(self._members.agents)),
         )
 
-    def _next_moved_routes(self) -> tuple[MovedRoute, ...]:
-        moved = self._routes.moved
-        start = self._rotation % max(1, len(moved))
-        return (moved[start:] + moved[:start])[:MOVED_ROUTES_PER_HELLO]
-
 
 def _newest(members: list[Member]) -> tuple[AgentReport, ...]:
     newest = sorted(members, key=lambda member: member.added_at)
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -8,7 +8,6 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import ServiceName
-from .segment import Endpoint
 from .segment import FlowId
 
 FINAL_COUNT = 2**62
@@ -122,16 +121,6 @@
         return self.count == FINAL_COUNT
 
 
-class MovedRoute(msgspec.Struct, frozen=True, array_like=True):
-    """A route and the services that it named under earlier versions.
-
-    Their servers may still hold flows to its address.
-    """
-
-    address: Endpoint
-    services: tuple[ServiceName, ...]
-
-
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """Hello message: a balancer, its configuration and the members it knows.
 
@@ -141,11 +130,10 @@
     store yet. ``peers`` are other balancers, ``departed`` agents that were
     removed recently. ``idle_s`` is how long a flow may be idle;
     ``config_age_s`` how long ago the store confirmed to the sender that its
-    configuration is the newest. ``moved`` holds some routes that moved from
-    one service to another, for balancers that started since;
-    ``knows_moves`` is unset until the sender has received them.
-    ``wants_report`` asks the receiving agent for its report. ``period_s``
-    is the time between two hello messages to the receiver, 0 if unknown.
+    configuration is the newest. ``wants_report`` asks the receiving agent
+    for its report. ``period_s`` is the time between two hello messages to
+    the receiver, 0 if unknown. ``unused_1`` and ``unused_2`` told of moved
+    routes in messages of earlier versions, which keep their places.
     """
 
     id: NodeId
@@ -157,8 +145,8 @@
     idle_s: float = 0.0
     service_size: int = 0
     config_age_s: float = float("inf")
-    moved: tuple[MovedRoute, ...] = ()
-    knows_moves: bool = True
+    unused_1: tuple[tuple[int, tuple[str, ...]], ...] = ()
+    unused_2: bool = True
     wants_report: bool = False
     period_s: float = 0.0
 
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -18,6 +18,7 @@
 from .routes import Routes
 from .scope import FlowScope
 from .scope import ServiceOwner
+from .scope_store import ScopeStore
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
@@ -41,12 +42,14 @@
         codec: SegmentCodec,
         members: Members,
         routes: Routes,
+        scopes: ScopeStore,
         owners: OwnerRanking,
         event_factory: EventFactory,
     ) -> None:
         self._codec = codec
         self._members = members
         self._routes = routes
+        self._scopes = scopes
         self._owners = owners
         self._event_factory = event_factory
         self.hints = Hints()
@@ -60,7 +63,7 @@
         be the newest.
         """
         flow_id = segment.inward
-        services = self._routes.services(flow_id)
+        services = self._services(flow_id)
         if not services:
             is_fresh = now - config_confirmed_at <= CONFIG_FRESH_S
             return self._handle_unknown_address(segment, is_fresh)
@@ -95,6 +98,18 @@
         )
         return [ForwardToAgent(dst, packet), event]
 
+    def _services(self, flow_id: FlowId) -> tuple[ServiceName, ...]:
+        """Return the services that may hold a flow, first the chosen one.
+
+        Those that its route no longer names may hold flows that were opened
+        earlier. Empty if there is no route.
+        """
+        current = self._routes.services(flow_id)
+        recorded = self._scopes.known.get(flow_id.address)
+        if not current or len(recorded) <= 1:
+            return current
+        return (*current, *(s for s in recorded if s not in current))
+
     def _scope(
         self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
     ) -> FlowScope:
@@ -104,8 +119,9 @@
         ones.
         """
         routes = self._routes
+        idle_s = max(routes.idle_s, self._scopes.known.idle_s)
         if len(services) == 1:
-            return FlowScope(routes.version, routes.idle_s)
+            return FlowScope(routes.version, idle_s)
         found: list[ServiceOwner] = []
         for service in services:
             owners = self._owners.by_service.get(service)
@@ -113,10 +129,10 @@
                 owner = owners.ranked(flow_id.key)[0]
                 found.append(ServiceOwner(service, owner))
             elif service == services[0] or self._members.lost_agents(
-                now, service, routes.idle_s
+                now, service, idle_s
             ):
                 found.append(ServiceOwner(service, NO_OWNER))
-        return FlowScope(routes.version, routes.idle_s, tuple(found))
+        return FlowScope(routes.version, idle_s, tuple(found))
 
     def _hinted_holder(
         self,
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/routes.py
@@ -1,11 +1,8 @@
 """Route table: the operators' configuration as the relay uses it."""
 
-from collections.abc import Iterable
-
 import msgspec
 
 from ..ids import ServiceName
-from .messages import MovedRoute
 from .segment import Endpoint
 from .segment import endpoint
 from .segment import FlowId
@@ -55,7 +52,6 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self._by_address: dict[Endpoint, Route] = {}
-        self._earlier_services: dict[Endpoint, tuple[ServiceName, ...]] = {}
         self._lowest_rank: dict[ServiceName, int] = {}
         """Rank of a service's lowest-priority routes, for services whose
         routes differ in priority."""
@@ -78,9 +74,6 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         by_address = {route.address: route for route in table.routes}
-        for address, route in self._by_address.items():
-            if address in by_address:
-                self._retain_services(address, route, by_address[address])
         self.table = table
         self._by_address = by_address
         self._lowest_rank = _lowest_rank(table)
@@ -96,52 +89,17 @@
             service
         )
 
-    @property
-    def moved(self) -> tuple[MovedRoute, ...]:
-        """The routes that named other services under earlier versions."""
-        return tuple(
-            MovedRoute(address, services)
-            for address, services in self._earlier_services.items()
-            if services
-        )
-
-    def add_moved(self, moved: Iterable[MovedRoute]) -> None:
-        """Add what another process knows of earlier versions."""
-        for route in moved:
-            known = self._earlier_services.get(route.address, ())
-            services = sorted({*known, *route.services})
-            self._earlier_services[route.address] = tuple(services)
-
-    def _retain_services(
-        self, address: Endpoint, old: Route, new: Route
-    ) -> None:
-        """Keep the services that a new route no longer names.
-
-        They may still hold flows that were opened under the old route.
-        """
-        now = {share.service for share in new.shares}
-        past = {share.service for share in old.shares} - now
-        if past:
-            known = set(self._earlier_services.get(address, ()))
-            self._earlier_services[address] = tuple(
-                sorted((past | known) - now)
-            )
-
     def services(self, flow: FlowId) -> tuple[ServiceName, ...]:
         """Return the services of a flow's route, starting with the chosen one.
 
-        The others may hold flows that were opened earlier. Empty if no
-        route has the flow's address. The choice by weight depends only on
-        the hash of the flow, so that all balancers choose the same.
+        Empty if no route has the flow's address. The choice by weight
+        depends only on the hash of the flow, so that all balancers choose
+        the same.
         """
         route = self._by_address.get(flow.address)
         if route is None:
             return ()
-        current = _by_weight(route.shares, flow.key)
-        earlier = self._earlier_services.get(flow.address)
-        if not earlier:
-            return current
-        return (*current, *(s for s in earlier if s not in current))
+        return _by_weight(route.shares, flow.key)
 
 
 def _lowest_rank(table: RouteTable) -> dict[ServiceName, int]:
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/scope_record.py
@@ -0,0 +1,91 @@
+"""Record of the services that may hold flows, by address.
+
+It lasts in the store: all balancers may end while flows are open at services
+that the configuration no longer names.
+"""
+
+import msgspec
+
+from ..ids import ServiceName
+from .routes import Route
+from .routes import RouteTable
+from .segment import Endpoint
+
+Services = dict[Endpoint, tuple[ServiceName, ...]]
+
+
+class ScopeRecord(msgspec.Struct, frozen=True):
+    """Each service that a route has named since its address was added.
+
+    ``version`` is the newest configuration that was merged into it, and
+    ``idle_s`` its idle timeout of flows. Addresses that this configuration
+    does not have are left out.
+    """
+
+    version: int = 0
+    idle_s: float = 0.0
+    services: Services = {}
+
+    def get(self, address: Endpoint) -> tuple[ServiceName, ...]:
+        """Return the services recorded for an address."""
+        return self.services.get(address, ())
+
+    def merged(self, table: RouteTable) -> "ScopeRecord":
+        """Return the record with a configuration added."""
+        services: Services = {
+            route.address: tuple(
+                sorted({share.service for share in route.shares})
+            )
+            for route in table.routes
+        }
+        return self.union(ScopeRecord(table.version, table.idle_s, services))
+
+    def union(self, other: "ScopeRecord") -> "ScopeRecord":
+        """Return what two records name, for the addresses of the newer."""
+        newer, older = self, other
+        if other.version > self.version:
+            newer, older = other, self
+        services = {
+            address: tuple(sorted({*named, *older.get(address)}))
+            for address, named in newer.services.items()
+        }
+        return ScopeRecord(newer.version, newer.idle_s, services)
+
+    def has_same_content(self, other: "ScopeRecord") -> bool:
+        """Return whether two records differ in their version at most."""
+        return self.idle_s == other.idle_s and self.services == other.services
+
+    def lacks_service_of(self, table: RouteTable) -> bool:
+        """Return whether a recorded address gets a service not recorded.
+
+        Processes that know only the record would not search it for flows.
+        """
+        return any(
+            share.service not in self.services[route.address]
+            for route in table.routes
+            if route.address in self.services
+            for share in route.shares
+        )
+
+
+class SharedRoutes(msgspec.Struct, frozen=True):
+    """Configuration and record as one balancer gives them to another.
+
+    ``record`` is what the sender knows the store to hold. It is missing
+    before that was read, and from balancers of earlier versions.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_s: float
+    record: ScopeRecord | None = None
+
+    @property
+    def table(self) -> RouteTable:
+        """The configuration."""
+        return RouteTable(self.version, self.routes, self.idle_s)
+
+
+def share(table: RouteTable, record: ScopeRecord | None) -> SharedRoutes:
+    """Return what a balancer gives to another one."""
+    return SharedRoutes(table.version, table.routes, table.idle_s, record)
--- /dev/null
+++ b/packages/core/src/medlar_core/relay/scope_store.py
@@ -0,0 +1,145 @@
+"""Reads the record of services from the store, and writes it on a change."""
+
+import msgspec
+
+from ..events import StoreAnswered
+from ..ids import Seconds
+from ..ids import StoreCallId
+from ..store import Item
+from ..store import Put
+from ..store import Written
+from ..storeaccess.access import Part
+from ..storeaccess.access import StoreAccess
+from .member import NEVER
+from .routes import RouteTable
+from .scope_record import ScopeRecord
+from .store_watcher import StoreWatcher
+
+WRITE_SPREAD_S = 0.05
+"""Upper bound of the random delay of a write: several balancers learn of a
+change at once, and one of them has to write it."""
+
+
+class ScopeStore:
+    """The record as it is in the store, and what this balancer adds to it.
+
+    A write is conditional on the revision that was read, so that it cannot
+    take away what another balancer has added.
+    """
+
+    def __init__(self, access: StoreAccess, key: str) -> None:
+        self._access = access
+        self._key = key
+        self._watcher = StoreWatcher(access, Part.SCOPES, key, wait_s=0.0)
+        self.known = ScopeRecord()
+        """What the store is known to hold, and what is to be added."""
+        self.stored: ScopeRecord | None = None
+        """What the store holds, as far as it was read here or by a peer."""
+        self._revision = 0
+        self._write: StoreCallId | None = None
+        self._written = ScopeRecord()
+        self._is_write_due = False
+        self._read_asked_at = NEVER
+        self.confirmed_at = NEVER
+        """When the last read was issued that has been answered. What was in
+        the store by then is known."""
+        self._unreadable = ""
+
+    def has_services_of(self, table: RouteTable) -> bool:
+        """Return whether the store has what a configuration moves to."""
+        stored = self.stored
+        return stored is not None and not stored.lacks_service_of(table)
+
+    def require(self, table: RouteTable) -> None:
+        """Have the services of a configuration recorded."""
+        self._set_known(self.known.merged(table))
+
+    def learn(self, record: ScopeRecord) -> None:
+        """Add what another balancer has read from the store."""
+        self._set_stored(record.union(self.stored or ScopeRecord()))
+
+    def refresh(self, now: Seconds) -> None:
+        """Have the record read by a call that is issued from now on."""
+        self._read_asked_at = now
+
+    def adopt(
+        self, items: tuple[Item, ...], revision: int, issued_at: Seconds
+    ) -> None:
+        """Use the answer to a listing that includes the record's key."""
+        self._watcher.continue_from(revision)
+        self._apply(items)
+        self._confirm(issued_at)
+
+    def update(self, items: tuple[Item, ...]) -> None:
+        """Use changed items, of which one may be the record."""
+        self._apply(items)
+
+    def pop_unreadable(self) -> str:
+        """Return why a stored record was ignored since the last call.
+
+        Empty if none was.
+        """
+        text, self._unreadable = self._unreadable, ""
+        return text
+
+    def due(self, now: Seconds) -> None:
+        """Submit the next call, if one is due and none is pending."""
+        if self._read_asked_at > self.confirmed_at:
+            self._watcher.due(now)
+            return
+        if not self._is_write_due or self.stored is None:
+            return
+        if self._write is not None and self._access.is_pending(self._write):
+            return
+        self._written = self.known
+        value = msgspec.json.encode(self._written).decode()
+        op = Put(self._key, value, self._revision)
+        self._write = self._access.submit(now, Part.SCOPES, op, WRITE_SPREAD_S)
+
+    def handle_answer(self, now: Seconds, event: StoreAnswered) -> None:
+        """Handle an answer, if it is to a call of this part."""
+        if event.call == self._write:
+            self._handle_written(now, event)
+            return
+        result = self._watcher.handle_answer(now, event)
+        if result is not None:
+            self._apply(result.items)
+            self._confirm(Seconds(self._watcher.issued_at))
+
+    def _handle_written(self, now: Seconds, event: StoreAnswered) -> None:
+        """Read the record again unless it was written for certain."""
+        answer = self._access.take(now, Part.SCOPES, event)
+        self._write = None
+        if isinstance(answer, Written):
+            self._revision = answer.revision
+            self._set_stored(self._written)
+        else:
+            self.refresh(now)
+
+    def _confirm(self, issued_at: Seconds) -> None:
+        self.confirmed_at = Seconds(max(self.confirmed_at, issued_at))
+        if self.stored is None:
+            self._set_stored(ScopeRecord())
+
+    def _apply(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key != self._key or item.revision < self._revision:
+                continue
+            self._revision = item.revision
+            try:
+                stored = msgspec.json.decode(item.value, type=ScopeRecord)
+            except msgspec.DecodeError as exc:
+                self._unreadable = str(exc)
+                stored = ScopeRecord()
+            self._set_stored(stored)
+
+    def _set_stored(self, record: ScopeRecord) -> None:
+        self.stored = record
+        self._set_known(self.known.union(record))
+
+    def _set_known(self, record: ScopeRecord) -> None:
+        self.known = record
+        stored = self.stored
+        self._is_write_due = stored is None or not stored.has_same_content(
+            record
+        )
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -26,6 +26,7 @@
 from .messages import EntryMissing
 from .registration import Registration
 from .routes import RouteTable
+from .scope_store import ScopeStore
 from .store_watcher import Change
 from .store_watcher import Snapshot
 from .store_watcher import StoreWatcher
@@ -60,7 +61,7 @@
 
     ``seeds`` are the processes contacted while no other is known.
     ``configuration`` is a key, ``members`` a prefix; ``agents`` and
-    ``balancers`` are prefixes under ``members``.
+    ``balancers`` are prefixes under ``members``, ``record`` is a key there.
     """
 
     node: NodeId
@@ -70,6 +71,7 @@
     members: str
     agents: str
     balancers: str
+    record: str
 
 
 class StoreUpdate(msgspec.Struct):
@@ -89,9 +91,11 @@
         access: StoreAccess,
         registration: Registration,
         members: Members,
+        scopes: ScopeStore,
         event_factory: EventFactory,
     ) -> None:
         self._identity = identity
+        self._scopes = scopes
         self._read_routes = read_routes
         self._access = access
         self._registration = registration
@@ -164,12 +168,14 @@
             if self.is_watcher(now):
                 self._configuration.due(now)
                 self._entries.due(now)
+            self._scopes.due(now)
         self._registration.issue_next_call(now)
         return self._access.due(now)
 
     def handle_answer(self, now: Seconds, event: StoreAnswered) -> StoreUpdate:
         """Apply an answer of the store."""
         update = StoreUpdate([], [])
+        self._scopes.handle_answer(now, event)
         if self._registration.handle_answer(now, event):
             return update
         self._apply_configuration(
@@ -179,6 +185,14 @@
         if entries is not None:
             self._apply_entries(now, entries, update)
             update.effects += self.notify_unregistered(now)
+        unreadable = self._scopes.pop_unreadable()
+        if unreadable:
+            text = f"scopes: stored record ignored, not valid: {unreadable}"
+            update.effects.append(
+                self._event_factory.state_event(
+                    Topic.CONFIGURATION, text, reason="unreadable"
+                )
+            )
         return update
 
     def handle_missing_entry(self, now: Seconds) -> None:
@@ -245,7 +259,11 @@
     ) -> None:
         if isinstance(result, Snapshot):
             self._entry_keys = set()
+            watcher = self._entries
+            issued_at = Seconds(watcher.issued_at)
+            self._scopes.adopt(result.items, watcher.revision, issued_at)
         else:
+            self._scopes.update(result.items)
             self._entry_keys.difference_update(result.deleted)
         for item in result.items:
             self._entry_keys.add(item.key)
--- a/packages/core/src/medlar_core/relay/store_watcher.py
+++ b/packages/core/src/medlar_core/relay/store_watcher.py
@@ -14,6 +14,7 @@
 from ..store import Watch
 from ..storeaccess.access import Part
 from ..storeaccess.access import StoreAccess
+from .member import NEVER
 
 RETRY_SPREAD_S = 0.05
 """Upper bound of the random delay of a call if the one before it got no
@@ -57,9 +58,20 @@
         self._pace_s = pace_s
         self._after: Revision | None = None
         self._call: StoreCallId | None = None
-        self.synced_at = float("-inf")
+        self.synced_at = NEVER
         """When the last answer was received that brought this process up to
         date."""
+        self.issued_at = NEVER
+        """When the last call was issued."""
+
+    @property
+    def revision(self) -> Revision:
+        """The store's revision as of the last answer, 0 before the first."""
+        return self._after or 0
+
+    def continue_from(self, revision: Revision) -> None:
+        """Watch for changes after a revision that another call has told."""
+        self._after = revision
 
     def due(self, now: Seconds) -> None:
         """Start the next call unless one is pending."""
@@ -72,6 +84,7 @@
         if self._after is not None:
             op = Watch(self._prefix, self._after, self._wait_s)
         self._call = self._access.submit(now, self._part, op, spread_s)
+        self.issued_at = now
 
     def handle_answer(
         self, now: Seconds, event: StoreAnswered
--- a/packages/core/src/medlar_core/storeaccess/access.py
+++ b/packages/core/src/medlar_core/storeaccess/access.py
@@ -30,6 +30,7 @@
 
     MEMBERS = "members"
     CONFIGURATION = "configuration"
+    SCOPES = "scopes"
 
 
 class _Queued(msgspec.Struct, frozen=True):
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -27,7 +27,7 @@
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import RoutesFetched
 from medlar_core.relay.events import ServerPacketReceived
-from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.scope_record import SharedRoutes
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
 from medlar_core.store import StoreAnswer
@@ -114,7 +114,9 @@
         self.rng = random.Random(seed)
         self.nodes: dict[NodeId, Reducer] = {}
         self.servers: dict[NodeId, FakeServer] = {}
-        self.routes_of: Callable[[NodeId], RouteTable | None] = lambda _: None
+        self.routes_of: Callable[[NodeId], SharedRoutes | None] = lambda _: (
+            None
+        )
         self.paused: set[NodeId] = set()
         self.without_store: set[NodeId] = set()
         self.cut_links: set[tuple[NodeId, NodeId]] = set()
@@ -168,8 +170,9 @@
             case CallStore(call=call, op=op):
                 self._call_store(src, call, op)
             case FetchRoutes(src=peer):
-                if (table := self.routes_of(peer)) and peer not in self.paused:
-                    self._dispatch_later(src, RoutesFetched(peer, table))
+                if (found := self.routes_of(peer)) and peer not in self.paused:
+                    fetched = RoutesFetched(peer, found.table, found.record)
+                    self._dispatch_later(src, fetched)
             case Record(event=event):
                 self.events.append(event)
 
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -67,7 +67,7 @@
         return Response(200 if reducer.is_ready else 503)
 
     async def peer(req: Request) -> Response:
-        return await respond_to_peer(req, reducer.routes.table)
+        return await respond_to_peer(req, reducer.shared_routes)
 
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_context
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -37,7 +37,7 @@
 from medlar_core.relay.messages import decode as decode_message
 from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.messages import RelayMessage
-from medlar_core.relay.routes import RouteTable
+from medlar_core.relay.scope_record import SharedRoutes
 from medlar_core.relay.segment import host_of
 from medlar_core.relay.segment import Segment
 from medlar_core.relay.segment import SegmentCodec
@@ -380,7 +380,7 @@
         try:
             req = Request("GET", ROUTES_PATH)
             res = await client.call(req, FETCH_LIMIT_S)
-            table = msgspec.json.decode(res.body, type=RouteTable)
+            shared = msgspec.json.decode(res.body, type=SharedRoutes)
         except (HttpError, msgspec.DecodeError) as exc:
             log.warning(
                 "cannot fetch routes", extra={"src": src, "why": str(exc)}
@@ -388,7 +388,7 @@
             return
         finally:
             client.close()
-        self.dispatch(RoutesFetched(src, table))
+        self.dispatch(RoutesFetched(src, shared.table, shared.record))
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
@@ -401,11 +401,13 @@
             log.error("background task failed", exc_info=task.exception())
 
 
-async def respond_to_peer(req: Request, table: RouteTable | None) -> Response:
-    """Respond to another process that fetches the route table."""
-    if req.target != ROUTES_PATH or table is None:
+async def respond_to_peer(
+    req: Request, shared: SharedRoutes | None
+) -> Response:
+    """Respond to another process that fetches the configuration."""
+    if req.target != ROUTES_PATH or shared is None:
         return Response(404)
-    return Response(200, msgspec.json.encode(table))
+    return Response(200, msgspec.json.encode(shared))
 
 
 @contextlib.asynccontextmanager
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -20,6 +20,7 @@
 from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
 from medlar_core.relay.balancer import RelayBalancer
+from medlar_core.relay.events import CallerPacketReceived
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import ServerAnnounced
 from medlar_core.relay.events import ServerPhase
@@ -32,6 +33,7 @@
 from medlar_core.relay.routes import RouteTable
 from medlar_core.relay.routes import Share
 from medlar_core.relay.scope import FlowScope
+from medlar_core.relay.scope_record import SharedRoutes
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
@@ -57,6 +59,7 @@
 MEMBERS = "m/"
 AGENTS = "m/agents/"
 BALANCERS = "m/balancers/"
+RECORD = "m/scopes"
 
 
 def node(kind: str, number: int) -> NodeId:
@@ -73,6 +76,22 @@
     return RouteTable(version, routes, FLOW_IDLE_S)
 
 
+def one_route(
+    version: int,
+    weights: dict[ServiceName, int],
+    idle_s: float = FLOW_IDLE_S,
+) -> RouteTable:
+    """Return a configuration whose one route has these weights."""
+    shares = tuple(Share(name, weight) for name, weight in weights.items())
+    return RouteTable(version, (Route("192.0.2.1", 8000, shares),), idle_s)
+
+
+def caller_packet(flow_id: FlowId) -> CallerPacketReceived:
+    """Return the event that a balancer received data of a flow."""
+    data = encode(Segment(b"", Flag.ACK, *flow_id, 50, 500, 501))
+    return CallerPacketReceived(FakeCodec().decode(data))
+
+
 def flow(number: int, port: int = 8000) -> FlowId:
     caller = endpoint("100.64.0.1", 10_000 + number)
     return FlowId(caller, endpoint("192.0.2.1", port))
@@ -145,7 +164,14 @@
         rng = self._rng()
         access = new_access(rng)
         identity = BalancerIdentity(
-            address, PLACE, seeds, CONFIGURATION, MEMBERS, AGENTS, BALANCERS
+            address,
+            PLACE,
+            seeds,
+            CONFIGURATION,
+            MEMBERS,
+            AGENTS,
+            BALANCERS,
+            RECORD,
         )
         balancer = RelayBalancer(
             identity,
@@ -283,9 +309,7 @@
         idle_s: float = FLOW_IDLE_S,
     ) -> None:
         """Put a configuration in force whose one route has these weights."""
-        shares = tuple(Share(name, weight) for name, weight in weights.items())
-        route = Route("192.0.2.1", 8000, shares)
-        self.configure(RouteTable(version, (route,), idle_s))
+        self.configure(one_route(version, weights, idle_s))
         self.run(1.0)
 
     def remove_by_mistake(self, balancer: NodeId, address: NodeId) -> None:
@@ -345,8 +369,8 @@
             announcement = msgspec.structs.replace(announcement, age_s=age_s)
         self.world.dispatch(address, announcement)
 
-    def _routes_of(self, address: NodeId) -> RouteTable | None:
-        return self.balancers[address].routes.table
+    def _routes_of(self, address: NodeId) -> SharedRoutes | None:
+        return self.balancers[address].shared_routes
 
     def _rng(self) -> random.Random:
         self.starts += 1
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -6,13 +6,13 @@
 from medlar_core.packets import Flag
 from medlar_core.relay.events import ServerPacketReceived
 from medlar_core.relay.messages import FlowHeld
-from medlar_core.relay.messages import MovedRoute
-from medlar_core.relay.routes import Routes
 from medlar_core.relay.segment import Segment
+from medlar_core.store import Put
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
 from medlar_fakes.relay import FakeServer
 
+from .kit import caller_packet
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
@@ -20,7 +20,8 @@
 from .kit import LONG_IDLE_S
 from .kit import node
 from .kit import OFFICE
-from .kit import table
+from .kit import one_route
+from .kit import RECORD
 from .kit import UnresponsiveServer
 
 
@@ -92,10 +93,18 @@
 
 
 def test_a_route_that_moved_back_names_each_service_once():
-    routes = Routes()
-    routes.add_moved([MovedRoute(flow(1).address, (DESK, OFFICE))])
-    routes.apply(table(1, DESK))
-    assert routes.services(flow(1)) == (DESK, OFFICE)
+    fleet = two_services()
+    fleet.route_to(2, {OFFICE: 1})
+    fleet.route_to(3, {DESK: 1})
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(1.0)
+    (scope,) = {
+        effect.packet.scope
+        for effect in fleet.balancers[node("balancer", 9)].reduce(
+            fleet.world.clock.now, caller_packet(flow(1))
+        )
+    }
+    assert [found.service for found in scope.services] == [DESK, OFFICE]
 
 
 def test_a_service_whose_agents_were_removed_may_hold_flows():
@@ -196,3 +205,121 @@
     fleet.run(1.0)
     assert agent.gauges(fleet.world.clock.now)["flows_known"] == 0
     assert fleet.reset_count([flow_id]) == 0
+
+
+def move_route_with_open_flows(fleet, version=2, count=20):
+    """Open flows of a route that moves to another service then."""
+    opened = [fleet.open(number, by=number % 3) for number in range(count)]
+    fleet.route_to(version, {OFFICE: 1}, LONG_IDLE_S)
+    return opened
+
+
+def assert_answered(fleet, opened, by=1, wait_s=0.5):
+    before = [fleet.answer_count(flow_id) for flow_id in opened]
+    for flow_id in opened:
+        fleet.data(flow_id, by, seq=900)
+    fleet.run(wait_s)
+    assert fleet.reset_count(opened) == 0
+    after = [fleet.answer_count(flow_id) for flow_id in opened]
+    assert [b - a for a, b in zip(before, after, strict=True)] == [1] * len(
+        opened
+    )
+
+
+def kill_balancers(fleet):
+    for address in fleet.balancers:
+        fleet.kill(address)
+    fleet.run(0.5)
+
+
+def start_balancers(fleet):
+    for address in list(fleet.balancers):
+        fleet.start_balancer(address)
+    fleet.run(1.0)
+
+
+def replace_balancers(fleet):
+    """Kill all balancers at once and start them again."""
+    kill_balancers(fleet)
+    start_balancers(fleet)
+
+
+def test_flows_of_a_moved_route_outlive_all_balancers():
+    """Guards against resets after all balancers were killed at once."""
+    fleet = two_services()
+    opened = move_route_with_open_flows(fleet)
+    replace_balancers(fleet)
+    assert_answered(fleet, opened)
+
+
+def test_flows_of_a_route_that_moves_while_no_balancer_runs_are_kept():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    kill_balancers(fleet)
+    fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
+    start_balancers(fleet)
+    assert_answered(fleet, opened)
+
+
+def test_flows_of_a_route_that_moved_twice_and_back_outlive_all_balancers():
+    fleet = two_services()
+    first = move_route_with_open_flows(fleet)
+    second = [fleet.open(number, by=0) for number in range(30, 45)]
+    assert {fleet.services[fleet.holder(f)] for f in second} == {OFFICE}
+    fleet.route_to(3, {DESK: 1}, LONG_IDLE_S)
+    replace_balancers(fleet)
+    assert_answered(fleet, [*first, *second])
+    fleet.route_to(4, {OFFICE: 1}, LONG_IDLE_S)
+    replace_balancers(fleet)
+    assert_answered(fleet, [*first, *second], by=2)
+
+
+def lose_writes_of(fleet, key):
+    """Let the store do no write of a key, and answer none."""
+    call = fleet.world.store.call
+
+    def call_unless_written(op, answered):
+        if not (isinstance(op, Put) and op.key == key):
+            call(op, answered)
+
+    fleet.world.store.call = call_unless_written
+
+
+def test_the_record_is_written_on_a_change_only():
+    fleet = two_services()
+    fleet.run(2.0)
+    revision = fleet.world.store.items[RECORD].revision
+    fleet.configure(one_route(2, {DESK: 1}))
+    fleet.run(20.0)
+    assert fleet.world.store.items[RECORD].revision == revision
+    fleet.route_to(3, {DESK: 1, OFFICE: 1})
+    fleet.run(20.0)
+    moved = fleet.world.store.items[RECORD].revision
+    assert moved > revision
+    fleet.route_to(4, {DESK: 1, OFFICE: 9})
+    replace_balancers(fleet)
+    fleet.run(20.0)
+    assert fleet.world.store.items[RECORD].revision == moved
+
+
+def test_a_configuration_is_in_force_though_its_services_are_not_recorded():
+    fleet = two_services()
+    lose_writes_of(fleet, RECORD)
+    fleet.configure(one_route(2, {OFFICE: 1}))
+    fleet.run(0.5)
+    assert fleet.balancers[node("balancer", 0)].routes.version == 1
+    fleet.run(1.0)
+    versions = {b.routes.version for b in fleet.balancers.values()}
+    assert versions == {2}
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"services": 3}'])
+def test_an_unreadable_record_is_logged_and_written_anew(text):
+    fleet = two_services()
+    fleet.write(RECORD, text)
+    fleet.run(2.0)
+    assert any("record ignored" in event.text for event in fleet.world.events)
+    fleet.route_to(2, {OFFICE: 1})
+    fleet.run(2.0)
+    assert DESK in fleet.world.store.items[RECORD].value
+    assert OFFICE in fleet.world.store.items[RECORD].value
--- a/testing/users_platform/test_config.py
+++ b/testing/users_platform/test_config.py
@@ -1,6 +1,7 @@
 import pytest
 
 from medlar_core.relay.routes import Routes
+from medlar_core.relay.scope_record import ScopeRecord
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
 from medlar_platform.config import read_routes
@@ -42,11 +43,13 @@
 
 
 def test_previous_service_of_address_is_kept():
-    routes = Routes()
-    routes.apply(read_routes(TEXT))
     moved = TEXT.replace('"service":"b",\n', '"service":"a",\n')
-    routes.apply(read_routes(moved.replace('"version":7', '"version":9')))
-    assert routes.services(flow(1, "198.18.0.2", 443)) == ("a", "b")
+    moved = moved.replace('"version":7', '"version":9')
+    record = ScopeRecord()
+    for text in (TEXT, moved):
+        record = record.merged(read_routes(text))
+    address = flow(1, "198.18.0.2", 443).address
+    assert record.get(address) == ("a", "b")
 
 
 @pytest.mark.parametrize(
