Reset a flow only by a scope that the store has confirmed since

What callers saw: two configurations came 0.1 s apart, the second of which moved a route.

Cause: such a balancer named the services that it knew, and the silence of these passed for a proof. Nothing said under which version all services had been searched, or that it was the newest.

Change: an agent that finds no holder asks a balancer for the flow's scope. The balancer replies by what the store's record holds after the question, when the flow was open already. The agent resets the flow if it has searched all of it, else it looks the flow up there. A balancer that does not reply is avoided; while no balancer reads the store, one that hears most others tells what it has read. A question of another service is answered once the own service is searched, so that two agents do not wait for each other.

The bounced packet in test_a_bounced_packet_whose_services_nobody_told_resets_no_flow is answered now, which the test checks in place of an empty table.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -45,6 +45,7 @@
 from .messages import MembersAsked
 from .messages import OtherService
 from .messages import ReportAsked
+from .messages import ScopeTold
 from .pause_detector import PauseDetector
 from .registration import Registration
 from .report_sender import ReportSender
@@ -370,6 +371,8 @@
                 return self._flows.lookup.handle_packet_asked(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
                 return self._flows.lookup.handle_held(now, flow, holder, src)
+            case ScopeTold():
+                return self._flows.lookup.handle_scope(now, src, msg)
             case FlowUnknown(flow=flow, view=view):
                 return self._flows.lookup.handle_unknown(now, flow, src, view)
             case EntryMissing():
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -155,9 +155,7 @@
 
     def _record_scope(self, event: PacketForwarded) -> None:
         """Record what the balancer of a packet told of its flow."""
-        scope = event.packet.scope
-        self._ctx.scopes.record(event.segment.inward.address, scope)
-        self._ctx.local_server.apply_idle(scope.version, scope.idle_s)
+        self._ctx.record_scope(event.segment.inward, event.packet.scope)
 
     def _remove_local(self, segment: Segment) -> Flow | None:
         """Remove and return a flow whose holder is this agent in the table."""
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -23,6 +23,7 @@
 from .events import RoutesFetched
 from .events import SeedsChanged
 from .hello_sender import HelloSender
+from .member import NEVER
 from .members import Members
 from .members import RemovalCause
 from .messages import AgentReport
@@ -34,6 +35,8 @@
 from .messages import MembersAsked
 from .messages import OtherService
 from .messages import ReportAsked
+from .messages import ScopeAsked
+from .messages import ScopeTold
 from .owners import OwnerRanking
 from .packet_router import PacketRouter
 from .pause_detector import PauseDetector
@@ -41,6 +44,7 @@
 from .registration import Registration
 from .routes import Routes
 from .routes import RouteTable
+from .scope_queries import ScopeQueries
 from .scope_record import share
 from .scope_record import SharedRoutes
 from .scope_store import ScopeStore
@@ -54,6 +58,10 @@
 """Least time between two fetches of a newer configuration from peers."""
 EXPIRE_INTERVAL_S = 1.0
 FROM_STORE = "the store"
+STORE_LOST_S = 4.0
+"""The store is lost if no balancer has read the configuration for longer."""
+PEER_HEARD_S = 2.5
+"""Balancers that miss the store send hello messages more often than this."""
 RANK_INTERVAL_S = 0.3
 """Time between two looks at which agents are silent; changes of the
 membership are applied at once."""
@@ -74,6 +82,7 @@
         self.routes = Routes()
         self._scopes = ScopeStore(access, identity.record)
         self._pending_routes = PendingRoutes(self._scopes)
+        self._scope_queries = ScopeQueries()
         self.stopping = False
         self._event_factory = EventFactory(identity.node)
         self._view = StoreView(
@@ -126,6 +135,7 @@
         return {
             "hints": len(self._router.hints),
             "packets_held": len(self._early_packets),
+            "scope_queries": len(self._scope_queries),
             "configuration_version": self.routes.version,
             "configuration_age_seconds": now - self._config_confirmed_at,
             "store_failing": float(self._view.is_failing),
@@ -211,6 +221,10 @@
                 self.members.apply_report(now, report, direct=True)
             case Hello():
                 return self._handle_hello(now, msg)
+            case ScopeAsked(flow=flow):
+                self._scope_queries.add(now, src, flow)
+                self._scopes.refresh(now)
+                return self._store_calls(now)
             case MembersAsked(service=service):
                 return list(
                     self._hello_sender.hellos_with_members(now, src, service)
@@ -231,6 +245,7 @@
         sender = self.members.balancers.get(msg.id)
         if sender is not None:
             sender.config_confirmed_at = config_confirmed_at
+            sender.version = msg.version
         effects = self._handle_membership_changes(now)
         if msg.version == self.routes.version:
             self._peer_confirmed_at = max(
@@ -260,6 +275,7 @@
         if now >= self._rank_at:
             self._rank_agents(now)
         effects += self._put_in_force(now)
+        effects += self._answer_scope_queries(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
 
     def _send_hellos(self, now: Seconds) -> list[RelayEffect]:
@@ -280,9 +296,48 @@
         for table in update.tables:
             effects += self._offer_routes(now, table, FROM_STORE)
         effects += self._put_in_force(now)
+        effects += self._answer_scope_queries(now)
         effects += self._handle_membership_changes(now)
         return effects + self._store_calls(now)
 
+    def _answer_scope_queries(self, now: Seconds) -> list[RelayEffect]:
+        """Reply to the agents whose queries the store has answered."""
+        if not self._scope_queries:
+            return []
+        is_store_lost = self._is_store_lost(now)
+        effects: list[RelayEffect] = []
+        for agent, flow_id in self._scope_queries.pop_confirmed(
+            now,
+            lambda asked_at: (
+                asked_at <= self._scopes.confirmed_at or is_store_lost
+            ),
+        ):
+            scope = self._router.full_scope(now, flow_id)
+            if scope is not None:
+                effects.append(Send(agent, ScopeTold(flow_id, scope)))
+        return effects
+
+    def _is_store_lost(self, now: Seconds) -> bool:
+        """Return whether no balancer reads the store, and none knows more.
+
+        No service can have been recorded since. Most balancers have to be
+        heard, as one that is cut off from them does not know of theirs.
+        """
+        if self._scopes.stored is None:
+            return False
+        peers = list(self.members.balancers.values())
+        confirmed_at = max(
+            self._config_confirmed_at,
+            *(peer.config_confirmed_at for peer in peers),
+            NEVER,
+        )
+        if now - confirmed_at <= STORE_LOST_S:
+            return False
+        if any(peer.version > self.routes.version for peer in peers):
+            return False
+        heard = sum(now - peer.heard_at <= PEER_HEARD_S for peer in peers)
+        return 2 * heard >= len(peers)
+
     def _offer_routes(
         self, now: Seconds, table: RouteTable, source: str
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -68,6 +68,18 @@
         since = self._members_known_at
         return since is not None and now - since >= MEMBERS_SETTLE_S
 
+    def record_scope(self, flow_id: FlowId, scope: FlowScope) -> None:
+        """Record what a balancer has told with a packet."""
+        self.scopes.record(flow_id.address, scope)
+        self.local_server.apply_idle(scope.version, scope.idle_s)
+
+    def record_confirmed_scope(
+        self, flow_id: FlowId, scope: FlowScope
+    ) -> None:
+        """Record what a balancer has told since it asked the store."""
+        self.scopes.replace(flow_id.address, scope)
+        self.local_server.apply_idle(scope.version, scope.idle_s)
+
     def lost_agents(self, now: Seconds, scope: FlowScope) -> list[NodeId]:
         """Return removed agents whose servers may hold flows of a scope."""
         idle_s = max(self.local_server.idle_s, scope.idle_s)
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -25,8 +25,11 @@
 from .messages import FlowHeld
 from .messages import FlowPacketAsked
 from .messages import FlowUnknown
+from .messages import ScopeAsked
+from .messages import ScopeTold
 from .scope import FlowScope
 from .scope import ServiceOwner
+from .scope_sources import ScopeSources
 from .segment import FlowId
 from .segment import Segment
 
@@ -59,6 +62,7 @@
         self._ctx = ctx
         self._lookups = LookupTable()
         self._retries = LookupRetries()
+        self._sources = ScopeSources(ctx.members)
         self._pending_queries: dict[FlowId, _PendingQuery] = {}
         self._query_budget = TokenBucket(
             QUERY_PACKETS_PER_S, QUERY_PACKETS_BURST
@@ -77,14 +81,20 @@
         effects: list[RelayEffect] = []
         for late in self._lookups.expire(now):
             self._retries.add(now, late.request)
-            missing = ", ".join(late.awaiting) or "the local server"
+            missing = ", ".join(late.missing) or "the local server"
             text = f"flows: lookup timed out without a reply from {missing}"
             effects.append(self._ctx.event(late.flow_id, text))
         return effects
 
     def retry(self, now: Seconds) -> list[RelayEffect]:
-        """Repeat the lookups that ended without a result."""
+        """Repeat the lookups that ended without a result.
+
+        Another balancer is asked for scopes that the first has not told.
+        """
         effects: list[RelayEffect] = []
+        for flow_id, lookup in self._lookups.without_scope(now):
+            self._sources.avoid(now, lookup.scope_asked)
+            effects += self._ask_scope(now, flow_id, lookup)
         for req in self._retries.due(now):
             flow_id = req.segment.inward
             if self._ctx.table.get(flow_id) is not None:
@@ -118,8 +128,10 @@
             if len(active.packets) < MAX_QUEUED_PACKETS:
                 active.packets.append(segment)
             active.acked_seq = segment.ack
-            active.asker = active.asker or asker
-            return []
+            if not asker:
+                return []
+            active.asker = asker
+            return self._reset_if_absent(now, flow_id, active)
         if self._lookups.is_full():
             text = "flows: packet dropped: too many lookups in progress"
             return [self._ctx.event(flow_id, text)]
@@ -151,7 +163,7 @@
             awaiting={member.report.id for member in candidates} | delegates,
             local_pending=try_local,
             view=self._ctx.members.view(self._ctx.service),
-            doubt=self._doubt(now, packet, scope),
+            doubt=self._doubt(now, scope),
             is_doubt_brief=not self._ctx.knows_all_members(now),
             request=req,
             packets=[segment],
@@ -160,6 +172,7 @@
             via=src if not asker else NO_NODE,
             delegates=delegates,
             asker=asker,
+            is_route_searched=not asker,
             scope=scope,
         )
         self._lookups.add(flow_id, lookup)
@@ -267,6 +280,32 @@
             lookup.is_doubt_brief = view != NO_VIEW
         return self._reset_if_absent(now, flow_id, lookup)
 
+    def handle_scope(
+        self, now: Seconds, src: NodeId, told: ScopeTold
+    ) -> list[RelayEffect]:
+        """Handle the scope of a flow that no agent asked so far holds.
+
+        The flow is reset if all that the scope names was searched, and
+        looked up again otherwise.
+        """
+        flow_id, scope = told.flow, told.scope
+        self._sources.record_reply(src)
+        self._ctx.record_confirmed_scope(flow_id, scope)
+        lookup = self._lookups.get(flow_id)
+        if lookup is None or not lookup.scope_asked:
+            return []
+        self._lookups.remove(flow_id)
+        if self._has_searched(lookup, scope):
+            self._retries.remove(flow_id)
+            return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
+        req = lookup.request
+        effects = self.start(now, lookup.packets[0], req.packet, req.src)
+        again = self._lookups.get(flow_id)
+        if again is not None:
+            again.packets = lookup.packets
+            again.acked_seq = lookup.acked_seq
+        return effects
+
     def handle_bounced(
         self, now: Seconds, segment: Segment, was_local: bool
     ) -> list[RelayEffect]:
@@ -342,31 +381,51 @@
         In doubt, the flow is looked up anew by a packet that comes after
         ``REPLY_TIMEOUT_S``.
         """
-        if not lookup.is_complete:
-            return []
+        effects: list[RelayEffect] = []
+        if lookup.asker and not lookup.doubt:
+            if not lookup.is_own_service_complete:
+                return []
+            denial = self._deny(now, lookup.asker, flow_id, lookup.scope)
+            effects.append(denial)
+            lookup.asker = NO_NODE
+            if not lookup.is_route_searched:
+                self._lookups.remove(flow_id)
+                self._retries.remove(flow_id)
+                return effects
+        if not lookup.is_complete or lookup.scope_asked:
+            return effects
         if lookup.doubt:
             if lookup.is_doubt_brief:
                 self._retries.add(now, lookup.request)
             text = f"flows: no holder found, not reset: {lookup.doubt}"
             return [self._ctx.event(flow_id, text)]
-        self._lookups.remove(flow_id)
-        self._retries.remove(flow_id)
-        if lookup.asker:
-            return [self._deny(now, lookup.asker, flow_id, lookup.scope)]
-        return self._ctx.reset(flow_id, lookup.acked_seq, Reason.NO_FLOW)
+        return [*effects, *self._ask_scope(now, flow_id, lookup)]
+
+    def _ask_scope(
+        self, now: Seconds, flow_id: FlowId, lookup: Lookup
+    ) -> list[RelayEffect]:
+        """Ask a balancer whether more is to be searched for a flow."""
+        balancer = self._sources.choose(now, lookup.request.src)
+        lookup.scope_asked = balancer
+        lookup.scope_asked_at = now
+        if not balancer:
+            self._retries.add(now, lookup.request)
+            text = "flows: no holder found, not reset: no balancer is known"
+            return [self._ctx.event(flow_id, text)]
+        return [Send(balancer, ScopeAsked(flow_id))]
+
+    def _has_searched(self, lookup: Lookup, scope: FlowScope) -> bool:
+        """Return whether a lookup has searched all that a scope names."""
+        searched = {s.service for s in lookup.scope.services if s.owner}
+        searched.add(self._ctx.service)
+        named = {s.service for s in scope.services}
+        return named <= searched and scope.idle_s <= lookup.scope.idle_s
 
-    def _doubt(
-        self, now: Seconds, packet: ForwardedPacket, scope: FlowScope
-    ) -> str:
+    def _doubt(self, now: Seconds, scope: FlowScope) -> str:
         """Return why an agent that is not queried may hold a flow."""
         if not self._ctx.knows_all_members(now):
             return "members not known yet"
-        if not scope.is_known:
-            return "no balancer has told the services of its route"
-        service = self._ctx.service
-        if packet.service != service and not scope.services:
-            return f"it is routed to {packet.service}"
-        if not all(other.owner for other in scope.others(service)):
+        if not all(other.owner for other in scope.others(self._ctx.service)):
             return "no agent of another service of its route is known"
         lost = self._ctx.lost_agents(now, scope)
         if lost:
--- a/packages/core/src/medlar_core/relay/known_balancer.py
+++ b/packages/core/src/medlar_core/relay/known_balancer.py
@@ -16,13 +16,14 @@
     ``heard_at`` is when its last hello message was received, or when it
     became known; ``config_confirmed_at`` when the store last confirmed its
     configuration to it, as far as this process uses that; ``period_s`` is
-    the time between two of its messages.
+    the time between two of its messages, ``version`` of its configuration.
     """
 
     heard_at: float
     place: PlaceName | None = None
     config_confirmed_at: float = NEVER
     period_s: float = 0.0
+    version: int = 0
 
     def is_expired(self, now: Seconds) -> bool:
         """Return whether the balancer is to be removed."""
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup_table.py
@@ -19,6 +19,8 @@
 REPLY_TIMEOUT_S = 0.3
 """If replies are still missing after this, the next packet of the flow
 starts the lookup again."""
+SCOPE_TIMEOUT_S = 0.3
+"""Another balancer is asked for the scope of a flow after this."""
 LOOKUP_TTL_S = 1.0
 MAX_QUEUED_PACKETS = 24
 """Packets of one flow queued for the replies: more than a caller has in
@@ -50,9 +52,15 @@
     """Agents of other services, each asked for a lookup in its service."""
     is_doubt_brief: bool = False
     """Whether the reason for the doubt is expected to pass soon."""
+    is_route_searched: bool = True
+    """Whether the other services of the route are searched as well."""
     asker: NodeId = NodeId("")
     """The agent that delegated this lookup, empty for none. It is told the
     result and decides on a reset."""
+    scope_asked: NodeId = NodeId("")
+    """The balancer that was asked for the scope, as no agent holds the flow;
+    empty before that."""
+    scope_asked_at: float = 0.0
 
     def packets_for(self, holder: NodeId, src: NodeId) -> list[Segment]:
         """Return the queued packets that the holder does not have yet.
@@ -67,14 +75,26 @@
         """Whether all replies, including the local server's, are there."""
         return not self.awaiting and not self.local_pending
 
+    @property
+    def is_own_service_complete(self) -> bool:
+        """Whether all replies of this agent's own service are there."""
+        return self.awaiting <= self.delegates and not self.local_pending
+
+    @property
+    def missing(self) -> list[NodeId]:
+        """The processes whose replies are missing."""
+        if self.scope_asked:
+            return [self.scope_asked]
+        return sorted(self.awaiting)
+
 
 class IncompleteLookup(msgspec.Struct, frozen=True):
     """An expired lookup and the replies that it lacked."""
 
     flow_id: FlowId
     request: LookupRequest
-    awaiting: tuple[NodeId, ...]
-    local_pending: bool
+    missing: tuple[NodeId, ...]
+    """The processes that did not reply; empty if it was the local server."""
 
 
 class LookupTable:
@@ -122,9 +142,17 @@
             IncompleteLookup(
                 flow_id,
                 lookup.request,
-                tuple(sorted(lookup.awaiting)),
-                lookup.local_pending,
+                tuple(lookup.missing),
             )
             for flow_id, lookup in late.items()
-            if not lookup.is_complete
+            if not lookup.is_complete or lookup.scope_asked
+        ]
+
+    def without_scope(self, now: Seconds) -> list[tuple[FlowId, Lookup]]:
+        """Return those whose balancer has not told the scope in time."""
+        return [
+            (flow_id, lookup)
+            for flow_id, lookup in self._lookups.items()
+            if lookup.scope_asked
+            and now - lookup.scope_asked_at > SCOPE_TIMEOUT_S
         ]
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -8,6 +8,7 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import ServiceName
+from .scope import FlowScope
 from .segment import FlowId
 
 FINAL_COUNT = 2**62
@@ -198,6 +199,26 @@
     view: int = 0
 
 
+class ScopeAsked(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """An agent that found no holder of a flow asks where it may be held.
+
+    The balancer replies once it has read what the store holds since.
+    """
+
+    flow: FlowId
+
+
+class ScopeTold(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """Reply: all that has to be searched before the flow may be reset.
+
+    ``scope`` names every service, the only one included. It is confirmed by
+    the store since the balancer was asked.
+    """
+
+    flow: FlowId
+    scope: FlowScope
+
+
 class EntryMissing(msgspec.Struct, frozen=True, array_like=True, tag="m"):
     """The store has no entry of the receiver, which is to write it again."""
 
@@ -223,6 +244,8 @@
     | FlowPacketAsked
     | FlowHeld
     | FlowUnknown
+    | ScopeAsked
+    | ScopeTold
     | EntryMissing
     | OtherService
 )
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -53,6 +53,8 @@
         self._owners = owners
         self._event_factory = event_factory
         self.hints = Hints()
+        self._started_at: Seconds | None = None
+        """When the first scope was told."""
 
     def handle_packet(
         self, now: Seconds, segment: Segment, config_confirmed_at: float
@@ -110,29 +112,54 @@
             return current
         return (*current, *(s for s in recorded if s not in current))
 
+    def full_scope(self, now: Seconds, flow_id: FlowId) -> FlowScope | None:
+        """Return what has to be searched for a flow, with each service.
+
+        None if there is no route to its address.
+        """
+        services = self._services(flow_id)
+        if not services:
+            return None
+        return self._scope_of_all(now, flow_id, services)
+
     def _scope(
         self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
     ) -> FlowScope:
-        """Return what has to be searched for a flow of these services.
+        """Return what is told with a packet, which names its service."""
+        if len(services) == 1:
+            return FlowScope(self._routes.version, self._idle_s)
+        return self._scope_of_all(now, flow_id, services)
+
+    @property
+    def _idle_s(self) -> float:
+        return max(self._routes.idle_s, self._scopes.known.idle_s)
+
+    def _scope_of_all(
+        self, now: Seconds, flow_id: FlowId, services: tuple[ServiceName, ...]
+    ) -> FlowScope:
+        """Return a scope that names each service.
 
-        A further service without agents holds none, unless it has lost
-        ones.
+        One that the route no longer names and that has no agents holds no
+        flows, unless it has lost ones, or this balancer may not have heard
+        of them yet.
         """
-        routes = self._routes
-        idle_s = max(routes.idle_s, self._scopes.known.idle_s)
-        if len(services) == 1:
-            return FlowScope(routes.version, idle_s)
+        idle_s = self._idle_s
+        if self._started_at is None:
+            self._started_at = now
+        is_new = now - self._started_at <= idle_s
         found: list[ServiceOwner] = []
         for service in services:
             owners = self._owners.by_service.get(service)
             if owners is not None and owners.ids:
                 owner = owners.ranked(flow_id.key)[0]
                 found.append(ServiceOwner(service, owner))
-            elif service == services[0] or self._members.lost_agents(
-                now, service, idle_s
+            elif (
+                is_new
+                or service == services[0]
+                or self._members.lost_agents(now, service, idle_s)
             ):
                 found.append(ServiceOwner(service, NO_OWNER))
-        return FlowScope(routes.version, idle_s, tuple(found))
+        return FlowScope(self._routes.version, idle_s, tuple(found))
 
     def _hinted_holder(
         self,
--- a/packages/core/src/medlar_core/relay/scope.py
+++ b/packages/core/src/medlar_core/relay/scope.py
@@ -35,11 +35,6 @@
     idle_s: float
     services: tuple[ServiceOwner, ...] = ()
 
-    @property
-    def is_known(self) -> bool:
-        """Whether a balancer has told it."""
-        return self.version > 0
-
     def others(self, service: ServiceName) -> tuple[ServiceOwner, ...]:
         """Return the services other than one."""
         return tuple(s for s in self.services if s.service != service)
@@ -52,7 +47,8 @@
 class KnownScopes:
     """The newest scope that an agent was told, by the address of its flows.
 
-    For packets that come back from the local server, which carry none.
+    For packets that come back from the local server, which carry none, and
+    for those of a balancer that lags behind.
     """
 
     def __init__(self) -> None:
@@ -66,6 +62,10 @@
         if len(self._by_address) > MAX_ADDRESSES:
             del self._by_address[next(iter(self._by_address))]
 
+    def replace(self, address: Endpoint, scope: FlowScope) -> None:
+        """Record a scope that the store has confirmed just now."""
+        self._by_address[address] = scope
+
     def get(self, address: Endpoint) -> FlowScope:
         """Return the newest scope of the flows to an address."""
         return self._by_address.get(address, UNKNOWN_SCOPE)
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -28,6 +28,7 @@
 from medlar_core.relay.forwarded import ForwardReason
 from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.messages import Hello
+from medlar_core.relay.messages import ScopeTold
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.routes import Route
 from medlar_core.relay.routes import RouteTable
@@ -389,7 +390,8 @@
 
     ``sent`` and ``received`` count messages, ``sent_bytes`` and
     ``received_bytes`` their size, ``named_reports`` the reports in hello
-    messages received, ``store_calls`` calls to the store.
+    messages received, ``scopes_told`` the scopes received, ``store_calls``
+    calls to the store.
     """
 
     def __init__(self, reducer: Reducer) -> None:
@@ -399,12 +401,14 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.named_reports = 0
+        self.scopes_told = 0
         self.store_calls = 0
 
     def reduce(self, now: Seconds, event: Any) -> list[Any]:
         if isinstance(event, Received):
             self.received += 1
             self.received_bytes += len(encode_message(event.msg))
+            self.scopes_told += isinstance(event.msg, ScopeTold)
             if isinstance(event.msg, Hello):
                 self.named_reports += len(event.msg.agents)
         effects = self.reducer.reduce(now, event)
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -195,16 +195,17 @@
     fleet = two_services()
     (flow_id, *_) = fleet.flows_at(node("agent", 2))
     fleet.kill(node("agent", 2))
-    agent = fleet.start_agent(node("agent", 2))
+    fleet.start_agent(node("agent", 2))
     fleet.run(1.0)
+    before = fleet.answer_count(flow_id)
     answer = Segment(b"", Flag.ACK, *flow_id[::-1], 50, 500, 501)
     bounced = Segment(b"", Flag.ACK | Flag.BOUNCED, *flow_id, 50, 500, 501)
     for segment in (answer, bounced):
         event = ServerPacketReceived(FakeCodec().decode(encode(segment)))
         fleet.world.dispatch(node("agent", 2), event)
     fleet.run(1.0)
-    assert agent.gauges(fleet.world.clock.now)["flows_known"] == 0
     assert fleet.reset_count([flow_id]) == 0
+    assert fleet.answer_count(flow_id) == before + 2
 
 
 def move_route_with_open_flows(fleet, version=2, count=20):
--- /dev/null
+++ b/testing/core/relay/test_scope_proof.py
@@ -0,0 +1,195 @@
+"""What has to be known before a flow is reset, where a process lags behind."""
+
+import pytest
+
+from medlar_core.events import Received
+from medlar_core.relay.messages import FlowHeld
+from medlar_core.relay.messages import ScopeAsked
+
+from .kit import CountingReducer
+from .kit import DESK
+from .kit import Fleet
+from .kit import flow
+from .kit import FLOW_IDLE_S
+from .kit import node
+from .kit import OFFICE
+from .kit import one_route
+from .kit import WithoutHellos
+
+LAGGING = 4
+"""A balancer that does not watch the store."""
+STORE_LOST_S = 5.0
+"""The balancers take the store for lost after this."""
+
+
+def two_services():
+    """Return a fleet with agents of a second service, and five balancers."""
+    fleet = Fleet(balancers=5)
+    fleet.add_agents(range(10, 14), OFFICE)
+    fleet.run(3.0)
+    return fleet
+
+
+def version(fleet, number):
+    return fleet.balancers[node("balancer", number)].routes.version
+
+
+def configure_quickly(fleet):
+    """Put two versions in force so that one balancer lags behind."""
+    fleet.configure(one_route(2, {DESK: 1}))
+    fleet.run(0.1)
+    fleet.configure(one_route(3, {OFFICE: 1}))
+    while version(fleet, 0) < 3:
+        fleet.run(0.01)
+
+
+def open_at_office(fleet, count=20):
+    opened = [fleet.open(number, by=0) for number in range(count)]
+    assert {fleet.services[fleet.holder(f)] for f in opened} == {OFFICE}
+    return opened
+
+
+def assert_answered(fleet, opened, by, wait_s=1.0):
+    before = sum(map(fleet.answer_count, opened))
+    for flow_id in opened:
+        fleet.data(flow_id, by, seq=700)
+    fleet.run(wait_s)
+    assert fleet.reset_count(opened) == 0
+    assert sum(map(fleet.answer_count, opened)) == before + len(opened)
+
+
+def test_flows_of_a_newer_version_are_found_through_a_balancer_that_lags():
+    """Guards against resets by a balancer that lacks the newest version."""
+    fleet = two_services()
+    configure_quickly(fleet)
+    opened = open_at_office(fleet, 3)
+    assert version(fleet, LAGGING) < 3
+    assert_answered(fleet, opened, LAGGING, wait_s=0.2)
+
+
+def test_flows_are_found_through_a_balancer_that_hears_nobody():
+    fleet = two_services()
+    address = node("balancer", LAGGING)
+    fleet.world.nodes[address] = WithoutHellos(fleet.balancers[address])
+    fleet.route_to(2, {OFFICE: 1})
+    assert version(fleet, LAGGING) == 1
+    opened = open_at_office(fleet)
+    assert_answered(fleet, opened, LAGGING)
+
+
+def test_flows_are_found_through_a_lagging_balancer_without_the_store():
+    fleet = two_services()
+    address = node("balancer", LAGGING)
+    fleet.world.without_store.add(address)
+    fleet.world.nodes[address] = WithoutHellos(fleet.balancers[address])
+    fleet.route_to(2, {OFFICE: 1})
+    opened = open_at_office(fleet)
+    assert_answered(fleet, opened, LAGGING, wait_s=2.0)
+
+
+def test_flows_are_found_after_a_balancer_was_frozen_during_a_change():
+    fleet = two_services()
+    address = node("balancer", 0)
+    fleet.world.paused.add(address)
+    fleet.route_to(2, {OFFICE: 1})
+    opened = [fleet.open(number, by=1) for number in range(20)]
+    fleet.world.paused.discard(address)
+    assert version(fleet, 0) == 1
+    assert_answered(fleet, opened, by=0)
+
+
+def test_flows_are_found_when_agents_and_balancers_restart_after_a_change():
+    fleet = two_services()
+    configure_quickly(fleet)
+    opened = open_at_office(fleet)
+    for address in [*fleet.agents, *fleet.balancers]:
+        fleet.kill(address)
+    for address, service in list(fleet.services.items()):
+        fleet.start_agent(address, service)
+    for address in list(fleet.balancers):
+        fleet.start_balancer(address)
+    fleet.run(1.0)
+    assert_answered(fleet, opened, LAGGING)
+
+
+def test_an_unknown_flow_is_reset_soon():
+    fleet = two_services()
+    unknown = [flow(number) for number in range(100, 120)]
+    for flow_id in unknown:
+        fleet.data(flow_id, by=LAGGING)
+    fleet.run(0.1)
+    assert fleet.reset_count(unknown) == len(unknown)
+
+
+def test_an_unknown_flow_is_reset_though_its_balancer_lacks_the_store():
+    fleet = two_services()
+    fleet.world.without_store.add(node("balancer", 0))
+    fleet.data(flow(100), by=0)
+    fleet.run(1.0)
+    assert fleet.reset_count([flow(100)]) == 1
+
+
+def test_an_unknown_flow_is_reset_though_the_store_is_down():
+    fleet = two_services()
+    fleet.world.store.down = True
+    fleet.run(STORE_LOST_S)
+    fleet.data(flow(100), by=0)
+    fleet.run(0.5)
+    assert fleet.reset_count([flow(100)]) == 1
+
+
+def test_a_balancer_cut_off_from_all_resets_nothing_while_the_store_is_down():
+    fleet = two_services()
+    fleet.world.store.down = True
+    address = node("balancer", LAGGING)
+    fleet.world.nodes[address] = WithoutHellos(fleet.balancers[address])
+    fleet.run(STORE_LOST_S)
+    fleet.world.dispatch(
+        address, Received(node("agent", 0), ScopeAsked(flow(100)))
+    )
+    told = CountingReducer(fleet.agents[node("agent", 0)])
+    fleet.world.nodes[node("agent", 0)] = told
+    fleet.run(1.0)
+    assert told.scopes_told == 0
+
+
+def test_a_scope_is_told_only_after_the_store_was_read_since():
+    fleet = two_services()
+    told = CountingReducer(fleet.agents[node("agent", 0)])
+    fleet.world.nodes[node("agent", 0)] = told
+    fleet.world.store.slow_s = 0.3
+    asked = Received(node("agent", 0), ScopeAsked(flow(100)))
+    fleet.world.dispatch(node("balancer", 0), asked)
+    fleet.run(0.25)
+    assert told.scopes_told == 0
+    fleet.run(0.2)
+    assert told.scopes_told == 1
+
+
+def test_idle_processes_ask_for_no_scope_and_read_no_record():
+    fleet = two_services()
+    fleet.run(FLOW_IDLE_S)
+    counters = {}
+    for address, reducer in list(fleet.world.nodes.items()):
+        counters[address] = CountingReducer(reducer)
+        fleet.world.nodes[address] = counters[address]
+    fleet.run(FLOW_IDLE_S)
+    assert sum(counter.scopes_told for counter in counters.values()) == 0
+
+
+@pytest.mark.parametrize("hinted", [False, True])
+def test_two_agents_that_ask_each_other_for_a_flow_do_not_wait(hinted):
+    fleet = two_services()
+    fleet.route_to(2, {DESK: 1, OFFICE: 1})
+    unknown = [flow(number) for number in range(100, 110)]
+    for flow_id in unknown:
+        if hinted:
+            for by, agent in ((0, 0), (1, 10)):
+                held = FlowHeld(flow_id, node("agent", agent))
+                fleet.world.dispatch(
+                    node("balancer", by), Received(held.holder, held)
+                )
+        fleet.data(flow_id, by=0)
+        fleet.data(flow_id, by=1)
+    fleet.run(0.1)
+    assert all(fleet.reset_count([flow_id]) >= 1 for flow_id in unknown)
