Guard against a new balancer that learns moved routes in parts

Cause: it learned the earlier services of 8 routes with each hello message, took the first message for all, and forwarded packets of the others without naming their earlier service.

--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -22,6 +22,7 @@
 from .kit import OFFICE
 from .kit import one_route
 from .kit import RECORD
+from .kit import table
 from .kit import UnresponsiveServer
 
 
@@ -324,3 +325,46 @@
     fleet.run(2.0)
     assert DESK in fleet.world.store.items[RECORD].value
     assert OFFICE in fleet.world.store.items[RECORD].value
+
+
+def test_flows_of_many_moved_routes_are_kept_by_a_balancer_just_started():
+    """Guards against resets by a balancer that learns the moves in parts."""
+    fleet = two_services()
+    count = 60
+    fleet.configure(table(2, *[DESK] * count))
+    fleet.run(1.0)
+    opened = [flow(number, 8000 + number) for number in range(count)]
+    for flow_id in opened:
+        fleet.syn(flow_id)
+        fleet.run(0.01)
+        fleet.data(flow_id)
+    fleet.configure(table(3, *[OFFICE] * count))
+    fleet.run(3.0)
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(0.5)
+    assert fleet.balancers[node("balancer", 9)].is_ready
+    assert_answered(fleet, opened, by=9)
+
+
+def test_a_balancer_started_without_the_store_keeps_flows_of_moved_routes():
+    fleet = two_services()
+    opened = move_route_with_open_flows(fleet)
+    newcomer = node("balancer", 9)
+    fleet.world.without_store.add(newcomer)
+    fleet.start_balancer(newcomer, seeds=(node("balancer", 0),))
+    fleet.run(2.0)
+    assert_answered(fleet, opened, by=9)
+
+
+def test_flows_are_kept_while_a_route_moves_and_a_balancer_restarts_by_turns():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(10)]
+    for version in range(2, 10):
+        services = {OFFICE: 1} if version % 2 else {DESK: 1, OFFICE: 1}
+        fleet.route_to(version, services, LONG_IDLE_S)
+        restarted = node("balancer", version % 3)
+        fleet.stop(restarted)
+        fleet.start_balancer(restarted)
+        fleet.run(0.3)
+        opened.append(fleet.open(10 * version, by=version % 3))
+        assert_answered(fleet, opened, by=(version + 1) % 3)
