Split what answers lookups, and checks of a service, from large files

FlowLookup asks, LookupReplies answers; ServiceCheck holds announcements back. One change of behaviour: a lookup for an agent of another service uses the scope of its packet. That agent decides by this one, and a newer version that is known here may have a shorter idle timeout.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -51,6 +51,7 @@
 from .report_sender import ReportSender
 from .segment import Segment
 from .segment import SegmentCodec
+from .service_check import ServiceCheck
 
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
@@ -125,8 +126,7 @@
         self._expire_at = 0.0
         self._probe_at = 0.0
         self._member_query = MemberQuery()
-        self._unchecked: ServerAnnounced | None = None
-        """The last announcement that names another service."""
+        self._service_check = ServiceCheck(self.local_server, self.members)
         self._pause_detector = PauseDetector()
 
     @property
@@ -273,43 +273,16 @@
     def _handle_announcement(
         self, now: Seconds, event: ServerAnnounced
     ) -> list[RelayEffect]:
-        if self.local_server.is_of_other_service(now, event):
-            return self._check_service(now, event)
-        return self._apply_announcement(now, event)
-
-    def _check_service(
-        self, now: Seconds, event: ServerAnnounced
-    ) -> list[RelayEffect]:
-        """Ask a balancer whether the service of an announcement exists.
-
-        Until it names an agent of that service, the known server is taken
-        to live and to hold its flows.
-        """
-        self._unchecked = event
-        text = f"members: announcement of {event.server} held back"
-        effects: list[RelayEffect] = [
-            self._event_factory.state_event(
-                Topic.MEMBERSHIP,
-                text,
-                event.service,
-                self._identity.node,
-                reason="other service",
-            )
-        ]
-        balancers = list(self.members.balancers)
-        if balancers:
-            balancer = balancers[event.sequence % len(balancers)]
-            effects.append(Send(balancer, MembersAsked(event.service)))
-        return effects
-
-    def _handle_members_of(
-        self, now: Seconds, service: ServiceName
-    ) -> list[RelayEffect]:
-        """Handle that a balancer knows agents of another service."""
-        event, self._unchecked = self._unchecked, None
-        if event is None or event.service != service:
-            return []
-        return self._apply_announcement(now, event)
+        if not self._service_check.holds_back(now, event):
+            return self._apply_announcement(now, event)
+        held_back = self._event_factory.state_event(
+            Topic.MEMBERSHIP,
+            f"members: announcement of {event.server} held back",
+            event.service,
+            self._identity.node,
+            reason="other service",
+        )
+        return [held_back, *self._service_check.query()]
 
     def _apply_announcement(
         self, now: Seconds, event: ServerAnnounced
@@ -409,7 +382,7 @@
             case Goodbye(id=node):
                 self.members.balancers.pop(node, None)
             case FlowAsked():
-                return self._flows.lookup.handle_query(now, msg, src)
+                return self._flows.lookup.replies.handle_query(now, msg, src)
             case FlowPacketAsked(flow=flow):
                 return self._flows.lookup.handle_packet_asked(now, flow, src)
             case FlowHeld(flow=flow, holder=holder):
@@ -429,9 +402,9 @@
         service = self._ctx.service
         is_of_service = not msg.agents or msg.agents[0].service == service
         if not is_of_service:
-            effects = self._handle_members_of(now, msg.agents[0].service)
-            if effects:
-                return effects
+            checked = self._service_check.pop_checked(msg.agents[0].service)
+            if checked is not None:
+                return self._apply_announcement(now, checked)
         self.members.apply_hello(now, msg)
         self.local_server.apply_idle(msg.version, msg.idle_s)
         self._event_factory.version = max(
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -64,7 +64,7 @@
                 effects.append(Send(event.src, held))
             return effects
         if packet.reason == ForwardReason.LOOKUP:
-            return self.lookup.handle_query_packet(now, event)
+            return self.lookup.replies.handle_query_packet(now, event)
         if packet.reason == ForwardReason.DELEGATED:
             return self._handle_delegated(now, event)
         if flow is None:
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -1,7 +1,5 @@
 """Lookup of the holder of flows that are not in an agent's table."""
 
-import msgspec
-
 from ..effects import Send
 from ..ids import NodeId
 from ..ids import Seconds
@@ -10,11 +8,12 @@
 from ..verdict import Reason
 from .effects import ForwardToAgent
 from .effects import RelayEffect
-from .events import PacketForwarded
 from .flow_context import FlowContext
 from .flow_table import Flow
 from .forwarded import ForwardedPacket
 from .forwarded import ForwardReason
+from .lookup_replies import LookupReplies
+from .lookup_replies import NO_VIEW
 from .lookup_retries import LookupRequest
 from .lookup_retries import LookupRetries
 from .lookup_table import Lookup
@@ -23,8 +22,6 @@
 from .member import Member
 from .messages import FlowAsked
 from .messages import FlowHeld
-from .messages import FlowPacketAsked
-from .messages import FlowUnknown
 from .messages import ScopeAsked
 from .messages import ScopeTold
 from .scope import FlowScope
@@ -33,37 +30,25 @@
 from .segment import FlowId
 from .segment import Segment
 
-PENDING_QUERY_TTL_S = 1.0
-"""A server bounces a packet of an unknown flow well within this time."""
 QUERY_PACKETS_PER_S = 400.0
 """Rate of packets sent to agents that have to try them at their servers.
 Without a limit, each flow would query its whole service after all tables
 are lost."""
 QUERY_PACKETS_BURST = 400.0
 NO_NODE = NodeId("")
-NO_VIEW = 0
-"""Told by an agent that may lack a holder of the flow for longer."""
 
 _RST = int(Flag.RST)
 
 
-class _PendingQuery(msgspec.Struct, frozen=True):
-    """Query of another agent that the local server has yet to decide."""
-
-    node: NodeId
-    received_at: float
-    scope: FlowScope
-
-
 class FlowLookup:
-    """Queries other agents about flows, and answers their queries."""
+    """Queries other agents about flows that are not in the table."""
 
     def __init__(self, ctx: FlowContext) -> None:
         self._ctx = ctx
         self._lookups = LookupTable()
         self._retries = LookupRetries()
         self._sources = ScopeSources(ctx.members)
-        self._pending_queries: dict[FlowId, _PendingQuery] = {}
+        self.replies = LookupReplies(ctx)
         self._query_budget = TokenBucket(
             QUERY_PACKETS_PER_S, QUERY_PACKETS_BURST
         )
@@ -73,11 +58,7 @@
 
         Returns an event with the missing replies for each such lookup.
         """
-        self._pending_queries = {
-            flow_id: query
-            for flow_id, query in self._pending_queries.items()
-            if now - query.received_at <= PENDING_QUERY_TTL_S
-        }
+        self.replies.expire(now)
         effects: list[RelayEffect] = []
         for late in self._lookups.expire(now):
             self._retries.add(now, late.request)
@@ -150,7 +131,9 @@
             self._retries.add(now, req)
             text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
-        scope = self._ctx.scopes.get(flow_id.address)
+        # The agent of another service that asks decides by its own scope.
+        known = self._ctx.scopes.get(flow_id.address)
+        scope = packet.scope if asker else known
         try_local = not local_denied and not self._ctx.knows_all_flows(
             now, scope
         )
@@ -186,39 +169,6 @@
         effects.append(self._ctx.event(flow_id, text))
         return effects + self._reset_if_absent(now, flow_id, lookup)
 
-    def handle_query_packet(
-        self, now: Seconds, event: PacketForwarded
-    ) -> list[RelayEffect]:
-        """Answer whether the local server holds the flow of a packet.
-
-        This agent's cached holder of the flow is not used as an answer:
-        the sender queries the other agents as well.
-        """
-        flow_id = event.segment.inward
-        scope = event.packet.scope
-        if self._ctx.knows_all_flows(now, scope):
-            return [self._deny(now, event.src, flow_id, scope)]
-        query = _PendingQuery(event.src, now, scope)
-        self._pending_queries[flow_id] = query
-        return [self._ctx.deliver_untracked(event.segment)]
-
-    def handle_query(
-        self, now: Seconds, query: FlowAsked, src: NodeId
-    ) -> list[RelayEffect]:
-        """Answer from the table whether the local server holds a flow.
-
-        An agent whose table does not tell asks for a packet: it has lost
-        the table, or has dropped flows sooner than the asker allows.
-        """
-        flow_id = query.flow
-        flow = self._ctx.table.get(flow_id)
-        if flow is not None and flow.holder == self._ctx.node:
-            return [Send(src, FlowHeld(flow_id, self._ctx.node))]
-        scope = FlowScope(0, query.idle_s)
-        if self._ctx.knows_all_flows(now, scope):
-            return [self._deny(now, src, flow_id, scope)]
-        return [Send(src, FlowPacketAsked(flow_id))]
-
     def handle_packet_asked(
         self, now: Seconds, flow_id: FlowId, src: NodeId
     ) -> list[RelayEffect]:
@@ -316,9 +266,9 @@
         route is not known here: its next packet starts a lookup.
         """
         flow_id = segment.inward
-        query = self._pending_queries.pop(flow_id, None)
-        if query is not None:
-            return [self._deny(now, query.node, flow_id, query.scope)]
+        denial = self.replies.handle_bounced(now, flow_id)
+        if denial is not None:
+            return [denial]
         lookup = self._lookups.get(flow_id)
         if lookup is not None:
             lookup.local_pending = False
@@ -338,10 +288,7 @@
     ) -> list[RelayEffect]:
         """Handle a flow that a packet of the local server has revealed."""
         ctx = self._ctx
-        effects: list[RelayEffect] = []
-        query = self._pending_queries.pop(flow_id, None)
-        if query is not None:
-            effects.append(Send(query.node, FlowHeld(flow_id, ctx.node)))
+        effects: list[RelayEffect] = list(self.replies.handle_found(flow_id))
         lookup = self._lookups.remove(flow_id)
         if lookup is not None:
             for packet in lookup.packets_for(ctx.node, ctx.node):
@@ -351,19 +298,6 @@
         effects.append(ctx.event(flow_id, text))
         return effects
 
-    def _deny(
-        self, now: Seconds, asker: NodeId, flow_id: FlowId, scope: FlowScope
-    ) -> Send:
-        """Reply that the local server does not hold a flow.
-
-        While an agent is lost, the reply tells no view, so that it proves
-        nothing to an asker that does not know of that agent.
-        """
-        view = NO_VIEW
-        if not self._ctx.lost_agents(now, scope):
-            view = self._ctx.members.view(self._ctx.service)
-        return Send(asker, FlowUnknown(flow_id, view))
-
     def _query(
         self, member: Member, segment: Segment, scope: FlowScope
     ) -> RelayEffect:
@@ -385,8 +319,9 @@
         if lookup.asker and not lookup.doubt:
             if not lookup.is_own_service_complete:
                 return []
-            denial = self._deny(now, lookup.asker, flow_id, lookup.scope)
-            effects.append(denial)
+            effects.append(
+                self.replies.deny(now, lookup.asker, flow_id, lookup.scope)
+            )
             lookup.asker = NO_NODE
             if not lookup.is_route_searched:
                 self._lookups.remove(flow_id)
