Move an agent's own state and reports out of its reducer

No behaviour changes, but that calls to the store that are due may be issued with any report of a change. testing/core/relay and testing/node pass but for the two known red.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -12,9 +12,7 @@
 from ..events import StoreAnswered
 from ..events import Tick
 from ..ids import NodeId
-from ..ids import PlaceName
 from ..ids import Seconds
-from ..ids import ServiceName
 from ..packets import Flag
 from ..store import Item
 from ..storeaccess.access import StoreAccess
@@ -33,7 +31,6 @@
 from .member_query import MemberQuery
 from .members import Members
 from .messages import AgentReport
-from .messages import AgentState
 from .messages import EntryMissing
 from .messages import FlowAsked
 from .messages import FlowHeld
@@ -46,9 +43,10 @@
 from .messages import OtherService
 from .messages import ReportAsked
 from .messages import ScopeTold
+from .own_state import AgentIdentity
+from .own_state import OwnState
 from .pause_detector import PauseDetector
 from .registration import Registration
-from .report_sender import ReportSender
 from .segment import Segment
 from .segment import SegmentCodec
 from .service_check import ServiceCheck
@@ -61,32 +59,6 @@
 _BOUNCED = int(Flag.BOUNCED)
 
 
-class AgentIdentity(msgspec.Struct, frozen=True):
-    """Identity and start values of an agent.
-
-    ``heartbeat_s`` is the interval of its server's announcements,
-    ``started_at`` when the process started, infinite if unknown.
-    """
-
-    node: NodeId
-    place: PlaceName
-    service: ServiceName
-    incarnation: int
-    heartbeat_s: float
-    seeds: tuple[NodeId, ...]
-    started_at: float = float("inf")
-
-
-class _ServerFacts(msgspec.Struct, frozen=True):
-    """What others have to know at once, beside the agent's state.
-
-    ``server`` is the service, name and start of the local server.
-    """
-
-    server: tuple[ServiceName, str, int]
-    knows_all_flows: bool
-
-
 class RelayAgent:
     """Handles the events of one agent and returns effects."""
 
@@ -99,7 +71,6 @@
         rng: random.Random,
     ) -> None:
         self._identity = identity
-        self._incarnation = identity.incarnation
         self._access = access
         self._registration = registration
         self.members = Members(identity.node)
@@ -116,13 +87,8 @@
             self._event_factory,
         )
         self._flows = AgentFlows(self._ctx, rng)
-        self._report_count = 0
-        self._reported_state = AgentState.STARTING
-        self._reported_server: _ServerFacts | None = None
-        self._stopping = False
-        self._reports = ReportSender(
-            identity.node, self.members, identity.seeds, self.report
-        )
+        self._own_state = OwnState(identity, self._ctx, registration)
+        self._reports = self._own_state.reports
         self._expire_at = 0.0
         self._probe_at = 0.0
         self._member_query = MemberQuery()
@@ -132,8 +98,7 @@
     @property
     def is_deregistering(self) -> bool:
         """Whether the server is gone and its entry is still in the store."""
-        gone = self._reported_state is AgentState.GONE
-        return gone and not self._registration.is_written
+        return self._own_state.is_deregistering
 
     @property
     def has_draining_flows(self) -> bool:
@@ -169,7 +134,7 @@
             case SeedsChanged(seeds=seeds):
                 self._reports.seeds = seeds
             case StopAsked():
-                self._stopping = True
+                self._own_state.is_stopping = True
                 return self._update_state(now)
         return []
 
@@ -185,34 +150,6 @@
             **self.members.gauges(now),
         }
 
-    def report(self, now: Seconds) -> AgentReport:
-        """Return a new report of this agent; each has a higher count."""
-        server = self.local_server.server
-        self._report_count += 1
-        return AgentReport(
-            id=self._identity.node,
-            place=self._identity.place,
-            service=self._ctx.service,
-            incarnation=self._incarnation,
-            count=self._report_count,
-            state=self._state(now),
-            slots=server.slots if server else 1,
-            busy=self._ctx.table.busy_count,
-            waiting=self._ctx.table.waiting_count(now),
-            flows=self._ctx.table.open_count,
-            cold=server is not None and server.cold_until > now,
-            knows_all_flows=self.local_server.knows_all_flows(now),
-            server=server.name if server else "",
-            server_born=server.born_ms if server else 0,
-        )
-
-    def _state(self, now: Seconds) -> AgentState:
-        """Return the current state of this agent."""
-        state = self.local_server.state(now)
-        if self._stopping and state is not AgentState.GONE:
-            return AgentState.RESTARTING
-        return state
-
     def _handle_store_answer(
         self, now: Seconds, event: StoreAnswered
     ) -> list[RelayEffect]:
@@ -237,10 +174,18 @@
                 )
             ]
         if entry.service == self._identity.service:
-            self._supersede(entry)
+            self._own_state.supersede(entry)
             self.local_server.restore_entry(now, entry)
         return self._update_state(now)
 
+    def report(self, now: Seconds) -> AgentReport:
+        """Return a new report of this agent; each has a higher count."""
+        return self._own_state.report(now)
+
+    def _update_state(self, now: Seconds) -> list[RelayEffect]:
+        """Report and register a change of the agent's state at once."""
+        return [*self._own_state.update(now), *self._store_calls(now)]
+
     # Local server
 
     def _handle_server_packet(
@@ -303,58 +248,6 @@
             return []
         return [*self._flows.handle_server_end(now), *self._update_state(now)]
 
-    def _update_state(self, now: Seconds) -> list[RelayEffect]:
-        """Report and register a change of the agent's state at once."""
-        if self._state(now) is self._reported_state:
-            return self._report_server(now)
-        report = self.report(now)
-        old, self._reported_state = self._reported_state, report.state
-        self._reported_server = self._server_facts(now)
-        if old is AgentState.GONE:
-            # Members ignore reports of an incarnation that they removed as
-            # gone, so the agent returns as a new one.
-            self._incarnation += 1
-            report = self.report(now)
-        event = self._event_factory.state_event(
-            Topic.DRAIN
-            if report.state in (AgentState.DRAINING, AgentState.GONE)
-            else Topic.MEMBERSHIP,
-            f"members: server is {report.state.value}, was {old.value}",
-            service=report.service,
-            server=f"{report.server} born {report.server_born}",
-        )
-        self._reports.make_due()
-        self._update_registration(report)
-        reports = self._reports.due(now, self._ctx.service)
-        return [event, *reports, *self._store_calls(now)]
-
-    def _report_server(self, now: Seconds) -> list[RelayEffect]:
-        """Report at once another server, or that all its flows are known.
-
-        A server of another service has to be known to its service. An
-        agent that knows all flows is queried without packets, which are
-        limited in rate.
-        """
-        facts, reported = self._server_facts(now), self._reported_server
-        if facts == reported:
-            return []
-        self._reported_server = facts
-        if reported is None or facts.server != reported.server:
-            self._update_registration(self.report(now))
-        self._reports.make_due()
-        return list(self._reports.due(now, self._ctx.service))
-
-    def _server_facts(self, now: Seconds) -> _ServerFacts:
-        server = self.local_server.server
-        return _ServerFacts(
-            (
-                self._ctx.service,
-                server.name if server else "",
-                server.born_ms if server else 0,
-            ),
-            self.local_server.knows_all_flows(now),
-        )
-
     # Peers and balancers
 
     def _handle_message(
@@ -412,7 +305,7 @@
         )
         for report in msg.agents:
             if report.id == self._identity.node:
-                self._supersede(report)
+                self._own_state.supersede(report)
         asker = msg.id if msg.wants_report else None
         effects = [
             *self._reports.reports_to_new_balancers(now, service, asker),
@@ -437,15 +330,6 @@
             return []
         return [Send(source, MembersAsked(self._ctx.service))]
 
-    def _supersede(self, report: AgentReport) -> None:
-        """Use a higher incarnation than an earlier process at this address.
-
-        Members ignore reports of a lower incarnation than the known one.
-        """
-        if report.incarnation > self._incarnation:
-            self._incarnation = report.incarnation + 1
-            self._reports.make_due()
-
     def _exclude_pause(self, now: Seconds, pause_s: float) -> None:
         """Handle that this process did not run for ``pause_s`` seconds.
 
@@ -478,15 +362,6 @@
         effects += self._store_calls(now)
         return effects
 
-    def _update_registration(self, report: AgentReport) -> None:
-        if report.state in (AgentState.GONE, AgentState.STARTING):
-            self._registration.set_entry("")
-            return
-        stored = msgspec.structs.replace(
-            report, busy=0, waiting=0, flows=0, cold=False
-        )
-        self._registration.set_entry(msgspec.json.encode(stored).decode())
-
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
         self._registration.issue_next_call(now)
         return list(self._access.due(now))
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -11,10 +11,10 @@
 import msgspec
 
 from medlar_core.relay.access import new_access
-from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
 from medlar_core.relay.events import ServerAnnounced
 from medlar_core.relay.events import ServerPacketReceived
+from medlar_core.relay.own_state import AgentIdentity
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.segment import SegmentCodec
 
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -17,7 +17,6 @@
 from medlar_core.ids import ServiceName
 from medlar_core.packets import Flag
 from medlar_core.relay.access import new_access
-from medlar_core.relay.agent import AgentIdentity
 from medlar_core.relay.agent import RelayAgent
 from medlar_core.relay.balancer import RelayBalancer
 from medlar_core.relay.events import CallerPacketReceived
@@ -29,6 +28,7 @@
 from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.messages import Hello
 from medlar_core.relay.messages import ScopeTold
+from medlar_core.relay.own_state import AgentIdentity
 from medlar_core.relay.registration import Registration
 from medlar_core.relay.routes import Route
 from medlar_core.relay.routes import RouteTable
