Soak: move routes and back, lower timeouts, kill all balancers

A second stream of faults moves a route to the other service and back, lowers the idle timeout and raises it, or kills all balancers at once. A tenth of the callers pause between two requests; a reset is excused if the flow was idle for longer than a timeout that was in force meanwhile. New flows of a moved route have to reach its new service within the bound of a configuration.

--- a/testing/users_platform/soak/caller.py
+++ b/testing/users_platform/soak/caller.py
@@ -25,6 +25,9 @@
 """Time between the requests of a long flow."""
 REQUESTS_PER_LONG_FLOW = 8
 LONG_FLOW_SHARE = 0.4
+PAUSE_S = 4.0
+PAUSING_SHARE = 0.1
+"""Share of flows whose callers pause once between two requests."""
 FLOWS_PER_S = 40.0
 ADDRESS = "198.18.0.1"
 ISN = 1_000
@@ -39,6 +42,9 @@
         self.seq = ISN
         self.server_isn: int | None = None
         self.ended = False
+        self.last_packet_at = time.monotonic()
+        self.idle_since = self.last_packet_at
+        """Time of its last packet before the request in progress."""
         self.response: tuple[int, str] | None = None
         self.updated = asyncio.Event()
 
@@ -52,7 +58,7 @@
         rng: random.Random,
         sock: socket.socket,
         router: Router,
-        must_stay_open: Callable[[FlowId], bool],
+        must_stay_open: Callable[[FlowId, float], bool],
     ) -> None:
         self.ports: list[int] = []
         """Ports of the address to which flows are opened."""
@@ -74,6 +80,8 @@
 
     async def open_flows(self) -> None:
         """Open flows until cancelled."""
+        every = round(1 / PAUSING_SHARE)
+        pauses = itertools.cycle([True] + [False] * (every - 1))
         async with asyncio.TaskGroup() as tasks:
             while True:
                 number = next(self._numbers)
@@ -81,7 +89,10 @@
                 flow = CallerFlow(endpoint(self._host, number), port)
                 is_long = self._rng.random() < LONG_FLOW_SHARE
                 requests = REQUESTS_PER_LONG_FLOW if is_long else 1
-                tasks.create_task(self._run(flow, requests))
+                gap_s = REQUEST_GAP_S
+                if not is_long and next(pauses):
+                    requests, gap_s = 2, PAUSE_S
+                tasks.create_task(self._run(flow, requests, gap_s))
                 await asyncio.sleep(self._rng.expovariate(FLOWS_PER_S))
 
     def _handle(self, packet: wire.Packet) -> None:
@@ -98,6 +109,7 @@
             return
         if flow is None:
             return
+        flow.last_packet_at = now
         if segment.flags & Flag.SYN:
             if flow.server_isn is None:
                 flow.server_isn = segment.seq
@@ -107,13 +119,16 @@
             flow.updated.set()
 
     def _on_reset(self, now: float, flow: CallerFlow) -> None:
-        if self._must_stay_open(flow.id) and flow.port not in self.removed:
+        must_stay = self._must_stay_open(flow.id, flow.idle_since)
+        if must_stay and flow.port not in self.removed:
             detail = f"{flow.id} was reset although its server holds it"
             self._checker.add_violation(now, "open flow", detail)
         flow.ended = True
         flow.updated.set()
 
-    async def _run(self, flow: CallerFlow, requests: int) -> None:
+    async def _run(
+        self, flow: CallerFlow, requests: int, gap_s: float
+    ) -> None:
         self._flows[flow.id] = flow
         started_at = time.monotonic()
         prefix = f"r{flow.id.caller & 0xFFFF}.{started_at:.3f}"
@@ -126,7 +141,7 @@
                 if not await self._send_request(flow, req):
                     break
                 if number + 1 < requests:
-                    await asyncio.sleep(REQUEST_GAP_S)
+                    await asyncio.sleep(gap_s)
             self._send(flow, Flag.FIN | Flag.ACK)
         elif flow.ended:
             self._checker.on_flow_reset(
@@ -149,6 +164,7 @@
         flow.response = None
         seq = flow.seq
         flow.seq += len(payload)
+        flow.idle_since = flow.last_packet_at
         deadline = time.monotonic() + DEADLINE_S
         while time.monotonic() < deadline and not flow.ended:
             self._send(flow, Flag.ACK, seq, payload)
@@ -162,6 +178,7 @@
     def _send(
         self, flow: CallerFlow, flags: Flag, seq: int = 0, payload: bytes = b""
     ) -> None:
+        flow.last_packet_at = time.monotonic()
         isn = flow.server_isn or 0
         data = wire.encode(*flow.id, flags, seq or flow.seq, isn, payload)
         self._router.send(flow.id, data)
--- a/testing/users_platform/soak/checker.py
+++ b/testing/users_platform/soak/checker.py
@@ -32,6 +32,8 @@
         self._drained_at: dict[str, float] = {}
         self._added_at: dict[int, float] = {}
         self._removed_at: dict[int, float] = {}
+        self._moves: dict[int, list[tuple[float, str]]] = {}
+        """Time and new service of each move of a port's route."""
 
     def add_violation(self, at: float, promise: str, what: str) -> None:
         """Add the violation of a guarantee."""
@@ -68,10 +70,20 @@
         if removed:
             self._removed_at[removed] = now
 
+    def on_route_moved(self, now: float, port: int, service: str) -> None:
+        """Record an acknowledged change of the service of a port."""
+        self._moves.setdefault(port, []).append((now, service))
+
     def on_flow_opened(
-        self, now: float, port: int, server: str, sent_at: float
+        self, now: float, port: int, server: str, service: str, sent_at: float
     ) -> None:
         """Record that a server accepted a new flow to a port."""
+        moves = self._moves.get(port, [])
+        in_force = [m for m in moves if sent_at - m[0] > self._bound_s(m[0])]
+        later = {moved_to for _, moved_to in moves[len(in_force) :]}
+        if in_force and service not in {in_force[-1][1], *later}:
+            what = f"port {port} routed to {service} long after its move"
+            self.add_violation(now, "configuration", what)
         drained_at = self._drained_at.get(server)
         if drained_at is not None and now - drained_at > DRAIN_S:
             what = (
--- a/testing/users_platform/soak/plan.py
+++ b/testing/users_platform/soak/plan.py
@@ -37,8 +37,22 @@
     CLOCK_BACK = "server restarts, clock set back"
     ROUTE_ADDED = "route added"
     ROUTE_REMOVED = "route removed"
+    ROUTE_MOVED = "route moved and back"
+    TIMEOUT_LOWERED = "idle timeout lowered and raised"
+    BALANCERS_KILLED = "all balancers killed"
 
 
+CHANGES = (
+    FaultKind.ROUTE_MOVED,
+    FaultKind.TIMEOUT_LOWERED,
+    FaultKind.BALANCERS_KILLED,
+)
+"""Drawn apart from the others, so that these stay the same for a seed."""
+CHANGE_GAP_S = 3.0
+"""Mean time between two of these."""
+CHANGES_SEED = 1_000_003
+"""Added to the seed of the run."""
+
 ON_PROCESS = (
     FaultKind.KILL,
     FaultKind.STOP,
@@ -70,10 +84,11 @@
 ) -> list[Fault]:
     """Return the faults of a run, sorted by start time."""
     rng = random.Random(seed)
-    faults: list[Fault] = []
+    faults = _draw_changes(seed, seconds)
+    kinds = [kind for kind in FaultKind if kind not in CHANGES]
     at = CALM_START_S
     while at < seconds - CALM_END_S:
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(kinds)
         target_count = servers if kind in ON_SERVER else processes
         count = 1
         if kind in (*ON_PROCESS, *ON_SERVER) and rng.random() < SERIES_SHARE:
@@ -88,3 +103,16 @@
                 faults.append(Fault(start_at, kind, target, duration_s))
         at += rng.expovariate(1 / FAULT_GAP_S)
     return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw_changes(seed: int, seconds: float) -> list[Fault]:
+    """Return the changes of routes and timeouts, and losses of balancers."""
+    rng = random.Random(CHANGES_SEED + seed)
+    faults: list[Fault] = []
+    at = CALM_START_S + rng.expovariate(1 / CHANGE_GAP_S)
+    while at < seconds - CALM_END_S:
+        duration_s = min(rng.uniform(0.1, 4.0), seconds - CALM_END_S - at)
+        kind = rng.choice(CHANGES)
+        faults.append(Fault(at, kind, rng.randrange(2), duration_s))
+        at += rng.expovariate(1 / CHANGE_GAP_S)
+    return faults
--- a/testing/users_platform/soak/run.py
+++ b/testing/users_platform/soak/run.py
@@ -43,6 +43,11 @@
 RECOVERY_S = 5.0
 """Time within which service is restored after the last fault."""
 CLOCK_BACK_S = 3_600.0
+IDLE_S = 15.0
+LOW_IDLE_S = 3.0
+"""Idle timeouts of flows; callers pause for longer than the low one."""
+RESTART_DELAY_S = 0.5
+"""Time before killed balancers start again."""
 UNDISTURBED_S = 4.0
 """Flows of an instance without faults for longer must not be reset."""
 
@@ -56,6 +61,31 @@
 """Faults of one instance that are not planned operations."""
 
 
+_OTHER_SERVICE = {"desk": "office", "office": "desk"}
+
+
+class IdleTimeouts:
+    """The idle timeouts that were in force, by the store."""
+
+    def __init__(self) -> None:
+        self.idle_s = IDLE_S
+        self._changes: list[tuple[float, float]] = [(float("-inf"), IDLE_S)]
+
+    def change(self, now: float, idle_s: float) -> None:
+        """Record a change that the store has acknowledged."""
+        self.idle_s = idle_s
+        self._changes.append((now, idle_s))
+
+    def has_expired(self, idle_since: float, now: float) -> bool:
+        """Return whether a flow was ever idle for longer than allowed."""
+        ends = [at for at, _ in self._changes[1:]] + [now]
+        return any(
+            min(end, now) - idle_since > idle_s
+            for (_, idle_s), end in zip(self._changes, ends, strict=True)
+            if end > idle_since
+        )
+
+
 class Ports(NamedTuple):
     """Ports of processes and stand-ins, each on its own address."""
 
@@ -114,6 +144,9 @@
         self._folder = folder
         self._version = 1
         self._routes = dict(FIRST_ROUTES)
+        self._low_timeouts = 0
+        """Faults in progress that have lowered the idle timeout."""
+        self._timeouts = IdleTimeouts()
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.bind((self._ip(9, 1), PORTS.packets))
@@ -184,6 +217,21 @@
                 await self._signal(fault)
             case FaultKind.ROUTE_ADDED | FaultKind.ROUTE_REMOVED:
                 self._change_routes(fault)
+            case FaultKind.ROUTE_MOVED:
+                port = sorted(FIRST_ROUTES)[fault.target]
+                self._move_route(port)
+                await asyncio.sleep(fault.for_s)
+                self._move_route(port)
+            case FaultKind.TIMEOUT_LOWERED:
+                self._change_timeout(+1)
+                await asyncio.sleep(fault.for_s)
+                self._change_timeout(-1)
+            case FaultKind.BALANCERS_KILLED:
+                balancers = self.processes[: self.size.balancers]
+                for process in balancers:
+                    process.signal(signal.SIGKILL)
+                await asyncio.sleep(RESTART_DELAY_S)
+                await asyncio.gather(*(p.start() for p in balancers))
             case FaultKind.LOSS:
                 self.router.is_lossy = True
                 await asyncio.sleep(fault.for_s)
@@ -257,6 +305,19 @@
             del self._routes[extra[0]]
             self._publish_routes(0, extra[0])
 
+    def _move_route(self, port: int) -> None:
+        """Send the new flows of a route to the other service."""
+        self._routes[port] = _OTHER_SERVICE[self._routes[port]]
+        self._publish_routes(0, 0)
+        now = time.monotonic()
+        self.checker.on_route_moved(now, port, self._routes[port])
+
+    def _change_timeout(self, lowered: int) -> None:
+        self._low_timeouts += lowered
+        idle_s = LOW_IDLE_S if self._low_timeouts else IDLE_S
+        self._timeouts.change(time.monotonic(), idle_s)
+        self._publish_routes(0, 0)
+
     def _publish_routes(self, added: int, removed: int) -> None:
         self._version += 1
         routes = [
@@ -267,7 +328,7 @@
             "version": self._version,
             "routes": routes,
             "services": [],
-            "limits": {"idle_timeout_ms": 15_000},
+            "limits": {"idle_timeout_ms": self._timeouts.idle_s * 1_000},
         }
         self.store.backend.put("op/config", json.dumps(cfg))
         self.checker.on_configuration(time.monotonic(), added, removed)
@@ -275,7 +336,7 @@
             self.callers.removed.add(removed)
         self.callers.ports = [*self._routes, *self.callers.removed]
 
-    def _must_stay_open(self, flow: FlowId) -> bool:
+    def _must_stay_open(self, flow: FlowId, idle_since: float) -> bool:
         """Return whether a flow must not be reset, as its server holds it.
 
         A reset is allowed if the store or the instance of the server was
@@ -285,6 +346,8 @@
         now = time.monotonic()
         if now - self._store_disturbed_at <= UNDISTURBED_S:
             return False
+        if self._timeouts.has_expired(idle_since, now):
+            return False
         for number, server in enumerate(self.servers, self.size.balancers):
             disturbed_at = self._disturbed.get(number, float("-inf"))
             if server.holds(flow) and now - disturbed_at > UNDISTURBED_S:
--- a/testing/users_platform/soak/server.py
+++ b/testing/users_platform/soak/server.py
@@ -150,7 +150,9 @@
                 # sends 0.2 s and 0.6 s after the first SYN.
                 syn_sent_at = now - (0.0, 0.2, 0.6)[segment.ack]
                 port = wire.port_of(flow)
-                self._checker.on_flow_opened(now, port, self.name, syn_sent_at)
+                self._checker.on_flow_opened(
+                    now, port, self.name, self.service, syn_sent_at
+                )
             flags = Flag.SYN | Flag.ACK
             self._send(sock, flow, flags, held.isn, segment.seq)
         elif held is None or segment.ack != held.isn:
--- a/testing/users_platform/soak/test_soak.py
+++ b/testing/users_platform/soak/test_soak.py
@@ -20,6 +20,7 @@
 from .plan import draw
 from .plan import FaultKind
 from .run import check_calm_periods
+from .run import IdleTimeouts
 from .run import RECOVERY_S
 from .run import soak
 
@@ -72,9 +73,9 @@
 def test_late_flow_to_draining_server_is_a_violation():
     checker = Checker()
     checker.on_drain(10.0, "s1")
-    checker.on_flow_opened(10.0 + DRAIN_S - 0.1, 8_001, "s1", 12.0)
+    checker.on_flow_opened(10.0 + DRAIN_S - 0.1, 8_001, "s1", "desk", 12.0)
     assert not checker.violations
-    checker.on_flow_opened(10.0 + DRAIN_S + 0.1, 8_001, "s1", 13.0)
+    checker.on_flow_opened(10.0 + DRAIN_S + 0.1, 8_001, "s1", "desk", 13.0)
     assert violated(checker) == ["drain"]
 
 
@@ -88,11 +89,35 @@
     checker.on_configuration(10.0, 9_001, 9_002)
     for late_s in (-0.1, 0.1):
         sent_at = 10.0 + bound_s + late_s
-        checker.on_flow_opened(sent_at, 9_002, "s1", sent_at)
+        checker.on_flow_opened(sent_at, 9_002, "s1", "desk", sent_at)
         checker.on_flow_reset(sent_at, 9_001, sent_at)
     assert violated(checker) == ["configuration"] * 2
 
 
+def test_a_new_flow_of_a_moved_route_at_its_former_service_is_a_violation():
+    checker = Checker()
+    checker.on_route_moved(10.0, 8_001, "office")
+    for sent_at in (
+        10.0 + CONFIGURATION_S - 0.1,
+        10.0 + CONFIGURATION_S + 0.1,
+    ):
+        checker.on_flow_opened(sent_at, 8_001, "s1", "desk", sent_at)
+    assert violated(checker) == ["configuration"]
+    checker.on_route_moved(14.0, 8_001, "desk")
+    checker.on_flow_opened(14.1, 8_001, "s1", "desk", 14.1)
+    checker.on_flow_opened(14.1, 8_001, "s1", "office", 14.1)
+    assert violated(checker) == ["configuration"]
+
+
+def test_a_flow_expires_by_a_timeout_that_was_in_force_meanwhile():
+    timeouts = IdleTimeouts()
+    timeouts.change(10.0, 3.0)
+    timeouts.change(12.0, 15.0)
+    assert not timeouts.has_expired(9.5, 20.0)
+    assert timeouts.has_expired(8.5, 20.0)
+    assert not timeouts.has_expired(12.5, 20.0)
+
+
 def test_unserved_requests_in_calm_are_a_violation():
     checker = Checker()
     checker.first_sent_at = {f"r{n}": n / 10 for n in range(300)}
