Write the record by the balancers that watch the store, and once

Cause: after a start without a record all balancers would have written it at once, each with a conflict and a read after it. A record that somebody deletes was written again and again, at an outdated revision. The gauge scope_queries had no help text, so that each scrape of a balancer failed.

Change: only balancers that watch the store write, 1 s after the need, or at once if a configuration waits. A missing record counts as empty. No scope is told of an address that the store does not have yet.

--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -108,17 +108,18 @@
         """
         current = self._routes.services(flow_id)
         recorded = self._scopes.known.get(flow_id.address)
-        if not current or len(recorded) <= 1:
+        if not current or current == recorded:
             return current
         return (*current, *(s for s in recorded if s not in current))
 
     def full_scope(self, now: Seconds, flow_id: FlowId) -> FlowScope | None:
         """Return what has to be searched for a flow, with each service.
 
-        None if there is no route to its address.
+        None if there is no route to its address, or the store has no
+        services of it yet.
         """
         services = self._services(flow_id)
-        if not services:
+        if not services or not self._scopes.is_recorded(flow_id.address):
             return None
         return self._scope_of_all(now, flow_id, services)
 
--- a/packages/core/src/medlar_core/relay/pending_routes.py
+++ b/packages/core/src/medlar_core/relay/pending_routes.py
@@ -48,6 +48,7 @@
             return None
         is_recorded = self._scopes.has_services_of(pending.table)
         if not is_recorded and now - pending.since < RECORD_LIMIT_S:
+            self._scopes.hasten(now)
             return None
         self._pending = None
         return pending.table, pending.source, is_recorded
--- a/packages/core/src/medlar_core/relay/scope_store.py
+++ b/packages/core/src/medlar_core/relay/scope_store.py
@@ -13,11 +13,17 @@
 from .member import NEVER
 from .routes import RouteTable
 from .scope_record import ScopeRecord
+from .segment import Endpoint
+from .store_watcher import Change
+from .store_watcher import Snapshot
 from .store_watcher import StoreWatcher
 
 WRITE_SPREAD_S = 0.05
 """Upper bound of the random delay of a write: several balancers learn of a
 change at once, and one of them has to write it."""
+WRITE_DELAY_S = 1.0
+"""Delay of a write that no configuration waits for. After a start of all
+balancers, those that watch the store have been chosen by then."""
 
 
 class ScopeStore:
@@ -38,7 +44,10 @@
         self._revision = 0
         self._write: StoreCallId | None = None
         self._written = ScopeRecord()
-        self._is_write_due = False
+        self._is_changed = False
+        """Whether the store lacks some of what is known."""
+        self._write_at = float("inf")
+        """When a write is due, infinite if none is."""
         self._read_asked_at = NEVER
         self.confirmed_at = NEVER
         """When the last read was issued that has been answered. What was in
@@ -50,10 +59,21 @@
         stored = self.stored
         return stored is not None and not stored.lacks_service_of(table)
 
+    def is_recorded(self, address: Endpoint) -> bool:
+        """Return whether the store has the services of an address.
+
+        It has those of a new route soon after the route is in force.
+        """
+        return self.stored is not None and address in self.stored.services
+
     def require(self, table: RouteTable) -> None:
         """Have the services of a configuration recorded."""
         self._set_known(self.known.merged(table))
 
+    def hasten(self, now: Seconds) -> None:
+        """Write at once, as a configuration waits for it."""
+        self._write_at = min(self._write_at, now)
+
     def learn(self, record: ScopeRecord) -> None:
         """Add what another balancer has read from the store."""
         self._set_stored(record.union(self.stored or ScopeRecord()))
@@ -63,16 +83,24 @@
         self._read_asked_at = now
 
     def adopt(
-        self, items: tuple[Item, ...], revision: int, issued_at: Seconds
+        self, listing: Snapshot, revision: int, issued_at: Seconds
     ) -> None:
         """Use the answer to a listing that includes the record's key."""
         self._watcher.continue_from(revision)
-        self._apply(items)
+        self.update(listing)
         self._confirm(issued_at)
 
-    def update(self, items: tuple[Item, ...]) -> None:
-        """Use changed items, of which one may be the record."""
-        self._apply(items)
+    def update(self, result: Snapshot | Change) -> None:
+        """Use items from the store, of which one may be the record."""
+        keys = {item.key for item in result.items}
+        if isinstance(result, Snapshot):
+            is_gone = self._key not in keys
+        else:
+            is_gone = self._key in result.deleted
+        if is_gone:
+            self._revision = 0
+            self._set_stored(ScopeRecord())
+        self._apply(result.items)
 
     def pop_unreadable(self) -> str:
         """Return why a stored record was ignored since the last call.
@@ -82,12 +110,21 @@
         text, self._unreadable = self._unreadable, ""
         return text
 
-    def due(self, now: Seconds) -> None:
-        """Submit the next call, if one is due and none is pending."""
+    def due(self, now: Seconds, may_write: bool) -> None:
+        """Submit the next call, if one is due and none is pending.
+
+        Those balancers may write that watch the store: others have their
+        configuration from these.
+        """
         if self._read_asked_at > self.confirmed_at:
             self._watcher.due(now)
             return
-        if not self._is_write_due or self.stored is None:
+        if not self._is_changed:
+            self._write_at = float("inf")
+            return
+        if self._write_at == float("inf"):
+            self._write_at = now + WRITE_DELAY_S
+        if not may_write or self.stored is None or now < self._write_at:
             return
         if self._write is not None and self._access.is_pending(self._write):
             return
@@ -103,7 +140,7 @@
             return
         result = self._watcher.handle_answer(now, event)
         if result is not None:
-            self._apply(result.items)
+            self.update(result)
             self._confirm(Seconds(self._watcher.issued_at))
 
     def _handle_written(self, now: Seconds, event: StoreAnswered) -> None:
@@ -118,8 +155,6 @@
 
     def _confirm(self, issued_at: Seconds) -> None:
         self.confirmed_at = Seconds(max(self.confirmed_at, issued_at))
-        if self.stored is None:
-            self._set_stored(ScopeRecord())
 
     def _apply(self, items: tuple[Item, ...]) -> None:
         for item in items:
@@ -140,6 +175,6 @@
     def _set_known(self, record: ScopeRecord) -> None:
         self.known = record
         stored = self.stored
-        self._is_write_due = stored is None or not stored.has_same_content(
+        self._is_changed = stored is None or not stored.has_same_content(
             record
         )
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -165,10 +165,11 @@
         """Return the calls to the store that are due."""
         if not stopping:
             self._registration.set_entry(self._identity.node)
-            if self.is_watcher(now):
+            is_watcher = self.is_watcher(now)
+            if is_watcher:
                 self._configuration.due(now)
                 self._entries.due(now)
-            self._scopes.due(now)
+            self._scopes.due(now, is_watcher)
         self._registration.issue_next_call(now)
         return self._access.due(now)
 
@@ -261,9 +262,9 @@
             self._entry_keys = set()
             watcher = self._entries
             issued_at = Seconds(watcher.issued_at)
-            self._scopes.adopt(result.items, watcher.revision, issued_at)
+            self._scopes.adopt(result, watcher.revision, issued_at)
         else:
-            self._scopes.update(result.items)
+            self._scopes.update(result)
             self._entry_keys.difference_update(result.deleted)
         for item in result.items:
             self._entry_keys.add(item.key)
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -201,6 +201,7 @@
     "flows_known": "Flows known here, also those of other servers",
     "flows_placing": "New flows that wait for the loads of servers",
     "packets_held": "Packets that wait for a configuration or members",
+    "scope_queries": "Flows whose services an agent asks for",
     "hints": "Flows whose holder this balancer knows",
     "agents": "Agents known",
     "agents_heard": "Agents whose own word is recent",
