Reset at a server's end only flows that its caller acknowledged

Cause: two servers had accepted copies of its SYN, as one agent was paused. The caller acknowledged one; the agent of the other took the next packet for the opening of the flow at its own server, and reset it when that crashed.

Change: a flow is established at the local server once the caller has acknowledged the sequence number of that server's SYN+ACK.

--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -36,11 +36,10 @@
     the position where its current request began. ``last_data_at`` is
     when it last sent new data, ``opened_at`` when its latest SYN was
     delivered. A flow is ``busy`` while a request has no response,
-    ``accepted`` once the server has answered its SYN and ``established``
-    once the caller has sent a packet after the SYN. It is ``closed`` once
-    either end has sent its last packet; ``caller_done`` and ``server_done``
-    tell which. ``declined`` names
-    agents whose servers did not accept it, ``via`` is the balancer that
+    ``accepted`` once the server has answered its SYN, with ``server_seq``,
+    and ``established`` once the caller has acknowledged that. It is
+    ``closed`` once either end has sent its last packet; ``caller_done`` and
+    ``server_done`` tell which. ``declined`` names agents whose servers did not accept it, ``via`` is the balancer that
     was last notified of the holder, at ``notified_at``. ``low_priority``
     is set if room has to be left at a server for flows of higher priority.
     """
@@ -50,6 +49,7 @@
     opened_at: float
     sent_seq: int = 0
     acked_seq: int = 0
+    server_seq: int = 0
     last_data_at: float = 0.0
     request_seq: int = 0
     busy: bool = False
@@ -132,7 +132,8 @@
             flow.last_data_at = now
             self._set_busy(flow, True)
             return
-        flow.established = True
+        if not flow.established:
+            flow.established = _is_opened_by(flow, segment)
         flow.acked_seq = segment.ack
         end = (segment.seq + segment.size) & 0xFFFFFFFF
         if segment.size and is_later(end, flow.sent_seq):
@@ -152,6 +153,7 @@
         flow.last_packet_at = now
         if segment.flags & _SYN:
             flow.accepted = True
+            flow.server_seq = segment.seq
         if segment.size or segment.flags & _END_FLAGS:
             flow.request_seq = flow.sent_seq
             self._set_busy(flow, False)
@@ -201,6 +203,16 @@
             self.open_count -= 1
 
 
+def _is_opened_by(flow: Flow, segment: Segment) -> bool:
+    """Return whether a caller's packet opens a flow at the local server.
+
+    Copies of a SYN may be accepted by several servers. The flow opens at
+    the one whose sequence number the caller acknowledges.
+    """
+    acked = (segment.ack - flow.server_seq) & 0xFFFFFFFF
+    return flow.accepted and acked <= 1
+
+
 def _is_waiting(now: Seconds, flow: Flow) -> bool:
     size = (flow.sent_seq - flow.request_seq) & 0xFFFFFFFF
     return (
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -1,5 +1,6 @@
 """Flows through balancers and agents: placement, lookup and resets."""
 
+import msgspec
 import pytest
 
 from medlar_core.events import StopAsked
@@ -14,6 +15,7 @@
 from medlar_core.relay.segment import Segment
 from medlar_fakes.relay import encode
 from medlar_fakes.relay import FakeCodec
+from medlar_fakes.relay import FakeServer
 
 from .kit import ANNOUNCE_INTERVAL_S
 from .kit import DESK
@@ -348,6 +350,46 @@
     assert forwarded <= 20 * (QUERY_PACKETS_BURST + 0.2 * QUERY_PACKETS_PER_S)
 
 
+class OtherServer(FakeServer):
+    """Accepts flows with a sequence number that no caller acknowledges."""
+
+    def handle(self, segment):
+        return [
+            msgspec.structs.replace(reply, seq=70_000)
+            for reply in super().handle(segment)
+            if not reply.flags & Flag.BOUNCED
+        ]
+
+
+def test_a_flow_that_opened_elsewhere_is_not_reset_as_a_late_server_ends():
+    """Guards against resets of a flow whose first SYN was delivered late.
+
+    Its caller has acknowledged the server that got a copy of the SYN.
+    """
+    fleet = Fleet()
+    late = node("agent", 2)
+    held = fleet.flows_at(node("agent", 1), 20)
+    fleet.world.servers[late] = OtherServer()
+    for flow_id in held:
+        for flags, size in ((Flag.SYN, 0), (Flag.ACK, 50)):
+            data = encode(Segment(b"", flags, *flow_id, size, 100, 501))
+            packet = ForwardedPacket(
+                reason=int(ForwardReason.PLACED),
+                service=DESK,
+                data=data,
+                scope=FlowScope(1, FLOW_IDLE_S),
+            )
+            event = PacketForwarded(
+                node("agent", 0), packet, FakeCodec().decode(data)
+            )
+            fleet.world.dispatch(late, event)
+            fleet.run(0.01)
+    assert held
+    fleet.start_server(late)
+    fleet.run(1.5)
+    assert fleet.reset_count(held) == 0
+
+
 def test_a_flow_that_a_dead_server_never_accepted_is_not_reset_at_its_end():
     fleet = Fleet()
     address = node("agent", 2)
