--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -39,9 +39,10 @@
     ``accepted`` once the server has answered its SYN, with ``server_seq``,
     and ``established`` once the caller has acknowledged that. It is
     ``closed`` once either end has sent its last packet; ``caller_done`` and
-    ``server_done`` tell which. ``declined`` names agents whose servers did not accept it, ``via`` is the balancer that
-    was last notified of the holder, at ``notified_at``. ``low_priority``
-    is set if room has to be left at a server for flows of higher priority.
+    ``server_done`` tell which. ``declined`` names agents whose servers did
+    not accept it, ``via`` is the balancer that was last notified of the
+    holder, at ``notified_at``. ``low_priority`` is set if room has to be
+    left at a server for flows of higher priority.
     """
 
     holder: NodeId
