Name the idle timeout in a denial

Cause: a denial did not say for which idle timeout it was given. A late one, to an earlier query with a shorter timeout, counted for the present lookup, so that it could prove what its sender had not said. Found by reading.

Change: a denial names its timeout, infinite if the server has bounced the packet; one for a shorter timeout than the lookup's is ignored.

Evidence: test_a_late_denial_for_a_shorter_timeout_proves_nothing failed before. testing/core/relay and testing/node/relay pass but for the known red.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -282,8 +282,8 @@
                 return self._flows.lookup.handle_held(now, flow, holder, src)
             case ScopeTold():
                 return self._flows.lookup.handle_scope(now, src, msg)
-            case FlowUnknown(flow=flow, view=view):
-                return self._flows.lookup.handle_unknown(now, flow, src, view)
+            case FlowUnknown():
+                return self._flows.lookup.handle_unknown(now, src, msg)
             case EntryMissing():
                 self._registration.handle_missing_entry(now)
                 return self._store_calls(now)
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -22,6 +22,7 @@
 from .member import Member
 from .messages import FlowAsked
 from .messages import FlowHeld
+from .messages import FlowUnknown
 from .messages import ScopeAsked
 from .messages import ScopeTold
 from .scope import FlowScope
@@ -213,14 +214,17 @@
         return effects
 
     def handle_unknown(
-        self, now: Seconds, flow_id: FlowId, src: NodeId, view: int
+        self, now: Seconds, src: NodeId, denial: FlowUnknown
     ) -> list[RelayEffect]:
         """Handle the reply that an agent's server does not hold a flow.
 
         An agent with another view may know a holder that was not queried.
+        A reply for a shorter idle timeout, to an earlier query, proves
+        nothing.
         """
+        flow_id, view = denial.flow, denial.view
         lookup = self._lookups.get(flow_id)
-        if lookup is None:
+        if lookup is None or denial.idle_s < lookup.scope.idle_s:
             return []
         lookup.awaiting.discard(src)
         if src in lookup.delegates:
--- a/packages/core/src/medlar_core/relay/lookup_replies.py
+++ b/packages/core/src/medlar_core/relay/lookup_replies.py
@@ -82,7 +82,8 @@
         query = self._pending_queries.pop(flow_id, None)
         if query is None:
             return None
-        return self.deny(now, query.node, flow_id, query.scope)
+        bounced = msgspec.structs.replace(query.scope, idle_s=float("inf"))
+        return self.deny(now, query.node, flow_id, bounced)
 
     def handle_found(self, flow_id: FlowId) -> list[Send]:
         """Return the reply to a query of a flow that the server holds."""
@@ -102,4 +103,4 @@
         view = NO_VIEW
         if not self._ctx.lost_agents(now, scope):
             view = self._ctx.members.view(self._ctx.service)
-        return Send(asker, FlowUnknown(flow_id, view))
+        return Send(asker, FlowUnknown(flow_id, view, scope.idle_s))
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -191,12 +191,15 @@
 class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag="u"):
     """Lookup reply: neither the sender nor its server holds the flow.
 
-    ``view`` is the sender's :meth:`Members.view` of its service. It is 0
-    from processes of earlier versions, which equals no view.
+    ``view`` is the sender's :meth:`Members.view` of its service, 0 if it
+    proves nothing. ``idle_s`` is how long the flow may have been idle for
+    the reply to be true, infinite if the server has bounced its packet, and
+    0 from processes of earlier versions.
     """
 
     flow: FlowId
     view: int = 0
+    idle_s: float = 0.0
 
 
 class ScopeAsked(msgspec.Struct, frozen=True, array_like=True, tag="s"):
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -314,8 +314,10 @@
         self.configure(one_route(version, weights, idle_s))
         self.run(1.0)
 
-    def tell_scope(self, address: NodeId, flow_id: FlowId) -> None:
-        """Let an agent that asks for a flow's scope get it, then run a while.
+    def tell_scope(
+        self, address: NodeId, flow_id: FlowId, gap_s: float = 0.05
+    ) -> None:
+        """Tell an agent a flow's scope ten times, after ``gap_s`` each.
 
         For tests without balancers: a lookup that is taken for complete
         ends in a reset.
@@ -323,7 +325,7 @@
         owner = ServiceOwner(self.services[address], address)
         told = ScopeTold(flow_id, FlowScope(1, FLOW_IDLE_S, (owner,)))
         for _ in range(10):
-            self.run(0.05)
+            self.run(gap_s)
             event = Received(node("balancer", 0), told)
             self.world.dispatch(address, event)
 
--- a/testing/core/relay/test_idle_timeout.py
+++ b/testing/core/relay/test_idle_timeout.py
@@ -10,12 +10,14 @@
 from medlar_core.relay.local_server import LocalServer
 from medlar_core.relay.messages import FlowAsked
 from medlar_core.relay.messages import FlowPacketAsked
+from medlar_core.relay.messages import FlowUnknown
 
 from .kit import CountingReducer
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
 from .kit import FLOW_IDLE_S
+from .kit import forwarded
 from .kit import LONG_IDLE_S
 from .kit import node
 from .kit import WithoutHellos
@@ -133,3 +135,20 @@
     )
     assert reply.msg == FlowPacketAsked(flow(100))
     assert fleet.packet_count(flow(100), Flag.RST) == 0
+
+
+def test_a_late_denial_for_a_shorter_timeout_proves_nothing():
+    fleet = Fleet()
+    address = node("agent", 1)
+    flow_id = flow(500)
+    fleet.world.paused.update(fleet.balancers)
+    fleet.world.paused.update(a for a in fleet.agents if a != address)
+    agent = fleet.agents[address]
+    fleet.world.dispatch(address, forwarded(flow_id))
+    view = agent.members.view(DESK)
+    for idle_s, expected in ((FLOW_IDLE_S - 1.0, 0), (FLOW_IDLE_S, 1)):
+        denial = FlowUnknown(flow_id, view, idle_s)
+        for other in agent.members.agents:
+            fleet.world.dispatch(address, Received(other, denial))
+        fleet.tell_scope(address, flow_id, 0.01)
+        assert fleet.reset_count([flow_id]) == expected
