--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/flow_lookup.py
@@ -344,7 +344,9 @@
         self, now: Seconds, flow_id: FlowId, lookup: Lookup
     ) -> list[RelayEffect]:
         """Ask a balancer whether more is to be searched for a flow."""
-        balancer = self._sources.choose(now, lookup.request.src)
+        req = lookup.request
+        is_routed = req.packet.reason == ForwardReason.ROUTED
+        balancer = self._sources.choose(now, req.src if is_routed else NO_NODE)
         lookup.scope_asked = balancer
         lookup.scope_asked_at = now
         if not balancer:
--- a/packages/core/src/medlar_core/relay/scope_sources.py
+++ b/packages/core/src/medlar_core/relay/scope_sources.py
@@ -28,16 +28,18 @@
     def choose(self, now: Seconds, preferred: NodeId) -> NodeId:
         """Return the balancer to ask, empty if none is known.
 
-        ``preferred`` is the process that forwarded the packet.
+        ``preferred`` is the one that forwarded the packet, empty if it came
+        through an agent.
         """
-        known = self._members.balancers
-        replying = [
-            node for node in known if self._avoided_until.get(node, 0.0) <= now
-        ]
-        if preferred in replying:
+        if preferred and not self._is_avoided(now, preferred):
             return preferred
-        candidates = replying or list(known)
+        known = list(self._members.balancers)
+        replying = [n for n in known if not self._is_avoided(now, n)]
+        candidates = replying or known
         if not candidates:
             return NodeId("")
         self._rotation += 1
         return candidates[self._rotation % len(candidates)]
+
+    def _is_avoided(self, now: Seconds, balancer: NodeId) -> bool:
+        return self._avoided_until.get(balancer, 0.0) > now
