Soak: begin once all servers are known, end a start that crashes

The calm that is judged begins now when each server is acknowledged and two seconds have passed; its bound stays.

A test shows it, which failed before.

--- a/testing/users_platform/soak/run.py
+++ b/testing/users_platform/soak/run.py
@@ -38,6 +38,9 @@
 FIRST_ROUTES = {8001: "desk", 8002: "office"}
 EXTRA_PORTS = 4
 START_LIMIT_S = 20.0
+SETTLE_S = 2.0
+"""Entries of servers are known to all balancers about so long after they were
+written."""
 SERVED_SHARE_MIN = 0.97
 """Minimum share of requests served during times without faults."""
 RECOVERY_S = 5.0
@@ -195,6 +198,12 @@
                 await server.start()
             yield
 
+    def has_started(self) -> bool:
+        """Return whether all balancers are ready and all servers known."""
+        if self.router.in_rotation() < self.size.balancers:
+            return False
+        return all(server.is_known for server in self.servers)
+
     async def inject(self, fault: Fault) -> None:
         """Inject one fault and wait for its end."""
         if fault.kind not in UNPLANNED_FAULTS:
@@ -406,8 +415,9 @@
         _run_in_background(fleet.router.poll_readiness()),
     ):
         async with asyncio.timeout(START_LIMIT_S):
-            while fleet.router.in_rotation() < fleet.size.balancers:
+            while not fleet.has_started():
                 await asyncio.sleep(0.1)
+        await asyncio.sleep(SETTLE_S)
         started_at = time.monotonic()
         async with _run_in_background(fleet.callers.open_flows()):
             async with asyncio.TaskGroup() as tasks:
--- a/testing/users_platform/soak/server.py
+++ b/testing/users_platform/soak/server.py
@@ -48,6 +48,8 @@
         self.name = ""
         self.state = "down"
         self.flows: dict[FlowId, ServerFlow] = {}
+        self.is_known = False
+        """Whether its agent has acknowledged a heartbeat."""
         self._checker = checker
         self._rng = rng
         self._app = app
@@ -66,21 +68,26 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.bind(self._app)
+        stack = self._stack = contextlib.AsyncExitStack()
+        stack.callback(sock.close)
         listener = await asyncio.start_server(_close, *self._app)
+        if self._stack is not stack:
+            # It has crashed meanwhile.
+            listener.close()
+            return
         loop = asyncio.get_running_loop()
         loop.add_reader(sock, self._read, sock)
-        self._stack = contextlib.AsyncExitStack()
-        self._stack.callback(sock.close)
-        self._stack.callback(loop.remove_reader, sock)
-        self._stack.callback(listener.close)
+        stack.callback(loop.remove_reader, sock)
+        stack.callback(listener.close)
         task = asyncio.create_task(self._announce(born_ms))
-        self._stack.callback(task.cancel)
+        stack.callback(task.cancel)
 
     async def crash(self) -> None:
         """Stop without an announcement."""
         self.state = "down"
         self.flows = {}
-        await self._stack.aclose()
+        stack, self._stack = self._stack, contextlib.AsyncExitStack()
+        await stack.aclose()
 
     async def drain(self) -> None:
         """Announce draining, serve for ``DRAIN_S`` seconds, then leave."""
@@ -109,10 +116,9 @@
                 "sequence": sequence,
                 "born": born_ms,
             }
-            if (
-                await self._call("Heartbeat", heartbeat)
-                and state == "draining"
-            ):
+            is_acknowledged = await self._call("Heartbeat", heartbeat)
+            self.is_known = self.is_known or is_acknowledged
+            if is_acknowledged and state == "draining":
                 self._checker.on_drain(time.monotonic(), self.name)
             await asyncio.sleep(HEARTBEAT_S)
 
--- a/testing/users_platform/soak/test_soak.py
+++ b/testing/users_platform/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+import random
 import tomllib
 
 import pytest
@@ -23,6 +24,7 @@
 from .run import IdleTimeouts
 from .run import RECOVERY_S
 from .run import soak
+from .server import Server
 
 FLOW = FlowId(endpoint("127.0.0.1", 4_000), endpoint("198.18.0.1", 8_001))
 BLOCK = 90
@@ -132,6 +134,30 @@
     assert violated(checker) == ["served in calm"]
 
 
+def test_a_server_that_crashes_while_it_starts_can_start_again():
+    """Guards against runs that end as an address is in use."""
+
+    async def run():
+        host = f"127.{BLOCK}.99.1"
+        server = Server(
+            Checker(),
+            random.Random(1),
+            "desk",
+            (host, 7705),
+            f"{host}:7703",
+            (host, 7704),
+        )
+        starting = asyncio.create_task(server.start())
+        await asyncio.sleep(0)
+        await server.crash()
+        await starting
+        await server.start()
+        assert server.state == "ready"
+        await server.crash()
+
+    asyncio.run(run())
+
+
 def test_modified_packet_is_detected():
     data = wire.encode(*FLOW, Flag.ACK, 1_000, 7, b"request")
     assert wire.decode(data).is_intact
