Test draining servers, repeated lookups and lost messages of moving routes

Paths that deny or reset and that no test of moved routes covered: a server of the former service that drains or leaves, a lookup that is repeated after a newer scope was told, and 5 or 30 percent of all messages lost while a route moves six times.

--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -448,6 +448,22 @@
         return self.reducer.reduce(now, event)
 
 
+class LossyReducer:
+    """Loses a share of the messages to a reducer."""
+
+    def __init__(
+        self, reducer: Reducer, rng: random.Random, share: float
+    ) -> None:
+        self.reducer = reducer
+        self._rng = rng
+        self._share = share
+
+    def reduce(self, now: Seconds, event: Any) -> list[Any]:
+        if isinstance(event, Received) and self._rng.random() < self._share:
+            return []
+        return self.reducer.reduce(now, event)
+
+
 def read_table(text: str) -> RouteTable:
     try:
         return msgspec.json.decode(text, type=RouteTable)
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -1,16 +1,24 @@
 """What has to be known before a flow is reset, where a process lags behind."""
 
+import random
+
 import pytest
 
 from medlar_core.events import Received
+from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.messages import FlowHeld
 from medlar_core.relay.messages import ScopeAsked
+from medlar_core.relay.messages import ScopeTold
+from medlar_core.relay.scope import FlowScope
+from medlar_core.relay.scope import ServiceOwner
 
 from .kit import CountingReducer
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
 from .kit import FLOW_IDLE_S
+from .kit import forwarded
+from .kit import LossyReducer
 from .kit import node
 from .kit import OFFICE
 from .kit import one_route
@@ -193,3 +201,80 @@
         fleet.data(flow_id, by=1)
     fleet.run(0.1)
     assert all(fleet.reset_count([flow_id]) >= 1 for flow_id in unknown)
+
+
+def test_flows_at_a_draining_server_of_the_former_service_are_kept():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.route_to(2, {OFFICE: 1})
+    drained = node("agent", 1)
+    fleet.drain(drained)
+    fleet.start_balancer(node("balancer", 9))
+    fleet.run(1.0)
+    assert any(fleet.holder(flow_id) == drained for flow_id in opened)
+    assert_answered(fleet, opened, by=9)
+
+
+def test_flows_of_a_server_that_left_the_former_service_are_reset_at_once():
+    fleet = two_services()
+    opened = [fleet.open(number, by=0) for number in range(20)]
+    fleet.route_to(2, {OFFICE: 1})
+    left = node("agent", 1)
+    held = [flow_id for flow_id in opened if fleet.holder(flow_id) == left]
+    known = fleet.agents[left].local_server.server
+    del fleet.announcements[left]
+    fleet.world.dispatch(left, ServerLeft(known.name, known.born_ms))
+    fleet.run(0.01)
+    assert held
+    assert fleet.reset_count(opened) == len(held)
+
+
+def test_a_repeated_lookup_uses_the_scope_that_was_told_since():
+    fleet = two_services()
+    fleet.route_to(2, {OFFICE: 1})
+    opened = open_at_office(fleet, 10)
+    owner = node("agent", 0)
+    agent = fleet.agents[owner]
+    now = fleet.world.clock.now
+    # Packets of a balancer that knows of one service only.
+    for flow_id in opened:
+        fleet.world.dispatch(owner, forwarded(flow_id))
+    services = (
+        ServiceOwner(DESK, owner),
+        ServiceOwner(OFFICE, node("agent", 11)),
+    )
+    told = ScopeTold(flow(99), FlowScope(2, FLOW_IDLE_S, services))
+    fleet.world.dispatch(owner, Received(node("balancer", 0), told))
+    before = sum(map(fleet.answer_count, opened))
+    fleet.run(2.0)
+    assert agent.gauges(now)["flows_known"] >= len(opened)
+    assert fleet.reset_count(opened) == 0
+    assert sum(map(fleet.answer_count, opened)) == before + len(opened)
+
+
+@pytest.mark.parametrize("lost", [0.05, 0.3])
+def test_flows_of_moving_routes_are_kept_though_messages_are_lost(lost):
+    """Messages between processes are lost, packets of flows are not."""
+    fleet = two_services()
+    rng = random.Random(7)
+    for address, reducer in list(fleet.world.nodes.items()):
+        fleet.world.nodes[address] = LossyReducer(reducer, rng, lost)
+    opened = [fleet.open(number, by=0) for number in range(10)]
+    for version in range(2, 8):
+        service = OFFICE if version % 2 == 0 else DESK
+        fleet.route_to(version, {service: 1})
+        opened.append(fleet.open(10 * version, by=version % 5))
+        for by in range(5):
+            for flow_id in opened:
+                fleet.data(flow_id, by, seq=100 * version + by)
+            fleet.run(0.1)
+    answered = list(map(fleet.answer_count, opened))
+    for attempt in range(8):
+        for flow_id in opened:
+            fleet.data(flow_id, by=3, seq=900 + attempt)
+        fleet.run(0.25)
+    assert fleet.reset_count(opened) == 0
+    assert all(
+        fleet.answer_count(flow_id) > before
+        for flow_id, before in zip(opened, answered, strict=True)
+    )
