Let a read of the record count for half a second

Cause: each question for a scope waited for a read issued after it, and a balancer has five calls a second.

Change: a service that is added for a recorded address is used half a second after it was recorded. So what a read has shown holds for questions of the next half second: no flow can have been opened elsewhere. A balancer that has just read a record with services that the routes no longer name waits as long. Moves of routes are in force half a second later.

Evidence: two tests in test_scope_proof.py that failed before. Two tests of routes that move wait until the balancer is ready, in place of a fixed time: it is ready later where a route has moved, and gets packets then.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -40,6 +40,7 @@
 from .owners import OwnerRanking
 from .packet_router import PacketRouter
 from .pause_detector import PauseDetector
+from .pending_routes import FROM_STORE
 from .pending_routes import PendingRoutes
 from .registration import Registration
 from .routes import Routes
@@ -57,7 +58,6 @@
 FETCH_INTERVAL_S = 1.0
 """Least time between two fetches of a newer configuration from peers."""
 EXPIRE_INTERVAL_S = 1.0
-FROM_STORE = "the store"
 STORE_LOST_S = 4.0
 """The store is lost if no balancer has read the configuration for longer."""
 PEER_HEARD_S = 2.5
@@ -194,7 +194,7 @@
                 return self._handle_store_answer(now, event)
             case RoutesFetched(table=table, src=src):
                 if event.record is not None:
-                    self._scopes.learn(event.record)
+                    self._scopes.learn(now, event.record)
                 return self._offer_routes(now, table, f"balancer {src}")
             case SeedsChanged(seeds=seeds):
                 self._hello_sender.seeds = seeds
@@ -223,8 +223,12 @@
                 return self._handle_hello(now, msg)
             case ScopeAsked(flow=flow):
                 self._scope_queries.add(now, src, flow)
-                self._scopes.refresh(now)
-                return self._store_calls(now)
+                if not self._scopes.is_confirmed(now):
+                    self._scopes.refresh(now)
+                return [
+                    *self._answer_scope_queries(now),
+                    *self._store_calls(now),
+                ]
             case MembersAsked(service=service):
                 return list(
                     self._hello_sender.hellos_with_members(now, src, service)
@@ -309,7 +313,7 @@
         for agent, flow_id in self._scope_queries.pop_confirmed(
             now,
             lambda asked_at: (
-                asked_at <= self._scopes.confirmed_at or is_store_lost
+                self._scopes.is_confirmed(asked_at) or is_store_lost
             ),
         ):
             scope = self._router.full_scope(now, flow_id)
--- a/packages/core/src/medlar_core/relay/pending_routes.py
+++ b/packages/core/src/medlar_core/relay/pending_routes.py
@@ -11,6 +11,9 @@
 recorded, as it has to be everywhere within seconds."""
 
 
+FROM_STORE = "the store"
+
+
 class _Pending(msgspec.Struct):
     table: RouteTable
     source: str
@@ -21,7 +24,8 @@
     """Holds the newest configuration until its services are recorded.
 
     No balancer sends a flow to a service that others would not search for
-    it: whoever reads the record later knows where the flow may be.
+    it: whoever has read the record lately knows where the flow may be. A
+    configuration that a peer gives is in use already.
     """
 
     def __init__(self, scopes: ScopeStore) -> None:
@@ -47,8 +51,11 @@
         if pending is None:
             return None
         is_recorded = self._scopes.has_services_of(pending.table)
-        if not is_recorded and now - pending.since < RECORD_LIMIT_S:
+        if not is_recorded:
             self._scopes.hasten(now)
+        may_use = self._scopes.may_use(now, pending.table)
+        is_in_use = is_recorded and pending.source != FROM_STORE
+        if not (may_use or is_in_use or now - pending.since >= RECORD_LIMIT_S):
             return None
         self._pending = None
         return pending.table, pending.source, is_recorded
--- a/packages/core/src/medlar_core/relay/scope_store.py
+++ b/packages/core/src/medlar_core/relay/scope_store.py
@@ -26,6 +26,12 @@
 balancers, those that watch the store have been chosen by then."""
 
 
+READ_VALID_S = 0.5
+"""A service that is added for a recorded address is used this long after it
+was recorded. So what a read has shown holds for as long after it was issued:
+no flow has been opened at a service that was added since."""
+
+
 class ScopeStore:
     """The record as it is in the store, and what this balancer adds to it.
 
@@ -41,6 +47,8 @@
         """What the store is known to hold, and what is to be added."""
         self.stored: ScopeRecord | None = None
         """What the store holds, as far as it was read here or by a peer."""
+        self._stored_at = NEVER
+        """When its content was last seen to change."""
         self._revision = 0
         self._write: StoreCallId | None = None
         self._written = ScopeRecord()
@@ -59,6 +67,21 @@
         stored = self.stored
         return stored is not None and not stored.lacks_service_of(table)
 
+    def may_use(self, now: Seconds, table: RouteTable) -> bool:
+        """Return whether no read that is still valid lacks a service.
+
+        A record that has just been read may have been written just before.
+        """
+        if not self.has_services_of(table):
+            return False
+        if now - self._stored_at >= READ_VALID_S:
+            return True
+        return self.stored is not None and not self.stored.has_others(table)
+
+    def is_confirmed(self, at: float) -> bool:
+        """Return whether all services are known that were in use then."""
+        return at <= self.confirmed_at + READ_VALID_S
+
     def is_recorded(self, address: Endpoint) -> bool:
         """Return whether the store has the services of an address.
 
@@ -74,23 +97,27 @@
         """Write at once, as a configuration waits for it."""
         self._write_at = min(self._write_at, now)
 
-    def learn(self, record: ScopeRecord) -> None:
+    def learn(self, now: Seconds, record: ScopeRecord) -> None:
         """Add what another balancer has read from the store."""
-        self._set_stored(record.union(self.stored or ScopeRecord()))
+        self._set_stored(now, record.union(self.stored or ScopeRecord()))
 
     def refresh(self, now: Seconds) -> None:
         """Have the record read by a call that is issued from now on."""
         self._read_asked_at = now
 
     def adopt(
-        self, listing: Snapshot, revision: int, issued_at: Seconds
+        self,
+        now: Seconds,
+        listing: Snapshot,
+        revision: int,
+        issued_at: Seconds,
     ) -> None:
         """Use the answer to a listing that includes the record's key."""
         self._watcher.continue_from(revision)
-        self.update(listing)
+        self.update(now, listing)
         self._confirm(issued_at)
 
-    def update(self, result: Snapshot | Change) -> None:
+    def update(self, now: Seconds, result: Snapshot | Change) -> None:
         """Use items from the store, of which one may be the record."""
         keys = {item.key for item in result.items}
         if isinstance(result, Snapshot):
@@ -99,8 +126,8 @@
             is_gone = self._key in result.deleted
         if is_gone:
             self._revision = 0
-            self._set_stored(ScopeRecord())
-        self._apply(result.items)
+            self._set_stored(now, ScopeRecord())
+        self._apply(now, result.items)
 
     def pop_unreadable(self) -> str:
         """Return why a stored record was ignored since the last call.
@@ -140,7 +167,7 @@
             return
         result = self._watcher.handle_answer(now, event)
         if result is not None:
-            self.update(result)
+            self.update(now, result)
             self._confirm(Seconds(self._watcher.issued_at))
 
     def _handle_written(self, now: Seconds, event: StoreAnswered) -> None:
@@ -149,14 +176,14 @@
         self._write = None
         if isinstance(answer, Written):
             self._revision = answer.revision
-            self._set_stored(self._written)
+            self._set_stored(now, self._written)
         else:
             self.refresh(now)
 
     def _confirm(self, issued_at: Seconds) -> None:
         self.confirmed_at = Seconds(max(self.confirmed_at, issued_at))
 
-    def _apply(self, items: tuple[Item, ...]) -> None:
+    def _apply(self, now: Seconds, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key != self._key or item.revision < self._revision:
                 continue
@@ -166,9 +193,11 @@
             except msgspec.DecodeError as exc:
                 self._unreadable = str(exc)
                 stored = ScopeRecord()
-            self._set_stored(stored)
+            self._set_stored(now, stored)
 
-    def _set_stored(self, record: ScopeRecord) -> None:
+    def _set_stored(self, now: Seconds, record: ScopeRecord) -> None:
+        if self.stored is None or not self.stored.has_same_content(record):
+            self._stored_at = now
         self.stored = record
         self._set_known(self.known.union(record))
 
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -262,9 +262,10 @@
             self._entry_keys = set()
             watcher = self._entries
             issued_at = Seconds(watcher.issued_at)
-            self._scopes.adopt(result, watcher.revision, issued_at)
+            revision = watcher.revision
+            self._scopes.adopt(now, result, revision, issued_at)
         else:
-            self._scopes.update(result)
+            self._scopes.update(now, result)
             self._entry_keys.difference_update(result.deleted)
         for item in result.items:
             self._entry_keys.add(item.key)
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -228,6 +228,14 @@
     )
 
 
+def run_until_ready(fleet, balancer, limit_s=1.5):
+    """Run until a balancer may get packets, and no longer."""
+    until = fleet.world.clock.now + limit_s
+    while not balancer.is_ready and fleet.world.clock.now < until:
+        fleet.run(0.01)
+    assert balancer.is_ready
+
+
 def kill_balancers(fleet):
     for address in fleet.balancers:
         fleet.kill(address)
@@ -340,9 +348,7 @@
         fleet.data(flow_id)
     fleet.configure(table(3, *[OFFICE] * count))
     fleet.run(3.0)
-    fleet.start_balancer(node("balancer", 9))
-    fleet.run(0.5)
-    assert fleet.balancers[node("balancer", 9)].is_ready
+    run_until_ready(fleet, fleet.start_balancer(node("balancer", 9)))
     assert_answered(fleet, opened, by=9)
 
 
@@ -364,7 +370,6 @@
         fleet.route_to(version, services, LONG_IDLE_S)
         restarted = node("balancer", version % 3)
         fleet.stop(restarted)
-        fleet.start_balancer(restarted)
-        fleet.run(0.3)
+        run_until_ready(fleet, fleet.start_balancer(restarted))
         opened.append(fleet.open(10 * version, by=version % 3))
         assert_answered(fleet, opened, by=(version + 1) % 3)
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -11,6 +11,7 @@
 from medlar_core.relay.messages import ScopeTold
 from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.scope import ServiceOwner
+from medlar_core.relay.scope_store import READ_VALID_S
 
 from .kit import CountingReducer
 from .kit import DESK
@@ -22,6 +23,7 @@
 from .kit import node
 from .kit import OFFICE
 from .kit import one_route
+from .kit import RECORD
 from .kit import WithoutHellos
 
 LAGGING = 4
@@ -129,6 +131,31 @@
     assert fleet.reset_count(unknown) == len(unknown)
 
 
+def test_each_of_many_unknown_flows_is_reset_at_once():
+    """Guards against resets that wait for a read of the store each."""
+    fleet = two_services()
+    for number in range(100, 160):
+        fleet.data(flow(number), by=0)
+        fleet.run(0.05)
+        assert fleet.reset_count([flow(number)]) == 1
+
+
+def test_a_service_that_was_just_recorded_is_not_used_yet():
+    """Balancers that have read the record just before do not know it."""
+    fleet = two_services()
+    fleet.configure(one_route(2, {OFFICE: 1}))
+    while OFFICE not in fleet.world.store.items[RECORD].value:
+        fleet.run(0.01)
+    fleet.run(READ_VALID_S - 0.05)
+    assert {b.routes.version for b in fleet.balancers.values()} == {1}
+    newcomer = node("balancer", 9)
+    fleet.start_balancer(newcomer)
+    fleet.run(0.2)
+    assert fleet.balancers[newcomer].routes.version == 0
+    fleet.run(1.5)
+    assert {b.routes.version for b in fleet.balancers.values()} == {2}
+
+
 def test_an_unknown_flow_is_reset_though_its_balancer_lacks_the_store():
     fleet = two_services()
     fleet.world.without_store.add(node("balancer", 0))
