Check that flows are answered in one place of the testing kit

Three test files had their own assert_answered. The kit has one now, by the strictest of the three: no reset, and one answer more on each flow. The other two took more than one, or the sum over all flows. Waits stay as they were.

--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -329,6 +329,18 @@
             event = Received(node("balancer", 0), told)
             self.world.dispatch(address, event)
 
+    def assert_answered(
+        self, flows: list[FlowId], by: int, wait_s: float = 0.5
+    ) -> None:
+        """Send a request on each flow; none is reset, each answered once."""
+        before = [self.answer_count(flow_id) for flow_id in flows]
+        for flow_id in flows:
+            self.data(flow_id, by, seq=900)
+        self.run(wait_s)
+        assert self.reset_count(flows) == 0
+        after = [self.answer_count(flow_id) for flow_id in flows]
+        assert after == [count + 1 for count in before]
+
     def remove_by_mistake(self, balancer: NodeId, address: NodeId) -> None:
         """Let one balancer remove an agent that the others hear."""
         members = self.balancers[balancer].members
--- a/testing/core/relay/test_idle_timeout.py
+++ b/testing/core/relay/test_idle_timeout.py
@@ -46,21 +46,11 @@
     return opened
 
 
-def assert_answered(fleet, opened, by=1, wait_s=1.0):
-    before = [fleet.answer_count(flow_id) for flow_id in opened]
-    for flow_id in opened:
-        fleet.data(flow_id, by, seq=500)
-    fleet.run(wait_s)
-    assert fleet.reset_count(opened) == 0
-    after = [fleet.answer_count(flow_id) for flow_id in opened]
-    assert all(b > a for a, b in zip(before, after, strict=True))
-
-
 def test_flows_dropped_by_an_outdated_idle_timeout_are_found_at_servers():
     """Guards against resets of open flows after a raise of the timeout."""
     fleet = Fleet()
     opened = raise_late(fleet)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1, wait_s=1.0)
 
 
 def test_flows_dropped_before_a_restart_of_balancers_are_found():
@@ -70,7 +60,7 @@
         fleet.kill(address)
         fleet.start_balancer(address)
     fleet.run(1.0)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1, wait_s=1.0)
 
 
 def test_flows_are_found_after_a_loss_of_all_processes():
@@ -83,7 +73,7 @@
         fleet.kill(address)
         fleet.start_agent(address)
     fleet.run(1.0)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1, wait_s=1.0)
 
 
 def test_flows_are_kept_when_the_timeout_is_lowered_and_raised_again():
@@ -96,7 +86,7 @@
     hold_back_hellos(fleet)
     fleet.route_to(4, {DESK: 1}, LONG_IDLE_S)
     fleet.run(FLOW_IDLE_S)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1, wait_s=1.0)
 
 
 def test_an_unknown_flow_is_reset_though_agents_have_dropped_flows():
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -216,18 +216,6 @@
     return opened
 
 
-def assert_answered(fleet, opened, by=1, wait_s=0.5):
-    before = [fleet.answer_count(flow_id) for flow_id in opened]
-    for flow_id in opened:
-        fleet.data(flow_id, by, seq=900)
-    fleet.run(wait_s)
-    assert fleet.reset_count(opened) == 0
-    after = [fleet.answer_count(flow_id) for flow_id in opened]
-    assert [b - a for a, b in zip(before, after, strict=True)] == [1] * len(
-        opened
-    )
-
-
 def run_until_ready(fleet, balancer, limit_s=1.5):
     """Run until a balancer may get packets, and no longer."""
     until = fleet.world.clock.now + limit_s
@@ -259,7 +247,7 @@
     fleet = two_services()
     opened = move_route_with_open_flows(fleet)
     replace_balancers(fleet)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1)
 
 
 def test_flows_of_a_route_that_moves_while_no_balancer_runs_are_kept():
@@ -268,7 +256,7 @@
     kill_balancers(fleet)
     fleet.route_to(2, {OFFICE: 1}, LONG_IDLE_S)
     start_balancers(fleet)
-    assert_answered(fleet, opened)
+    fleet.assert_answered(opened, by=1)
 
 
 def test_flows_of_a_route_that_moved_twice_and_back_outlive_all_balancers():
@@ -278,10 +266,10 @@
     assert {fleet.services[fleet.holder(f)] for f in second} == {OFFICE}
     fleet.route_to(3, {DESK: 1}, LONG_IDLE_S)
     replace_balancers(fleet)
-    assert_answered(fleet, [*first, *second])
+    fleet.assert_answered([*first, *second], by=1)
     fleet.route_to(4, {OFFICE: 1}, LONG_IDLE_S)
     replace_balancers(fleet)
-    assert_answered(fleet, [*first, *second], by=2)
+    fleet.assert_answered([*first, *second], by=2)
 
 
 def lose_writes_of(fleet, key):
@@ -349,7 +337,7 @@
     fleet.configure(table(3, *[OFFICE] * count))
     fleet.run(3.0)
     run_until_ready(fleet, fleet.start_balancer(node("balancer", 9)))
-    assert_answered(fleet, opened, by=9)
+    fleet.assert_answered(opened, by=9)
 
 
 def test_a_balancer_started_without_the_store_keeps_flows_of_moved_routes():
@@ -359,7 +347,7 @@
     fleet.world.without_store.add(newcomer)
     fleet.start_balancer(newcomer, seeds=(node("balancer", 0),))
     fleet.run(2.0)
-    assert_answered(fleet, opened, by=9)
+    fleet.assert_answered(opened, by=9)
 
 
 def test_flows_are_kept_while_a_route_moves_and_a_balancer_restarts_by_turns():
@@ -372,4 +360,4 @@
         fleet.stop(restarted)
         run_until_ready(fleet, fleet.start_balancer(restarted))
         opened.append(fleet.open(10 * version, by=version % 3))
-        assert_answered(fleet, opened, by=(version + 1) % 3)
+        fleet.assert_answered(opened, by=(version + 1) % 3)
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -59,22 +59,13 @@
     return opened
 
 
-def assert_answered(fleet, opened, by, wait_s=1.0):
-    before = sum(map(fleet.answer_count, opened))
-    for flow_id in opened:
-        fleet.data(flow_id, by, seq=700)
-    fleet.run(wait_s)
-    assert fleet.reset_count(opened) == 0
-    assert sum(map(fleet.answer_count, opened)) == before + len(opened)
-
-
 def test_flows_of_a_newer_version_are_found_through_a_balancer_that_lags():
     """Guards against resets by a balancer that lacks the newest version."""
     fleet = two_services()
     configure_quickly(fleet)
     opened = open_at_office(fleet, 3)
     assert version(fleet, LAGGING) < 3
-    assert_answered(fleet, opened, LAGGING, wait_s=0.2)
+    fleet.assert_answered(opened, LAGGING, wait_s=0.2)
 
 
 def test_flows_are_found_through_a_balancer_that_hears_nobody():
@@ -84,7 +75,7 @@
     fleet.route_to(2, {OFFICE: 1})
     assert version(fleet, LAGGING) == 1
     opened = open_at_office(fleet)
-    assert_answered(fleet, opened, LAGGING)
+    fleet.assert_answered(opened, LAGGING, wait_s=1.0)
 
 
 def test_flows_are_found_through_a_lagging_balancer_without_the_store():
@@ -94,7 +85,7 @@
     fleet.world.nodes[address] = WithoutHellos(fleet.balancers[address])
     fleet.route_to(2, {OFFICE: 1})
     opened = open_at_office(fleet)
-    assert_answered(fleet, opened, LAGGING, wait_s=2.0)
+    fleet.assert_answered(opened, LAGGING, wait_s=2.0)
 
 
 def test_flows_are_found_after_a_balancer_was_frozen_during_a_change():
@@ -105,7 +96,7 @@
     opened = [fleet.open(number, by=1) for number in range(20)]
     fleet.world.paused.discard(address)
     assert version(fleet, 0) == 1
-    assert_answered(fleet, opened, by=0)
+    fleet.assert_answered(opened, by=0, wait_s=1.0)
 
 
 def test_flows_are_found_when_agents_and_balancers_restart_after_a_change():
@@ -119,7 +110,7 @@
     for address in list(fleet.balancers):
         fleet.start_balancer(address)
     fleet.run(1.0)
-    assert_answered(fleet, opened, LAGGING)
+    fleet.assert_answered(opened, LAGGING, wait_s=1.0)
 
 
 def test_an_unknown_flow_is_reset_soon():
@@ -239,7 +230,7 @@
     fleet.start_balancer(node("balancer", 9))
     fleet.run(1.0)
     assert any(fleet.holder(flow_id) == drained for flow_id in opened)
-    assert_answered(fleet, opened, by=9)
+    fleet.assert_answered(opened, by=9, wait_s=1.0)
 
 
 def test_flows_of_a_server_that_left_the_former_service_are_reset_at_once():
