Let each configuration wait for its own record of services

Cause: the limit of 1 s for a record that cannot be written also cut short the 0.5 s that a recorded service has to wait, if the write took over 0.5 s or a second move followed within the second, as the limit ran from the first. A balancer that had read the record just before its write then told an agent that all services were searched, and the flow was reset. A route whose weights add a service did not wait at all.

Change: the configurations wait one by one, each with its own limit, which holds only while its services are not recorded. The 0.5 s run from when a service was first seen in the record, for each service of an address.

--- a/packages/core/src/medlar_core/relay/pending_routes.py
+++ b/packages/core/src/medlar_core/relay/pending_routes.py
@@ -10,7 +10,6 @@
 """A configuration is in force after this even if its services could not be
 recorded, as it has to be everywhere within seconds."""
 
-
 FROM_STORE = "the store"
 
 
@@ -21,7 +20,7 @@
 
 
 class PendingRoutes:
-    """Holds the newest configuration until its services are recorded.
+    """Holds each new configuration until its services are recorded.
 
     No balancer sends a flow to a service that others would not search for
     it: whoever has read the record lately knows where the flow may be. A
@@ -30,32 +29,38 @@
 
     def __init__(self, scopes: ScopeStore) -> None:
         self._scopes = scopes
-        self._pending: _Pending | None = None
+        self._pending: list[_Pending] = []
+        """Oldest first. Each waits for itself, so that one that follows
+        does not cut the wait short, nor prolong it."""
 
     def offer(self, now: Seconds, table: RouteTable, source: str) -> None:
         """Add a configuration that is newer than the one in force."""
-        pending = self._pending
-        if pending is not None and table.version <= pending.table.version:
+        if self._pending and table.version <= self._pending[-1].table.version:
             return
-        # A further change does not prolong the wait.
-        since = pending.since if pending is not None else now
-        self._pending = _Pending(table, source, since)
+        self._pending.append(_Pending(table, source, now))
         self._scopes.require(table)
 
     def pop_ready(self, now: Seconds) -> tuple[RouteTable, str, bool] | None:
         """Return a configuration to put in force, and where it came from.
 
-        The last item tells whether its services are recorded.
+        It is the newest that is ready. The last item tells whether its
+        services are recorded.
         """
-        pending = self._pending
-        if pending is None:
-            return None
-        is_recorded = self._scopes.has_services_of(pending.table)
+        for number in reversed(range(len(self._pending))):
+            pending = self._pending[number]
+            is_recorded = self._scopes.has_services_of(pending.table)
+            if not is_recorded:
+                self._scopes.hasten(now)
+            if self._is_ready(now, pending, is_recorded):
+                del self._pending[: number + 1]
+                return pending.table, pending.source, is_recorded
+        return None
+
+    def _is_ready(
+        self, now: Seconds, pending: _Pending, is_recorded: bool
+    ) -> bool:
         if not is_recorded:
-            self._scopes.hasten(now)
-        may_use = self._scopes.may_use(now, pending.table)
-        is_in_use = is_recorded and pending.source != FROM_STORE
-        if not (may_use or is_in_use or now - pending.since >= RECORD_LIMIT_S):
-            return None
-        self._pending = None
-        return pending.table, pending.source, is_recorded
+            return now - pending.since >= RECORD_LIMIT_S
+        if pending.source != FROM_STORE:
+            return True
+        return self._scopes.may_use(now, pending.table)
--- a/packages/core/src/medlar_core/relay/scope_record.py
+++ b/packages/core/src/medlar_core/relay/scope_record.py
@@ -67,13 +67,6 @@
             for share in route.shares
         )
 
-    def has_others(self, table: RouteTable) -> bool:
-        """Return whether an address has services that its route lacks."""
-        return any(
-            len(self.get(route.address)) > len(route.shares)
-            for route in table.routes
-        )
-
 
 class SharedRoutes(msgspec.Struct, frozen=True):
     """Configuration and record as one balancer gives them to another.
--- a/packages/core/src/medlar_core/relay/scope_store.py
+++ b/packages/core/src/medlar_core/relay/scope_store.py
@@ -4,6 +4,7 @@
 
 from ..events import StoreAnswered
 from ..ids import Seconds
+from ..ids import ServiceName
 from ..ids import StoreCallId
 from ..store import Item
 from ..store import Put
@@ -47,8 +48,8 @@
         """What the store is known to hold, and what is to be added."""
         self.stored: ScopeRecord | None = None
         """What the store holds, as far as it was read here or by a peer."""
-        self._stored_at = NEVER
-        """When its content was last seen to change."""
+        self._added_at: dict[tuple[Endpoint, ServiceName], float] = {}
+        """When services of addresses that have several were first seen."""
         self._revision = 0
         self._write: StoreCallId | None = None
         self._written = ScopeRecord()
@@ -74,9 +75,12 @@
         """
         if not self.has_services_of(table):
             return False
-        if now - self._stored_at >= READ_VALID_S:
-            return True
-        return self.stored is not None and not self.stored.has_others(table)
+        return not any(
+            now - self._added_at.get((route.address, share.service), NEVER)
+            < READ_VALID_S
+            for route in table.routes
+            for share in route.shares
+        )
 
     def is_confirmed(self, at: float) -> bool:
         """Return whether all services are known that were in use then."""
@@ -196,11 +200,28 @@
             self._set_stored(now, stored)
 
     def _set_stored(self, now: Seconds, record: ScopeRecord) -> None:
-        if self.stored is None or not self.stored.has_same_content(record):
-            self._stored_at = now
+        self._note_added(now, record)
         self.stored = record
         self._set_known(self.known.union(record))
 
+    def _note_added(self, now: Seconds, record: ScopeRecord) -> None:
+        """Keep when the services that a record adds were first seen.
+
+        An address with one service needs none: who has read its entry
+        before has read that service.
+        """
+        before = self.stored.services if self.stored else {}
+        self._added_at = {
+            pair: at
+            for pair, at in self._added_at.items()
+            if now - at < READ_VALID_S
+        }
+        for address, named in record.services.items():
+            if len(named) < 2:
+                continue
+            for service in set(named).difference(before.get(address, ())):
+                self._added_at[address, service] = now
+
     def _set_known(self, record: ScopeRecord) -> None:
         self.known = record
         stored = self.stored
