Open no flow at a service that could not be recorded

Left open in docs/design/relay.md: a configuration that the store took no record of for 1 s was in force without it, and its flows could be reset through a balancer that read the store meanwhile.

Change: such a configuration is in force as before, but SYNs to an address whose new service the record lacks are dropped until they are retransmitted, until the record has had it for 0.5 s, or until no balancer has read the store for 4 s. Callers of these addresses alone see silence meanwhile, and their repeats open once the store takes the write.

Evidence: test_a_service_that_could_not_be_recorded_gets_no_flow failed before (the flow opened at the unrecorded service); the test beside it, on a store that is lost, guards that this ends.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -105,6 +105,7 @@
             self._scopes,
             self._owners,
             self._event_factory,
+            self._is_store_lost,
         )
         self._seen_changes = 0
         self._next_fetch_at = 0.0
@@ -363,7 +364,10 @@
         if not self.routes.apply(table):
             return []
         self._event_factory.version = table.version
-        text = "" if is_recorded else ", its services are not recorded"
+        text = ""
+        if not is_recorded:
+            self._scopes.hold_back(table)
+            text = ", its services are not recorded"
         event = self._event_factory.state_event(
             Topic.CONFIGURATION,
             f"configuration: in force with {len(table.routes)} routes, "
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -1,5 +1,7 @@
 """Forwarding of callers' packets by a balancer."""
 
+from collections.abc import Callable
+
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
@@ -45,6 +47,7 @@
         scopes: ScopeStore,
         owners: OwnerRanking,
         event_factory: EventFactory,
+        is_store_lost: Callable[[Seconds], bool],
     ) -> None:
         self._codec = codec
         self._members = members
@@ -52,6 +55,7 @@
         self._scopes = scopes
         self._owners = owners
         self._event_factory = event_factory
+        self._is_store_lost = is_store_lost
         self.hints = Hints()
         self._started_at: Seconds | None = None
         """When the first scope was told."""
@@ -69,6 +73,10 @@
         if not services:
             is_fresh = now - config_confirmed_at <= CONFIG_FRESH_S
             return self._handle_unknown_address(segment, is_fresh)
+        if segment.flags & _SYN and not self._may_open(
+            now, flow_id, services[0]
+        ):
+            return [self._held_back_event(segment, services[0])]
         dst = self._hinted_holder(flow_id, segment, services)
         if dst is None:
             owners = self._owners.by_service.get(services[0])
@@ -100,6 +108,29 @@
         )
         return [ForwardToAgent(dst, packet), event]
 
+    def _may_open(
+        self, now: Seconds, flow_id: FlowId, service: ServiceName
+    ) -> bool:
+        """Return whether others would search a service for the flow.
+
+        While no balancer reads the store, none tells an agent less than
+        this one knows.
+        """
+        if self._scopes.may_open(now, flow_id.address, service):
+            return True
+        return self._is_store_lost(now)
+
+    def _held_back_event(
+        self, segment: Segment, service: ServiceName
+    ) -> RelayEffect:
+        return self._event_factory.flow_event(
+            Topic.PLACEMENT,
+            "flows: SYN dropped until it is retransmitted, its service is "
+            "not recorded",
+            segment.inward,
+            service,
+        )
+
     def _services(self, flow_id: FlowId) -> tuple[ServiceName, ...]:
         """Return the services that may hold a flow, first the chosen one.
 
--- a/packages/core/src/medlar_core/relay/scope_store.py
+++ b/packages/core/src/medlar_core/relay/scope_store.py
@@ -50,6 +50,8 @@
         """What the store holds, as far as it was read here or by a peer."""
         self._added_at: dict[tuple[Endpoint, ServiceName], float] = {}
         """When services of addresses that have several were first seen."""
+        self._held_back: set[tuple[Endpoint, ServiceName]] = set()
+        """Services in force that could not be recorded for an address."""
         self._revision = 0
         self._write: StoreCallId | None = None
         self._written = ScopeRecord()
@@ -82,6 +84,33 @@
             for share in route.shares
         )
 
+    def hold_back(self, table: RouteTable) -> None:
+        """Let no flow be opened at services that could not be recorded."""
+        stored = self.stored.services if self.stored else {}
+        for route in table.routes:
+            recorded = stored.get(route.address)
+            for share in route.shares:
+                if recorded is not None and share.service not in recorded:
+                    self._held_back.add((route.address, share.service))
+
+    def may_open(
+        self, now: Seconds, address: Endpoint, service: ServiceName
+    ) -> bool:
+        """Return whether a flow may be opened at a service of an address.
+
+        Not at one that was held back, until no read that is still valid
+        lacks it.
+        """
+        pair = (address, service)
+        if pair not in self._held_back:
+            return True
+        if self.stored is not None and service not in self.stored.get(address):
+            return address not in self.stored.services
+        if now - self._added_at.get(pair, NEVER) < READ_VALID_S:
+            return False
+        self._held_back.discard(pair)
+        return True
+
     def is_confirmed(self, at: float) -> bool:
         """Return whether all services are known that were in use then."""
         return at <= self.confirmed_at + READ_VALID_S
--- a/testing/core/relay/test_slow_record.py
+++ b/testing/core/relay/test_slow_record.py
@@ -6,6 +6,7 @@
 from medlar_core.relay.pending_routes import RECORD_LIMIT_S
 from medlar_core.relay.scope_store import READ_VALID_S
 from medlar_core.store import Put
+from medlar_core.timeline.events import Topic
 
 from .kit import DESK
 from .kit import Fleet
@@ -125,3 +126,50 @@
         opened.append(fleet.open(number, by=number % 3))
     for by in (9, 0, LAGGING):
         fleet.assert_answered(opened, by)
+
+
+def lose_record_writes(fleet):
+    """Let the store do no write of the record; return how to end that."""
+    call = fleet.world.store.call
+
+    def call_unless_written(op, answered):
+        if not (isinstance(op, Put) and op.key == RECORD):
+            call(op, answered)
+
+    fleet.world.store.call = call_unless_written
+
+    def end():
+        fleet.world.store.call = call
+
+    return end
+
+
+def test_a_service_that_could_not_be_recorded_gets_no_flow():
+    """Guards against resets by balancers that read the store meanwhile."""
+    fleet = three_services()
+    end = lose_record_writes(fleet)
+    fleet.configure(one_route(2, {OFFICE: 1}))
+    fleet.run(PROPAGATION_S)
+    assert versions(fleet) == {2}
+    fleet.syn(flow(1))
+    fleet.run(0.1)
+    assert fleet.packet_count(flow(1), 0xFF) == 0
+    assert any(
+        event.topic is Topic.PLACEMENT and "not recorded" in event.text
+        for event in fleet.world.events
+    )
+    end()
+    fleet.run(PROPAGATION_S)
+    opened = fleet.open(1)
+    assert fleet.services[fleet.holder(opened)] == OFFICE
+
+
+def test_a_service_that_could_not_be_recorded_is_used_once_the_store_is_lost():
+    fleet = three_services()
+    lose_record_writes(fleet)
+    fleet.configure(one_route(2, {OFFICE: 1}))
+    fleet.run(0.2)
+    fleet.world.store.down = True
+    fleet.run(7.0)
+    opened = fleet.open(1)
+    assert fleet.services[fleet.holder(opened)] == OFFICE
