--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -27,6 +27,7 @@
 from .events import ServerLeft
 from .events import ServerPacketReceived
 from .flow_context import FlowContext
+from .health.service_check import ServiceCheck
 from .local_server import LocalServer
 from .member_query import MemberQuery
 from .members import Members
@@ -49,7 +50,6 @@
 from .registration import Registration
 from .segment import Segment
 from .segment import SegmentCodec
-from .service_check import ServiceCheck
 
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -10,9 +10,9 @@
 from .effects import SendToCaller
 from .events import PacketForwarded
 from .flow_context import FlowContext
-from .flow_lookup import FlowLookup
 from .flow_table import Flow
-from .forwarded import ForwardReason
+from .lookup.flow_lookup import FlowLookup
+from .lookup.forwarded import ForwardReason
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import FlowHeld
--- a/packages/core/src/medlar_core/relay/choice.py
+++ b/packages/core/src/medlar_core/relay/balance/choice.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
-from ..ids import NodeId
-from ..ids import PlaceName
-from ..ids import Seconds
-from .member import Member
-from .messages import AgentReport
-from .messages import AgentState
+from ...ids import NodeId
+from ...ids import PlaceName
+from ...ids import Seconds
+from ..member import Member
+from ..messages import AgentReport
+from ..messages import AgentState
 
 RECENT_LOAD_S = 0.2
 """Largest age of a load figure by which a flow is placed."""
--- a/packages/core/src/medlar_core/relay/report_requests.py
+++ b/packages/core/src/medlar_core/relay/balance/report_requests.py
@@ -1,9 +1,9 @@
 """Requests for the reports of agents that may be down or whose load is old."""
 
-from ..ids import NodeId
-from ..ids import Seconds
-from .member import Member
-from .member import NEVER
+from ...ids import NodeId
+from ...ids import Seconds
+from ..member import Member
+from ..member import NEVER
 
 REPEAT_REQUEST_S = 0.5
 """Time between two requests to an agent that may have to be removed."""
--- a/packages/core/src/medlar_core/relay/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/balance/report_schedule.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from ..effects import Send
-from ..ids import NodeId
-from ..ids import Seconds
+from ...effects import Send
+from ...ids import NodeId
+from ...ids import Seconds
+from ..messages import AgentReport
+from ..messages import LoadReport
+from ..send_interval import ReportInterval
 from .choice import RECENT_LOAD_S
-from .messages import AgentReport
-from .messages import LoadReport
-from .send_interval import ReportInterval
 
 FULL_REPORT_INTERVAL_S = 2.0
 """Full reports are repeated at this interval, for receivers that missed a
--- a/packages/core/src/medlar_core/relay/pending_routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/pending_routes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..ids import Seconds
+from ...ids import Seconds
 from .routes import RouteTable
 from .scope_store import ScopeStore
 
--- a/packages/core/src/medlar_core/relay/routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/routes.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from ..ids import ServiceName
-from .segment import Endpoint
-from .segment import endpoint
-from .segment import FlowId
+from ...ids import ServiceName
+from ..segment import Endpoint
+from ..segment import endpoint
+from ..segment import FlowId
 
 
 class Share(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/scope_queries.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_queries.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from ..ids import NodeId
-from ..ids import Seconds
-from .segment import FlowId
+from ...ids import NodeId
+from ...ids import Seconds
+from ..segment import FlowId
 
 QUERY_TTL_S = 2.0
 """The agent has asked another balancer long before."""
--- a/packages/core/src/medlar_core/relay/scope_record.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_record.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from ..ids import ServiceName
+from ...ids import ServiceName
+from ..segment import Endpoint
 from .routes import Route
 from .routes import RouteTable
-from .segment import Endpoint
 
 Services = dict[Endpoint, tuple[ServiceName, ...]]
 
--- a/packages/core/src/medlar_core/relay/scope_sources.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_sources.py
@@ -1,8 +1,8 @@
 """Choice of the balancer that an agent asks for the scope of a flow."""
 
-from ..ids import NodeId
-from ..ids import Seconds
-from .members import Members
+from ...ids import NodeId
+from ...ids import Seconds
+from ..members import Members
 
 AVOIDED_S = 5.0
 """A balancer that has not replied is not asked for this long while there are
--- a/packages/core/src/medlar_core/relay/scope_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_store.py
@@ -2,22 +2,22 @@
 
 import msgspec
 
-from ..events import StoreAnswered
-from ..ids import Seconds
-from ..ids import ServiceName
-from ..ids import StoreCallId
-from ..store import Item
-from ..store import Put
-from ..store import Written
-from ..storeaccess.access import Part
-from ..storeaccess.access import StoreAccess
-from .member import NEVER
+from ...events import StoreAnswered
+from ...ids import Seconds
+from ...ids import ServiceName
+from ...ids import StoreCallId
+from ...store import Item
+from ...store import Put
+from ...store import Written
+from ...storeaccess.access import Part
+from ...storeaccess.access import StoreAccess
+from ..member import NEVER
+from ..segment import Endpoint
+from ..store_watcher import Change
+from ..store_watcher import Snapshot
+from ..store_watcher import StoreWatcher
 from .routes import RouteTable
 from .scope_record import ScopeRecord
-from .segment import Endpoint
-from .store_watcher import Change
-from .store_watcher import Snapshot
-from .store_watcher import StoreWatcher
 
 WRITE_SPREAD_S = 0.05
 """Upper bound of the random delay of a write: several balancers learn of a
--- a/packages/core/src/medlar_core/relay/effects.py
+++ b/packages/core/src/medlar_core/relay/effects.py
@@ -8,7 +8,7 @@
 from ..effects import Record
 from ..effects import Send
 from ..ids import NodeId
-from .forwarded import ForwardedPacket
+from .lookup.forwarded import ForwardedPacket
 from .segment import Endpoint
 
 
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -6,9 +6,9 @@
 
 from ..ids import NodeId
 from ..ids import ServiceName
-from .forwarded import ForwardedPacket
-from .routes import RouteTable
-from .scope_record import ScopeRecord
+from .configuration.routes import RouteTable
+from .configuration.scope_record import ScopeRecord
+from .lookup.forwarded import ForwardedPacket
 from .segment import Segment
 
 
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -12,9 +12,9 @@
 from .event_factory import EventFactory
 from .flow_table import Flow
 from .flow_table import FlowTable
-from .forwarded import ForwardedPacket
-from .forwarded import ForwardReason
 from .local_server import LocalServer
+from .lookup.forwarded import ForwardedPacket
+from .lookup.forwarded import ForwardReason
 from .members import Members
 from .scope import FlowScope
 from .scope import KnownScopes
--- a/packages/core/src/medlar_core/relay/departures.py
+++ b/packages/core/src/medlar_core/relay/health/departures.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from ..ids import NodeId
-from ..ids import Seconds
-from ..ids import ServiceName
-from .messages import Departed
+from ...ids import NodeId
+from ...ids import Seconds
+from ...ids import ServiceName
+from ..messages import Departed
 
 DEPARTED_RETENTION_S = 30.0
 """For so long a removed agent is named in hello messages."""
--- a/packages/core/src/medlar_core/relay/service_check.py
+++ b/packages/core/src/medlar_core/relay/health/service_check.py
@@ -1,12 +1,12 @@
 """Announcements that name another service than the known server's."""
 
-from ..effects import Send
-from ..ids import Seconds
-from ..ids import ServiceName
-from .events import ServerAnnounced
-from .local_server import LocalServer
-from .members import Members
-from .messages import MembersAsked
+from ...effects import Send
+from ...ids import Seconds
+from ...ids import ServiceName
+from ..events import ServerAnnounced
+from ..local_server import LocalServer
+from ..members import Members
+from ..messages import MembersAsked
 
 
 class ServiceCheck:
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -6,12 +6,12 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
+from .configuration.routes import Routes
 from .member import Member
 from .members import Members
 from .messages import AgentReport
 from .messages import Goodbye
 from .messages import Hello
-from .routes import Routes
 from .send_interval import SendInterval
 from .send_interval import SPARSE_MESSAGES_PER_S
 from .store_view import BalancerIdentity
--- a/packages/core/src/medlar_core/relay/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/lookup/flow_lookup.py
@@ -1,15 +1,26 @@
 """Lookup of the holder of flows that are not in an agent's table."""
 
-from ..effects import Send
-from ..ids import NodeId
-from ..ids import Seconds
-from ..limits import TokenBucket
-from ..packets import Flag
-from ..verdict import Reason
-from .effects import ForwardToAgent
-from .effects import RelayEffect
-from .flow_context import FlowContext
-from .flow_table import Flow
+from ...effects import Send
+from ...ids import NodeId
+from ...ids import Seconds
+from ...limits import TokenBucket
+from ...packets import Flag
+from ...verdict import Reason
+from ..configuration.scope_sources import ScopeSources
+from ..effects import ForwardToAgent
+from ..effects import RelayEffect
+from ..flow_context import FlowContext
+from ..flow_table import Flow
+from ..member import Member
+from ..messages import FlowAsked
+from ..messages import FlowHeld
+from ..messages import FlowUnknown
+from ..messages import ScopeAsked
+from ..messages import ScopeTold
+from ..scope import FlowScope
+from ..scope import ServiceOwner
+from ..segment import FlowId
+from ..segment import Segment
 from .forwarded import ForwardedPacket
 from .forwarded import ForwardReason
 from .lookup_replies import LookupReplies
@@ -19,17 +30,6 @@
 from .lookup_table import Lookup
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
-from .member import Member
-from .messages import FlowAsked
-from .messages import FlowHeld
-from .messages import FlowUnknown
-from .messages import ScopeAsked
-from .messages import ScopeTold
-from .scope import FlowScope
-from .scope import ServiceOwner
-from .scope_sources import ScopeSources
-from .segment import FlowId
-from .segment import Segment
 
 QUERY_PACKETS_PER_S = 400.0
 """Rate of packets sent to agents that have to try them at their servers.
--- a/packages/core/src/medlar_core/relay/forwarded.py
+++ b/packages/core/src/medlar_core/relay/lookup/forwarded.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from ..ids import NodeId
-from ..ids import ServiceName
-from .scope import FlowScope
-from .scope import UNKNOWN_SCOPE
+from ...ids import NodeId
+from ...ids import ServiceName
+from ..scope import FlowScope
+from ..scope import UNKNOWN_SCOPE
 
 
 class ForwardReason(enum.IntEnum):
--- a/packages/core/src/medlar_core/relay/hints.py
+++ b/packages/core/src/medlar_core/relay/lookup/hints.py
@@ -2,8 +2,8 @@
 
 import collections
 
-from ..ids import NodeId
-from .segment import FlowId
+from ...ids import NodeId
+from ..segment import FlowId
 
 MAX_HINTS = 20_000
 
--- a/packages/core/src/medlar_core/relay/lookup_replies.py
+++ b/packages/core/src/medlar_core/relay/lookup/lookup_replies.py
@@ -2,18 +2,18 @@
 
 import msgspec
 
-from ..effects import Send
-from ..ids import NodeId
-from ..ids import Seconds
-from .effects import RelayEffect
-from .events import PacketForwarded
-from .flow_context import FlowContext
-from .messages import FlowAsked
-from .messages import FlowHeld
-from .messages import FlowPacketAsked
-from .messages import FlowUnknown
-from .scope import FlowScope
-from .segment import FlowId
+from ...effects import Send
+from ...ids import NodeId
+from ...ids import Seconds
+from ..effects import RelayEffect
+from ..events import PacketForwarded
+from ..flow_context import FlowContext
+from ..messages import FlowAsked
+from ..messages import FlowHeld
+from ..messages import FlowPacketAsked
+from ..messages import FlowUnknown
+from ..scope import FlowScope
+from ..segment import FlowId
 
 PENDING_QUERY_TTL_S = 1.0
 """A server bounces a packet of an unknown flow well within this time."""
--- a/packages/core/src/medlar_core/relay/lookup_retries.py
+++ b/packages/core/src/medlar_core/relay/lookup/lookup_retries.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from ..ids import NodeId
-from ..ids import Seconds
+from ...ids import NodeId
+from ...ids import Seconds
+from ..segment import FlowId
+from ..segment import Segment
 from .forwarded import ForwardedPacket
-from .segment import FlowId
-from .segment import Segment
 
 FIRST_INTERVAL_S = 0.2
 MAX_RETRIES = 4
--- a/packages/core/src/medlar_core/relay/lookup_table.py
+++ b/packages/core/src/medlar_core/relay/lookup/lookup_table.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from ..ids import NodeId
-from ..ids import Seconds
+from ...ids import NodeId
+from ...ids import Seconds
+from ..scope import FlowScope
+from ..segment import FlowId
+from ..segment import Segment
 from .lookup_retries import LookupRequest
-from .scope import FlowScope
-from .segment import FlowId
-from .segment import Segment
 
 REPLY_TIMEOUT_S = 0.3
 """If replies are still missing after this, the next packet of the flow
--- a/packages/core/src/medlar_core/relay/owners.py
+++ b/packages/core/src/medlar_core/relay/lookup/owners.py
@@ -10,13 +10,13 @@
 
 import xxhash
 
-from ..ids import NodeId
-from ..ids import Seconds
-from ..ids import ServiceName
-from .member import Member
-from .member import recently_reporting
-from .members import Members
-from .messages import AgentState
+from ...ids import NodeId
+from ...ids import Seconds
+from ...ids import ServiceName
+from ..member import Member
+from ..member import recently_reporting
+from ..members import Members
+from ..messages import AgentState
 
 BUCKETS = 256
 OWNERS_PER_BUCKET = 2
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -14,7 +14,8 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
-from .departures import Departures
+from .balance.report_requests import ReportRequests
+from .health.departures import Departures
 from .known_balancer import KnownBalancer
 from .member import is_expired
 from .member import known_at
@@ -29,7 +30,6 @@
 from .messages import Hello
 from .messages import LoadReport
 from .messages import ReportAsked
-from .report_requests import ReportRequests
 
 NO_REPLY_NAMED_S = 0.7
 """An agent that another process has removed, and that has not replied for
--- a/packages/core/src/medlar_core/relay/report_sender.py
+++ b/packages/core/src/medlar_core/relay/report_sender.py
@@ -9,10 +9,10 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..ids import ServiceName
+from .balance.report_schedule import ReportSchedule
 from .members import Members
 from .messages import AgentReport
 from .messages import OtherService
-from .report_schedule import ReportSchedule
 
 PEER_REPORT_INTERVAL_S = 0.1
 BALANCER_REPORT_INTERVAL_S = 0.2
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -19,14 +19,14 @@
 from ..storeaccess.access import Part
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
+from .configuration.routes import RouteTable
+from .configuration.scope_store import ScopeStore
 from .effects import RelayEffect
 from .event_factory import EventFactory
 from .members import Members
 from .messages import AgentReport
 from .messages import EntryMissing
 from .registration import Registration
-from .routes import RouteTable
-from .scope_store import ScopeStore
 from .store_watcher import Change
 from .store_watcher import Snapshot
 from .store_watcher import StoreWatcher
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -18,6 +18,7 @@
 from medlar_core.ids import StoreCallId
 from medlar_core.packets import Flag
 from medlar_core.relay.access import CALL_LIMIT_S
+from medlar_core.relay.configuration.scope_record import SharedRoutes
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import ForwardToAgent
@@ -27,7 +28,6 @@
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import RoutesFetched
 from medlar_core.relay.events import ServerPacketReceived
-from medlar_core.relay.scope_record import SharedRoutes
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
 from medlar_core.store import StoreAnswer
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -24,6 +24,7 @@
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
 from medlar_core.ids import Seconds
+from medlar_core.relay.configuration.scope_record import SharedRoutes
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import ForwardToAgent
@@ -31,13 +32,12 @@
 from medlar_core.relay.effects import SendToCaller
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import RoutesFetched
-from medlar_core.relay.forwarded import decode as decode_packet
-from medlar_core.relay.forwarded import encode as encode_packet
+from medlar_core.relay.lookup.forwarded import decode as decode_packet
+from medlar_core.relay.lookup.forwarded import encode as encode_packet
 from medlar_core.relay.members import Members
 from medlar_core.relay.messages import decode as decode_message
 from medlar_core.relay.messages import encode as encode_message
 from medlar_core.relay.messages import RelayMessage
-from medlar_core.relay.scope_record import SharedRoutes
 from medlar_core.relay.segment import host_of
 from medlar_core.relay.segment import Segment
 from medlar_core.relay.segment import SegmentCodec
--- a/testing/core/relay/test_choice.py
+++ b/testing/core/relay/test_choice.py
@@ -9,18 +9,18 @@
 from medlar_core.ids import PlaceName
 from medlar_core.ids import Seconds
 from medlar_core.ids import ServiceName
-from medlar_core.relay.choice import Choice
-from medlar_core.relay.choice import MAX_WAITING_PER_SLOT
-from medlar_core.relay.choice import MAX_WAITING_PER_SLOT_LOW_PRIORITY
-from medlar_core.relay.choice import Selection
+from medlar_core.relay.balance.choice import Choice
+from medlar_core.relay.balance.choice import MAX_WAITING_PER_SLOT
+from medlar_core.relay.balance.choice import MAX_WAITING_PER_SLOT_LOW_PRIORITY
+from medlar_core.relay.balance.choice import Selection
+from medlar_core.relay.configuration.routes import Route
+from medlar_core.relay.configuration.routes import Routes
+from medlar_core.relay.configuration.routes import RouteTable
+from medlar_core.relay.configuration.routes import Share
 from medlar_core.relay.member import Member
 from medlar_core.relay.members import Members
 from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
-from medlar_core.relay.routes import Route
-from medlar_core.relay.routes import Routes
-from medlar_core.relay.routes import RouteTable
-from medlar_core.relay.routes import Share
 
 from .kit import DESK
 from .kit import Fleet
--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -6,10 +6,10 @@
 from medlar_core.events import StopAsked
 from medlar_core.packets import Flag
 from medlar_core.relay.events import PacketForwarded
-from medlar_core.relay.flow_lookup import QUERY_PACKETS_BURST
-from medlar_core.relay.flow_lookup import QUERY_PACKETS_PER_S
-from medlar_core.relay.forwarded import ForwardedPacket
-from medlar_core.relay.forwarded import ForwardReason
+from medlar_core.relay.lookup.flow_lookup import QUERY_PACKETS_BURST
+from medlar_core.relay.lookup.flow_lookup import QUERY_PACKETS_PER_S
+from medlar_core.relay.lookup.forwarded import ForwardedPacket
+from medlar_core.relay.lookup.forwarded import ForwardReason
 from medlar_core.relay.messages import AgentState
 from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.segment import Segment
--- a/testing/core/relay/test_placement.py
+++ b/testing/core/relay/test_placement.py
@@ -1,8 +1,8 @@
 """Placement of new flows in a service with many agents."""
 
 from medlar_core.packets import Flag
-from medlar_core.relay.choice import Choice
-from medlar_core.relay.choice import RECENT_LOAD_S
+from medlar_core.relay.balance.choice import Choice
+from medlar_core.relay.balance.choice import RECENT_LOAD_S
 
 from .kit import ANNOUNCE_INTERVAL_S
 from .kit import Fleet
--- a/testing/core/relay/test_report_schedule.py
+++ b/testing/core/relay/test_report_schedule.py
@@ -6,13 +6,13 @@
 from medlar_core.ids import PlaceName
 from medlar_core.ids import Seconds
 from medlar_core.ids import ServiceName
+from medlar_core.relay.balance.report_schedule import FULL_REPORT_INTERVAL_S
+from medlar_core.relay.balance.report_schedule import FULL_REPORT_ROUNDS
+from medlar_core.relay.balance.report_schedule import ReportSchedule
 from medlar_core.relay.messages import AgentReport
 from medlar_core.relay.messages import AgentState
 from medlar_core.relay.messages import encode
 from medlar_core.relay.messages import LoadReport
-from medlar_core.relay.report_schedule import FULL_REPORT_INTERVAL_S
-from medlar_core.relay.report_schedule import FULL_REPORT_ROUNDS
-from medlar_core.relay.report_schedule import ReportSchedule
 
 from .kit import AGENTS
 from .kit import Fleet
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -5,13 +5,13 @@
 import pytest
 
 from medlar_core.events import Received
+from medlar_core.relay.configuration.scope_store import READ_VALID_S
 from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.messages import FlowHeld
 from medlar_core.relay.messages import ScopeAsked
 from medlar_core.relay.messages import ScopeTold
 from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.scope import ServiceOwner
-from medlar_core.relay.scope_store import READ_VALID_S
 
 from .kit import CountingReducer
 from .kit import DESK
--- a/testing/core/relay/test_slow_record.py
+++ b/testing/core/relay/test_slow_record.py
@@ -2,9 +2,9 @@
 
 from medlar_core.events import Received
 from medlar_core.ids import ServiceName
+from medlar_core.relay.configuration.pending_routes import RECORD_LIMIT_S
+from medlar_core.relay.configuration.scope_store import READ_VALID_S
 from medlar_core.relay.messages import ScopeAsked
-from medlar_core.relay.pending_routes import RECORD_LIMIT_S
-from medlar_core.relay.scope_store import READ_VALID_S
 from medlar_core.store import Put
 from medlar_core.timeline.events import Topic
 
--- a/testing/users_platform/test_config.py
+++ b/testing/users_platform/test_config.py
@@ -1,7 +1,7 @@
 import pytest
 
-from medlar_core.relay.routes import Routes
-from medlar_core.relay.scope_record import ScopeRecord
+from medlar_core.relay.configuration.routes import Routes
+from medlar_core.relay.configuration.scope_record import ScopeRecord
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
 from medlar_platform.config import read_routes
