Carry the terms of routes and more figures of servers between processes

Cause: decisions under load need what a route asks for (priority, target and timeout, whether requests are idempotent) and what others know of a server (expected wait, service time, room while cold, health, evacuation).

Change: the adapter reads these of the platform's routes and services, a SYN carries its route's terms, and reports and hello messages have the new fields at their end, so that processes of earlier versions read the rest.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -102,6 +102,7 @@
             packet.hops,
             packet.low_priority,
             packet.scope,
+            packet.terms,
         )
         if routed:
             return self.placement.place(now, new_flow, own_report)
@@ -289,4 +290,5 @@
             hops,
             flow.low_priority,
             self._ctx.scopes.get(segment.inward.address),
+            flow.terms,
         )
--- a/packages/core/src/medlar_core/relay/balance/choice.py
+++ b/packages/core/src/medlar_core/relay/balance/choice.py
@@ -10,7 +10,6 @@
 from ...ids import Seconds
 from ..member import Member
 from ..messages import AgentReport
-from ..messages import AgentState
 
 RECENT_LOAD_S = 0.2
 """Largest age of a load figure by which a flow is placed."""
@@ -151,7 +150,7 @@
 ) -> bool:
     report = member.report
     return (
-        report.state is AgentState.READY
+        report.accepts_flows
         and report.id not in excluded
         and not member.is_silent(now, MAX_REPORT_AGE_S)
     )
--- a/packages/core/src/medlar_core/relay/balance/report_schedule.py
+++ b/packages/core/src/medlar_core/relay/balance/report_schedule.py
@@ -75,6 +75,9 @@
             report.busy,
             report.flows,
             report.waiting,
+            report.wait_ms,
+            report.service_ms,
+            report.room,
         )
         return [Send(node, load) for node in nodes]
 
@@ -88,7 +91,14 @@
 
     def _is_full_report_due(self, now: Seconds, report: AgentReport) -> bool:
         without_load = msgspec.structs.replace(
-            report, count=0, busy=0, flows=0, waiting=0
+            report,
+            count=0,
+            busy=0,
+            flows=0,
+            waiting=0,
+            wait_ms=0,
+            service_ms=0,
+            room=0,
         )
         if without_load != self._last_without_load:
             self._last_without_load = without_load
--- a/packages/core/src/medlar_core/relay/configuration/routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/routes.py
@@ -6,6 +6,8 @@
 from ..segment import Endpoint
 from ..segment import endpoint
 from ..segment import FlowId
+from ..terms import DEFAULT_TERMS
+from ..terms import FlowTerms
 
 
 class Share(msgspec.Struct, frozen=True):
@@ -16,15 +18,28 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Services that get new flows to an address.
+    """Services that get new flows to an address, and their requests' terms.
 
-    ``rank`` is the priority, 0 the highest.
+    ``rank``, ``target_ms``, ``timeout_ms`` and ``is_idempotent`` are those
+    of :class:`FlowTerms`. ``regions`` are those whose servers may get the
+    flows, empty for all.
     """
 
     host: str
     port: int
     shares: tuple[Share, ...]
     rank: int = 0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    is_idempotent: bool = False
+    regions: tuple[str, ...] = ()
+
+    @property
+    def terms(self) -> FlowTerms:
+        """What a SYN to the route carries."""
+        return FlowTerms(
+            self.rank, self.target_ms, self.timeout_ms, self.is_idempotent
+        )
 
     @property
     def address(self) -> Endpoint:
@@ -35,6 +50,17 @@
         return endpoint(self.host, self.port)
 
 
+class ServiceLimits(msgspec.Struct, frozen=True):
+    """What the servers of a service bear.
+
+    ``cold_per_s`` is how many requests a second a cold server bears, 0 for
+    any number.
+    """
+
+    service: ServiceName
+    cold_per_s: float = 0.0
+
+
 class RouteTable(msgspec.Struct, frozen=True):
     """One complete version of the configuration.
 
@@ -44,6 +70,7 @@
     version: int
     routes: tuple[Route, ...]
     idle_s: float
+    services: tuple[ServiceLimits, ...] = ()
 
 
 class Routes:
@@ -79,6 +106,11 @@
         self._lowest_rank = _lowest_rank(table)
         return True
 
+    def terms(self, flow: FlowId) -> FlowTerms:
+        """Return the terms of a flow's route."""
+        route = self._by_address.get(flow.address)
+        return route.terms if route is not None else DEFAULT_TERMS
+
     def has_low_priority(self, flow: FlowId, service: ServiceName) -> bool:
         """Return whether a flow's route has the lowest priority to a service.
 
--- a/packages/core/src/medlar_core/relay/configuration/scope_record.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_record.py
@@ -10,6 +10,7 @@
 from ..segment import Endpoint
 from .routes import Route
 from .routes import RouteTable
+from .routes import ServiceLimits
 
 Services = dict[Endpoint, tuple[ServiceName, ...]]
 
@@ -79,13 +80,18 @@
     routes: tuple[Route, ...]
     idle_s: float
     record: ScopeRecord | None = None
+    services: tuple[ServiceLimits, ...] = ()
 
     @property
     def table(self) -> RouteTable:
         """The configuration."""
-        return RouteTable(self.version, self.routes, self.idle_s)
+        return RouteTable(
+            self.version, self.routes, self.idle_s, self.services
+        )
 
 
 def share(table: RouteTable, record: ScopeRecord | None) -> SharedRoutes:
     """Return what a balancer gives to another one."""
-    return SharedRoutes(table.version, table.routes, table.idle_s, record)
+    return SharedRoutes(
+        table.version, table.routes, table.idle_s, record, table.services
+    )
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -10,6 +10,8 @@
 from .segment import FlowId
 from .segment import is_later
 from .segment import Segment
+from .terms import DEFAULT_TERMS
+from .terms import FlowTerms
 
 CLOSED_TTL_S = 5.0
 """Late packets of a closed flow are delivered for this long."""
@@ -40,9 +42,10 @@
     and ``established`` once the caller has acknowledged that. It is
     ``closed`` once either end has sent its last packet; ``caller_done`` and
     ``server_done`` tell which. ``declined`` names agents whose servers did
-    not accept it, ``via`` is the balancer that was last notified of the
-    holder, at ``notified_at``. ``low_priority`` is set if room has to be
-    left at a server for flows of higher priority.
+    not accept it, ``terms`` are those of its route, ``via`` is the balancer
+    that was last notified of the holder, at ``notified_at``.
+    ``low_priority`` is set if room has to be left at a server for flows of
+    higher priority.
     """
 
     holder: NodeId
@@ -63,6 +66,7 @@
     via: NodeId = NodeId("")
     notified_at: float = 0.0
     low_priority: bool = False
+    terms: FlowTerms = DEFAULT_TERMS
 
 
 class FlowTable:
--- a/packages/core/src/medlar_core/relay/lookup/forwarded.py
+++ b/packages/core/src/medlar_core/relay/lookup/forwarded.py
@@ -8,6 +8,8 @@
 from ...ids import ServiceName
 from ..scope import FlowScope
 from ..scope import UNKNOWN_SCOPE
+from ..terms import DEFAULT_TERMS
+from ..terms import FlowTerms
 
 
 class ForwardReason(enum.IntEnum):
@@ -34,6 +36,7 @@
     forwarded the packet. ``low_priority`` is set in a SYN if room has to be
     left at a server for flows of higher priority. ``scope`` is what the
     balancer told of the flow; who forwards the packet passes it on.
+    ``terms`` are those of the flow's route, told with a SYN.
     ``unused_1`` and ``unused_2`` are services and agents in packets of
     earlier versions, which keep their places.
     """
@@ -48,6 +51,7 @@
     low_priority: bool = False
     unused_2: tuple[str, ...] = ()
     scope: FlowScope
+    terms: FlowTerms = DEFAULT_TERMS
 
 
 class _UnscopedPacket(msgspec.Struct, array_like=True):
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -130,6 +130,9 @@
             busy=load.busy,
             flows=load.flows,
             waiting=load.waiting,
+            wait_ms=load.wait_ms,
+            service_ms=load.service_ms,
+            room=load.room,
         )
         member.assigned = 0
         self._record_report(now, member)
--- a/packages/core/src/medlar_core/relay/messages.py
+++ b/packages/core/src/medlar_core/relay/messages.py
@@ -8,9 +8,12 @@
 from ..ids import NodeId
 from ..ids import PlaceName
 from ..ids import ServiceName
+from .health.state import HealthState
 from .scope import FlowScope
 from .segment import FlowId
+from .zones.evacuation import EvacuatedPlaces
 
+UNLIMITED_ROOM = -1
 FINAL_COUNT = 2**62
 """Higher than the count of any report."""
 
@@ -41,6 +44,11 @@
     of the server in ms and tells its incarnations apart.
     ``knows_all_flows`` tells whether the agent knows every flow that its
     server holds. ``period_s`` is the time between two reports to one peer.
+    ``wait_ms`` is the expected wait of a new flow before the server works on
+    it, ``service_ms`` the measured mean time that the server works on one
+    request, 0 if unknown. ``room`` is how many new flows a cold server
+    accepts now, ``UNLIMITED_ROOM`` without a limit. ``evacuated`` tells that
+    the agent's place gets no new flows.
     """
 
     id: NodeId
@@ -58,6 +66,18 @@
     server_born: int = 0
     period_s: float = 0.0
     waiting: int = 0
+    wait_ms: int = 0
+    service_ms: int = 0
+    room: int = UNLIMITED_ROOM
+    health: HealthState = HealthState.HEALTHY
+    evacuated: bool = False
+
+    @property
+    def accepts_flows(self) -> bool:
+        """Whether the agent delivers new flows to its server."""
+        if self.state is not AgentState.READY or self.evacuated:
+            return False
+        return self.room != 0
 
     @property
     def stamp(self) -> tuple[int, int]:
@@ -81,6 +101,9 @@
     busy: int
     flows: int
     waiting: int
+    wait_ms: int = 0
+    service_ms: int = 0
+    room: int = UNLIMITED_ROOM
 
     @property
     def stamp(self) -> tuple[int, int]:
@@ -135,6 +158,10 @@
     for its report. ``period_s`` is the time between two hello messages to
     the receiver, 0 if unknown. ``unused_1`` and ``unused_2`` told of moved
     routes in messages of earlier versions, which keep their places.
+    ``evacuated`` are the places that get no new flows, ``cold_per_s`` is how
+    many requests a second a cold server of the receiving agent's service
+    bears, 0 for any number. ``link_mbps`` is the sender's link, 0 if
+    unknown.
     """
 
     id: NodeId
@@ -150,6 +177,9 @@
     unused_2: bool = True
     wants_report: bool = False
     period_s: float = 0.0
+    evacuated: EvacuatedPlaces = EvacuatedPlaces()
+    cold_per_s: float = 0.0
+    link_mbps: float = 0.0
 
 
 class Goodbye(msgspec.Struct, frozen=True, array_like=True, tag="g"):
--- a/packages/core/src/medlar_core/relay/own_state.py
+++ b/packages/core/src/medlar_core/relay/own_state.py
@@ -11,6 +11,7 @@
 from .flow_context import FlowContext
 from .messages import AgentReport
 from .messages import AgentState
+from .messages import UNLIMITED_ROOM
 from .registration import Registration
 from .report_sender import ReportSender
 
@@ -163,6 +164,14 @@
             self._registration.set_entry("")
             return
         stored = msgspec.structs.replace(
-            report, busy=0, waiting=0, flows=0, cold=False
+            report,
+            busy=0,
+            waiting=0,
+            flows=0,
+            cold=False,
+            wait_ms=0,
+            service_ms=0,
+            room=UNLIMITED_ROOM,
+            evacuated=False,
         )
         self._registration.set_entry(msgspec.json.encode(stored).decode())
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -24,6 +24,7 @@
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
+from .terms import DEFAULT_TERMS
 
 OWNER_TIMEOUT_S = 0.3
 """A retransmitted SYN goes to the backup owner if the owner has sent no
@@ -95,6 +96,7 @@
             low_priority=is_new
             and self._routes.has_low_priority(flow_id, services[0]),
             scope=scope,
+            terms=self._routes.terms(flow_id) if is_new else DEFAULT_TERMS,
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -29,6 +29,8 @@
 from .scope import FlowScope
 from .segment import FlowId
 from .segment import Segment
+from .terms import DEFAULT_TERMS
+from .terms import FlowTerms
 
 MIN_FORWARD_GAIN = 1.0
 """A new flow that another agent placed here is forwarded once if another
@@ -52,7 +54,7 @@
     the balancer that received it from the caller; ``hops`` counts the
     agents that forwarded it. ``low_priority`` is set if room has to be left
     at a server for flows of higher priority; ``scope`` is what a balancer
-    told of it.
+    told of it, ``terms`` are those of its route.
     """
 
     flow_id: FlowId
@@ -62,6 +64,7 @@
     hops: int
     low_priority: bool
     scope: FlowScope
+    terms: FlowTerms = DEFAULT_TERMS
 
     def declined_by(self, node: NodeId) -> "NewFlow":
         """Return the same flow with one more agent in ``declined``."""
@@ -105,7 +108,7 @@
         It is forwarded if that agent used an outdated report.
         """
         node = self._ctx.node
-        if own_report.state is not AgentState.READY:
+        if not own_report.accepts_flows:
             return self.place(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self._open_here(now, new_flow)
@@ -211,7 +214,7 @@
 
     def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
         """Return whether no server can be better than the local one."""
-        if own_report.state is not AgentState.READY:
+        if not own_report.accepts_flows:
             return False
         if self._ctx.node in new_flow.declined:
             return False
@@ -229,7 +232,7 @@
         is_late = now - since >= CONFIRMATION_TIMEOUT_S
         if is_late and member.silent_s(now) > now - since:
             return False
-        return member.report.state is AgentState.READY
+        return member.report.accepts_flows
 
     def _forward(
         self, now: Seconds, new_flow: NewFlow, node: NodeId
@@ -247,6 +250,7 @@
             hops=new_flow.hops + 1,
             low_priority=new_flow.low_priority,
             scope=new_flow.scope,
+            terms=new_flow.terms,
         )
         effects: list[RelayEffect] = [ForwardToAgent(node, packet)]
         if new_flow.via:
@@ -261,6 +265,7 @@
         )
         flow.via = new_flow.via
         flow.low_priority = new_flow.low_priority
+        flow.terms = new_flow.terms
         return flow
 
     def _select(
@@ -270,7 +275,7 @@
         own_report: AgentReport,
         others: list[Member],
     ) -> Selection | None:
-        eligible = own_report if own_report.state is AgentState.READY else None
+        eligible = own_report if own_report.accepts_flows else None
         via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
--- a/testing/users_platform/test_config.py
+++ b/testing/users_platform/test_config.py
@@ -1,9 +1,12 @@
 import pytest
 
 from medlar_core.relay.configuration.routes import Routes
+from medlar_core.relay.configuration.routes import ServiceLimits
 from medlar_core.relay.configuration.scope_record import ScopeRecord
 from medlar_core.relay.segment import endpoint
 from medlar_core.relay.segment import FlowId
+from medlar_core.relay.terms import DEFAULT_TERMS
+from medlar_core.relay.terms import FlowTerms
 from medlar_platform.config import read_routes
 
 TEXT = """{"version":7,"routes":[
@@ -64,3 +67,17 @@
 def test_invalid_configuration_is_rejected(old, new):
     with pytest.raises(ValueError):
         read_routes(TEXT.replace(old, new, 1))
+
+
+def test_a_route_carries_the_terms_of_its_requests():
+    routes = Routes()
+    routes.apply(read_routes(TEXT))
+    terms = routes.terms(flow(1, "198.18.0.1", 8443))
+    assert terms == FlowTerms(2, 143, 2000, True)
+    assert not routes.terms(flow(1, "198.18.0.2", 443)).is_idempotent
+    assert routes.terms(flow(1, "198.18.0.9", 443)) == DEFAULT_TERMS
+
+
+def test_limits_of_cold_servers_are_read_where_a_service_has_one():
+    text = TEXT.replace('"/h"}', '"/h","cold_per_s":12.5},{"name":"b"}')
+    assert read_routes(text).services == (ServiceLimits("a", 12.5),)
