--- a/packages/ops/src/medlar_ops/output.py
+++ b/packages/ops/src/medlar_ops/output.py
@@ -16,6 +16,7 @@
     REFUSED = 1
     USAGE = 2
     UNKNOWN = 3
+    WARNED = 4
 
 
 def print_text(text: str) -> None:
--- a/testing/ops/test_cli.py
+++ b/testing/ops/test_cli.py
@@ -241,3 +241,27 @@
         code = int(str(end.code))
     assert code != Exit.USAGE
     assert "no answer: 127.0.0.1:1" in capsys.readouterr().err
+
+
+def test_check_ends_with_4_if_a_valid_document_has_warnings(
+    tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    doc = json.loads(encode(DOC))
+    doc["places"].append({"name": "empty", "region": "r"})
+    unused = written(tmp_path, "unused.json", json.dumps(doc))
+    assert run(["check", unused, "--json"]) == Exit.WARNED
+    output = json.loads(capsys.readouterr().out)
+    assert output["ok"]
+    assert "without a service" in output["warnings"][0]["got"]
+
+
+def test_check_tells_what_differs_from_the_version_in_force(
+    fleet: LocalFleet, path: str, tmp_path: pathlib.Path, capsys: Capture
+) -> None:
+    run(["apply", path])
+    capsys.readouterr()
+    second = changed(tmp_path, 1, 99)
+    assert run(["check", second, "--against-store", "--json"]) == Exit.OK
+    output = json.loads(capsys.readouterr().out)
+    (found,) = output["in_force"]["differences"]
+    assert found["field"] == "services.service-00001.slots"
--- a/testing/users_platform/soak/__main__.py
+++ b/testing/users_platform/soak/__main__.py
@@ -9,8 +9,8 @@
 import defopt
 import msgspec
 
-from .run import LARGE
-from .run import SMALL
+from .fleet import LARGE
+from .fleet import SMALL
 from .run import soak
 
 BLOCK = 40
--- a/testing/users_platform/soak/test_soak.py
+++ b/testing/users_platform/soak/test_soak.py
@@ -16,12 +16,12 @@
 from .checker import CONFIGURATION_S
 from .checker import DRAIN_S
 from .checker import STORE_FAILURE_EXTRA_S
+from .idle_timeouts import IdleTimeouts
 from .plan import CALM_END_S
 from .plan import CALM_START_S
 from .plan import draw
 from .plan import FaultKind
 from .run import check_calm_periods
-from .run import IdleTimeouts
 from .run import RECOVERY_S
 from .run import soak
 from .server import Server
