Move a lookup's messages out of FlowLookup

What is sent to others is in lookup/queries.py, and start() hands the query itself to a method of its own.

--- a/packages/core/src/medlar_core/relay/lookup/flow_lookup.py
+++ b/packages/core/src/medlar_core/relay/lookup/flow_lookup.py
@@ -7,18 +7,15 @@
 from ...packets import Flag
 from ...verdict import Reason
 from ..configuration.scope_sources import ScopeSources
-from ..effects import ForwardToAgent
 from ..effects import RelayEffect
 from ..flow_context import FlowContext
 from ..flow_table import Flow
 from ..member import Member
 from ..messages import FlowAsked
-from ..messages import FlowHeld
 from ..messages import FlowUnknown
 from ..messages import ScopeAsked
 from ..messages import ScopeTold
 from ..scope import FlowScope
-from ..scope import ServiceOwner
 from ..segment import FlowId
 from ..segment import Segment
 from .forwarded import ForwardedPacket
@@ -30,6 +27,9 @@
 from .lookup_table import Lookup
 from .lookup_table import LookupTable
 from .lookup_table import MAX_QUEUED_PACKETS
+from .queries import delegations
+from .queries import may_hold_flows
+from .queries import notices
 
 QUERY_PACKETS_PER_S = 400.0
 """Rate of packets sent to agents that have to try them at their servers.
@@ -120,7 +120,7 @@
         candidates = [
             member
             for member in self._ctx.members.of(self._ctx.service)
-            if _may_hold_flows(now, member)
+            if may_hold_flows(now, member)
         ]
         sent_to = {
             m.report.id for m in candidates if not m.report.knows_all_flows
@@ -132,9 +132,24 @@
             self._retries.add(now, req)
             text = "flows: lookup delayed: query rate limit reached"
             return [self._ctx.event(flow_id, text)]
+        return self._query_all(now, req, candidates, sent_to, local_denied)
+
+    def _query_all(
+        self,
+        now: Seconds,
+        req: LookupRequest,
+        candidates: list[Member],
+        sent_to: set[NodeId],
+        local_denied: bool,
+    ) -> list[RelayEffect]:
+        """Begin a lookup; ``sent_to`` are the agents that get the packet."""
+        segment = req.segment
+        flow_id = segment.inward
+        is_delegated = req.packet.reason == ForwardReason.DELEGATED
+        asker = req.src if is_delegated else NO_NODE
         # The agent of another service that asks decides by its own scope.
         known = self._ctx.scopes.get(flow_id.address)
-        scope = packet.scope if asker else known
+        scope = req.packet.scope if asker else known
         try_local = not local_denied and not self._ctx.knows_all_flows(
             now, scope
         )
@@ -153,7 +168,7 @@
             packets=[segment],
             sent_to=sent_to,
             acked_seq=segment.ack,
-            via=src if not asker else NO_NODE,
+            via=req.src if not asker else NO_NODE,
             delegates=delegates,
             asker=asker,
             is_route_searched=not asker,
@@ -163,7 +178,7 @@
         effects = [
             self._query(member, segment, scope) for member in candidates
         ]
-        effects += _delegations(segment, others, scope)
+        effects += delegations(segment, others, scope)
         if try_local:
             effects.append(self._ctx.deliver_untracked(segment))
         text = f"flows: unknown flow; queried {len(candidates)} agents"
@@ -209,7 +224,7 @@
             )
             for segment in lookup.packets_for(holder, src)
         ]
-        effects += _notices(lookup, flow_id, holder)
+        effects += notices(lookup, flow_id, holder)
         effects.append(self._ctx.event(flow_id, "flows: holder found", holder))
         return effects
 
@@ -297,7 +312,7 @@
         if lookup is not None:
             for packet in lookup.packets_for(ctx.node, ctx.node):
                 effects += ctx.deliver(now, flow, packet)
-            effects += _notices(lookup, flow_id, ctx.node)
+            effects += notices(lookup, flow_id, ctx.node)
         text = "flows: rediscovered by a packet of the local server"
         effects.append(ctx.event(flow_id, text))
         return effects
@@ -372,42 +387,3 @@
         if lost:
             return f"{lost[0]} was removed, its server may still run"
         return ""
-
-
-def _delegations(
-    segment: Segment, others: tuple[ServiceOwner, ...], scope: FlowScope
-) -> list[RelayEffect]:
-    """Ask an agent of each other service for a lookup in its service."""
-    return [
-        ForwardToAgent(
-            other.owner,
-            ForwardedPacket(
-                reason=int(ForwardReason.DELEGATED),
-                service=other.service,
-                data=segment.data,
-                scope=scope,
-            ),
-        )
-        for other in others
-        if other.owner
-    ]
-
-
-def _notices(
-    lookup: Lookup, flow_id: FlowId, holder: NodeId
-) -> list[RelayEffect]:
-    """Notify those that wait for the result of a lookup of the holder."""
-    return [
-        Send(node, FlowHeld(flow_id, holder))
-        for node in (lookup.via, lookup.asker)
-        if node
-    ]
-
-
-def _may_hold_flows(now: Seconds, member: Member) -> bool:
-    """Return whether an agent's server may hold flows.
-
-    An agent without a server denies all flows. It is not waited for if it
-    is silent, as its instance may be gone.
-    """
-    return not (member.report.has_no_server and member.is_silent(now))
