Let the last event of a key in a watch's answer hold

A watch answers with all events since its revision. An item that was written and deleted within one answer counted as present: the answer has items and deleted keys apart, and whoever applies them adds items last. An availability zone that is evacuated and taken back before a watch is answered would stay evacuated.

--- a/testing/users_platform/test_store.py
+++ b/testing/users_platform/test_store.py
@@ -92,6 +92,16 @@
     assert calls[0].target == "/-/kv-watch?prefix=p%2F&after=7&wait_ms=100"
 
 
+def test_the_last_event_of_a_key_in_a_watch_holds(free_port):
+    """Guards against a place that stays evacuated or never is."""
+    gone = {"key": "p/gone", "revision": 9, "is_deleted": True}
+    was_gone = {"key": "p/back", "revision": 8, "is_deleted": True}
+    events = [item("p/gone", 8), was_gone, gone, item("p/back", 10)]
+    response = body(events=events, as_of=10)
+    answer, _ = execute(Watch("p/", 7, 0.1), response, port=free_port)
+    assert answer == Changed((Item("p/back", "v", 10, 0),), ("p/gone",), 10)
+
+
 def test_watch_reports_compacted_history(free_port):
     answer, _ = execute(Watch("p/", 7, 0.1), body(410), port=free_port)
     assert answer == HistoryGone()
