Let the fake store forget its history

Tests of watches need a history that is compacted and watches that are cut. Store.compact() does both; watches from before it get HistoryGone.

--- a/packages/fakes/src/medlar_fakes/store.py
+++ b/packages/fakes/src/medlar_fakes/store.py
@@ -34,6 +34,7 @@
         self._deleted: dict[str, ops.Revision] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._granted = 0
+        self._compacted: ops.Revision = 0
         self._watches: list[tuple[ops.Watch, Answered, float]] = []
 
     def call(self, op: ops.StoreOp, answered: Answered) -> None:
@@ -54,6 +55,13 @@
         self.clock.after(self.slow_s, lambda: answered(answer))
         self._answer_watches()
 
+    def compact(self) -> None:
+        """Drop the history, and cut the watches that wait."""
+        self._compacted = self.revision
+        cut, self._watches = self._watches, []
+        for _, answered, _ in cut:
+            self._later(answered, ops.Unavailable("watch was cut"))
+
     def rate(self, kind: str) -> int:
         """Return the peak calls per second of a kind, read or write."""
         found = [n for (_, k), n in self.calls.items() if k == kind]
@@ -135,6 +143,9 @@
         return tuple(sorted(found, key=lambda item: item.revision))
 
     def _add_watch(self, op: ops.Watch, answered: Answered) -> None:
+        if op.after < self._compacted:
+            self._later(answered, ops.HistoryGone())
+            return
         ends = self.clock.now + op.wait_s
         self._watches.append((op, answered, ends))
         self.clock.at(ends, self._answer_watches)
