--- a/packages/node/src/medlar_node/relay/settings.py
+++ b/packages/node/src/medlar_node/relay/settings.py
@@ -7,6 +7,8 @@
 from medlar_core.ids import NodeId
 from medlar_core.ids import PlaceName
 from medlar_core.ids import ServiceName
+from medlar_core.relay.zones.settings import NO_ZONE_RULES
+from medlar_core.relay.zones.settings import ZoneSettings
 
 
 class Role(enum.Enum):
@@ -44,5 +46,6 @@
     server: str = ""
     """Address to which an agent sends packets for the local server."""
     service: ServiceName = ServiceName("")
+    zones: ZoneSettings = NO_ZONE_RULES
     metrics: str = ""
     """Address at which metrics are served; empty to disable."""
--- a/testing/users_platform/test_settings.py
+++ b/testing/users_platform/test_settings.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from medlar_core.ids import PlaceName
+from medlar_core.ids import RegionName
+from medlar_core.relay.zones.settings import NO_ZONE_RULES
+from medlar_core.relay.zones.settings import PlaceRegion
+from medlar_core.relay.zones.settings import ZoneSettings
 from medlar_node.relay.settings import Role
 from medlar_platform.settings import read_settings
 from medlar_platform.settings import SettingsError
@@ -55,6 +60,17 @@
     assert cfg.outbound == "10.1.0.10:8162"
 
 
+def test_places_can_be_evacuated_where_the_contract_names_them(tmp_path):
+    text = AGENT.replace("unknown =", 'contracts = ["flows", "places"]\nx =')
+    text += '[zones]\nz1 = "north"\n'
+    text = text.replace("[bounds]", "[bounds]\ncold_overage = 1.5")
+    zones = read_settings(write_settings(tmp_path, text)).zones
+    region = PlaceRegion(PlaceName("z1"), RegionName("north"))
+    assert zones == ZoneSettings(True, 1.5, 0.0, (region,))
+    cfg = read_settings(write_settings(tmp_path, AGENT))
+    assert cfg.zones == NO_ZONE_RULES
+
+
 @pytest.mark.parametrize(
     ("text", "message"),
     [
