Keep new flows from evacuated places and bound those of cold servers

Balancers that watch the store watch all that operators write in one watch, send a change to all balancers, and each balancer sends it at once to a share of the agents. An agent declines each new flow for an evacuated place and places it elsewhere with itself among those that declined; until it has heard of evacuations, it takes none. Members of evacuated places are not chosen and own no flows. A cold server gets what it bears in any second, counted by its own agent; the room that is left goes with its report. If all places are evacuated, a first SYN is reset at once.

The kit's fleet has several places; its configuration key lies under the operators' prefix, as on the platform.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -50,6 +50,8 @@
 from .registration import Registration
 from .segment import Segment
 from .segment import SegmentCodec
+from .zones.own_place import OwnPlace
+from .zones.own_place import PlaceNews
 
 EXPIRE_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
@@ -85,6 +87,7 @@
             self.members,
             self.local_server,
             self._event_factory,
+            OwnPlace(identity.place, identity.zones),
         )
         self._flows = AgentFlows(self._ctx, rng)
         self._own_state = OwnState(identity, self._ctx, registration)
@@ -147,6 +150,7 @@
             "flows_placing": self._flows.placement.pending_count,
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
+            **self._ctx.own_place.gauges(),
             **self.members.gauges(now),
         }
 
@@ -308,6 +312,7 @@
                 self._own_state.supersede(report)
         asker = msg.id if msg.wants_report else None
         effects = [
+            *self._learn_places(now, msg),
             *self._reports.reports_to_new_balancers(now, service, asker),
             *self._reports.reports_to_new_members(now, service),
             *self.members.pop_requests(now),
@@ -318,6 +323,20 @@
             self._member_query.record_hello(now, msg)
         return effects + self._query_members(now)
 
+    def _learn_places(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
+        """Apply which places are evacuated."""
+        place = self._ctx.own_place
+        news = PlaceNews(msg.version, msg.evacuated, msg.cold_per_s)
+        change = place.apply(now, news)
+        if change is None:
+            return []
+        self.members.apply_evacuated(place.known.current)
+        return [
+            self._event_factory.evacuation_event(
+                change, f"balancer {msg.id}", msg.config_age_s
+            )
+        ]
+
     def _known_count(self) -> int:
         """Return how many agents of the service are known, with this one."""
         return len(self.members.of(self._ctx.service)) + 1
@@ -346,6 +365,7 @@
             self._probe_at = now + PROBE_INTERVAL_S
             effects.append(ProbeServer())
         self.members.apply_named(now)
+        self.members.renew_room(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_INTERVAL_S
             self.members.expire(now, self.local_server.idle_s)
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -14,7 +14,6 @@
 from .lookup.flow_lookup import FlowLookup
 from .lookup.forwarded import ForwardReason
 from .messages import AgentReport
-from .messages import AgentState
 from .messages import FlowHeld
 from .messages import OtherService
 from .placement import NewFlow
@@ -104,8 +103,10 @@
             packet.scope,
             packet.terms,
         )
-        if routed:
+        if routed and own_report.accepts_flows:
             return self.placement.place(now, new_flow, own_report)
+        if routed:
+            return self.placement.place_elsewhere(now, new_flow, own_report)
         effects = self.placement.handle_placed(now, new_flow, own_report)
         flow = ctx.table.get(flow_id)
         if flow is not None and flow.holder == ctx.node:
@@ -251,7 +252,10 @@
         It is placed anew if the server has not accepted the flow and
         accepts no new ones.
         """
-        if flow.accepted or own_report.state is AgentState.READY:
+        if flow.accepted:
+            return self._ctx.deliver(now, flow, segment)
+        if own_report.accepts_flows:
+            self._ctx.own_place.cold.record_opened(now)
             return self._ctx.deliver(now, flow, segment)
         new_flow = self._new_flow_from(segment, flow)
         new_flow = new_flow.declined_by(self._ctx.node)
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -54,6 +54,8 @@
 from .store_view import BalancerIdentity
 from .store_view import RouteReader
 from .store_view import StoreView
+from .zones.evacuation import EvacuatedPlaces
+from .zones.known_evacuation import KnownEvacuation
 
 FETCH_INTERVAL_S = 1.0
 """Least time between two fetches of a newer configuration from peers."""
@@ -94,8 +96,10 @@
             self._scopes,
             self._event_factory,
         )
+        self._evacuates = bool(identity.evacuations)
+        self._evacuation = KnownEvacuation()
         self._hello_sender = HelloSender(
-            identity, self.members, self.routes, self._view
+            identity, self.members, self.routes, self._view, self._evacuation
         )
         self._owners = OwnerRanking(self.members)
         self._router = PacketRouter(
@@ -129,7 +133,9 @@
         """What other balancers may fetch, None before it is known."""
         if self.routes.table is None:
             return None
-        return share(self.routes.table, self._scopes.stored)
+        return share(
+            self.routes.table, self._scopes.stored, self._evacuation.current
+        )
 
     def gauges(self, now: Seconds) -> dict[str, float]:
         """Return the current gauge values by metric name."""
@@ -140,6 +146,7 @@
             "configuration_version": self.routes.version,
             "configuration_age_seconds": now - self._config_confirmed_at,
             "store_failing": float(self._view.is_failing),
+            "places_evacuated": len(self._evacuation.current.places),
             **self.members.gauges(now),
         }
 
@@ -196,7 +203,11 @@
             case RoutesFetched(table=table, src=src):
                 if event.record is not None:
                     self._scopes.learn(now, event.record)
-                return self._offer_routes(now, table, f"balancer {src}")
+                source = f"balancer {src}"
+                return [
+                    *self._learn_places(now, event.evacuated, source),
+                    *self._offer_routes(now, table, source),
+                ]
             case SeedsChanged(seeds=seeds):
                 self._hello_sender.seeds = seeds
             case StopAsked():
@@ -259,7 +270,36 @@
         if msg.version > self.routes.version and now >= self._next_fetch_at:
             self._next_fetch_at = now + FETCH_INTERVAL_S
             effects.append(FetchRoutes(msg.id))
-        return effects
+        return effects + self._learn_places(
+            now, msg.evacuated, f"balancer {msg.id}", msg.config_age_s
+        )
+
+    def _learn_places(
+        self,
+        now: Seconds,
+        found: EvacuatedPlaces,
+        source: str,
+        age_s: float = 0.0,
+    ) -> list[RelayEffect]:
+        """Apply which places are evacuated, and tell others of a change.
+
+        ``age_s`` is how long ago the store confirmed it to the source.
+        """
+        change = self._evacuation.learn(found) if self._evacuates else None
+        if change is None:
+            return []
+        self.members.apply_evacuated(found)
+        self._rank_agents(now)
+        effects: list[RelayEffect] = [
+            self._event_factory.evacuation_event(change, source, age_s)
+        ]
+        if self.stopping:
+            return effects
+        if source == FROM_STORE and (change.evacuated or change.taken_back):
+            effects += self._hello_sender.hellos_to_balancers(now)
+        return effects + list(
+            self._hello_sender.hellos_of_evacuation(now, change)
+        )
 
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
         pause_s = self._pause_detector.record_tick(now)
@@ -298,6 +338,8 @@
     ) -> list[RelayEffect]:
         update = self._view.handle_answer(now, event)
         effects = update.effects
+        if update.evacuated is not None:
+            effects += self._learn_places(now, update.evacuated, FROM_STORE)
         for table in update.tables:
             effects += self._offer_routes(now, table, FROM_STORE)
         effects += self._put_in_force(now)
--- a/packages/core/src/medlar_core/relay/configuration/routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/routes.py
@@ -79,6 +79,7 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self._by_address: dict[Endpoint, Route] = {}
+        self._cold_per_s: dict[ServiceName, float] = {}
         self._lowest_rank: dict[ServiceName, int] = {}
         """Rank of a service's lowest-priority routes, for services whose
         routes differ in priority."""
@@ -104,8 +105,18 @@
         self.table = table
         self._by_address = by_address
         self._lowest_rank = _lowest_rank(table)
+        self._cold_per_s = {
+            limits.service: limits.cold_per_s for limits in table.services
+        }
         return True
 
+    def cold_per_s(self, service: ServiceName) -> float:
+        """Return how many requests a second a cold server of it bears.
+
+        0 for any number.
+        """
+        return self._cold_per_s.get(service, 0.0)
+
     def terms(self, flow: FlowId) -> FlowTerms:
         """Return the terms of a flow's route."""
         route = self._by_address.get(flow.address)
--- a/packages/core/src/medlar_core/relay/configuration/scope_record.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_record.py
@@ -8,6 +8,7 @@
 
 from ...ids import ServiceName
 from ..segment import Endpoint
+from ..zones.evacuation import EvacuatedPlaces
 from .routes import Route
 from .routes import RouteTable
 from .routes import ServiceLimits
@@ -73,7 +74,8 @@
     """Configuration and record as one balancer gives them to another.
 
     ``record`` is what the sender knows the store to hold. It is missing
-    before that was read, and from balancers of earlier versions.
+    before that was read, and from balancers of earlier versions, as are
+    the ``evacuated`` places.
     """
 
     version: int
@@ -81,6 +83,7 @@
     idle_s: float
     record: ScopeRecord | None = None
     services: tuple[ServiceLimits, ...] = ()
+    evacuated: EvacuatedPlaces = EvacuatedPlaces()
 
     @property
     def table(self) -> RouteTable:
@@ -90,8 +93,17 @@
         )
 
 
-def share(table: RouteTable, record: ScopeRecord | None) -> SharedRoutes:
+def share(
+    table: RouteTable,
+    record: ScopeRecord | None,
+    evacuated: EvacuatedPlaces,
+) -> SharedRoutes:
     """Return what a balancer gives to another one."""
     return SharedRoutes(
-        table.version, table.routes, table.idle_s, record, table.services
+        table.version,
+        table.routes,
+        table.idle_s,
+        record,
+        table.services,
+        evacuated,
     )
--- a/packages/core/src/medlar_core/relay/event_factory.py
+++ b/packages/core/src/medlar_core/relay/event_factory.py
@@ -7,6 +7,7 @@
 from ..timeline.events import Topic
 from ..verdict import Reason
 from .members import Removal
+from .zones.known_evacuation import EvacuationChange
 
 
 class EventFactory:
@@ -55,6 +56,20 @@
             removal.report.id,
         )
 
+    def evacuation_event(
+        self, change: EvacuationChange, source: str, age_s: float
+    ) -> Record:
+        """Return the event of a change of the evacuated places.
+
+        ``age_s`` is how long ago the store confirmed it to the source.
+        """
+        return self.state_event(
+            Topic.MEMBERSHIP,
+            f"places: {change.text}, as of revision {change.revision}, "
+            f"received from {source}, confirmed {age_s:.2f} s before",
+            reason="evacuation",
+        )
+
     def _record(
         self,
         topic: Topic,
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -10,6 +10,7 @@
 from .configuration.scope_record import ScopeRecord
 from .lookup.forwarded import ForwardedPacket
 from .segment import Segment
+from .zones.evacuation import EvacuatedPlaces
 
 
 class CallerPacketReceived(msgspec.Struct, frozen=True):
@@ -33,14 +34,15 @@
 
 
 class RoutesFetched(msgspec.Struct, frozen=True):
-    """The route table of a balancer and its record were fetched.
+    """What a balancer shares with others was fetched.
 
-    Balancers of earlier versions have no record.
+    Balancers of earlier versions have no record and no evacuated places.
     """
 
     src: NodeId
     table: RouteTable
     record: ScopeRecord | None = None
+    evacuated: EvacuatedPlaces = EvacuatedPlaces()
 
 
 class SeedsChanged(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -21,6 +21,7 @@
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
+from .zones.own_place import OwnPlace
 
 MEMBERS_SETTLE_S = 0.1
 """Time to receive hello messages of other balancers, once this agent knows
@@ -38,12 +39,14 @@
         members: Members,
         local_server: LocalServer,
         event_factory: EventFactory,
+        own_place: OwnPlace,
     ) -> None:
         self.node = node
         self.service = service
         self.members = members
         self.local_server = local_server
         self.event_factory = event_factory
+        self.own_place = own_place
         self.table = FlowTable(node)
         self.scopes = KnownScopes()
         self._codec = codec
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -16,6 +16,9 @@
 from .send_interval import SPARSE_MESSAGES_PER_S
 from .store_view import BalancerIdentity
 from .store_view import StoreView
+from .zones.known_evacuation import EvacuationChange
+from .zones.known_evacuation import KnownEvacuation
+from .zones.spread import first_to_tell
 
 BALANCER_INTERVAL_S = 1.0
 AGENT_INTERVAL_S = 3.0
@@ -32,6 +35,8 @@
 REPORTS_PER_FULL_HELLO = 16
 """Reports in one hello message to an agent that asks for all: as many as fit
 into one datagram."""
+NO_SERVICE = ServiceName("")
+"""Of a message to another balancer."""
 
 
 class HelloSender:
@@ -43,12 +48,14 @@
         members: Members,
         routes: Routes,
         view: StoreView,
+        evacuation: KnownEvacuation,
     ) -> None:
         self.seeds = identity.seeds
         self._identity = identity
         self._members = members
         self._routes = routes
         self._view = view
+        self._evacuation = evacuation
         self._watcher_interval = SendInterval(BALANCER_INTERVAL_S)
         self._balancer_interval = SendInterval(
             BALANCER_INTERVAL_S, SPARSE_MESSAGES_PER_S
@@ -81,6 +88,24 @@
         self._agent_interval.make_due()
         self._unsent = []
 
+    def hellos_of_evacuation(
+        self, now: Seconds, change: EvacuationChange
+    ) -> list[Send]:
+        """Return the first hello messages to agents after a change.
+
+        Each balancer that learns of it tells a share of the agents, those of
+        the changed places first; the next ticks continue.
+        """
+        nodes = first_to_tell(
+            self._identity.node,
+            self._members.balancers,
+            self._members.agents.values(),
+            change,
+        )
+        told = set(nodes)
+        self._unsent = nodes + [n for n in self._unsent if n not in told]
+        return self._next_batch(now)
+
     def hellos_to_new_agents(self, now: Seconds) -> list[Send]:
         """Return hello messages to new agents, which ask for a report.
 
@@ -97,7 +122,7 @@
     ) -> list[Send]:
         """Return as many hello messages as name all agents of a service."""
         reports = [member.report for member in self._members.of(service)]
-        hello = self._hello(now, reports)
+        hello = self._hello(now, reports, service)
         step = REPORTS_PER_FULL_HELLO
         return [
             Send(
@@ -149,6 +174,10 @@
         agents = self._members.agents
         if not self._unsent and self._agent_interval.due(now, len(agents)):
             self._unsent = list(agents)
+        return self._next_batch(now)
+
+    def _next_batch(self, now: Seconds) -> list[Send]:
+        agents = self._members.agents
         batch = self._unsent[:HELLOS_PER_TICK]
         del self._unsent[:HELLOS_PER_TICK]
         known = [(n, agents[n].report.service) for n in batch if n in agents]
@@ -171,7 +200,8 @@
         effects: list[Send] = []
         for service, nodes in by_service.items():
             members = self._members.of(service)
-            hello = self._hello(now, [m.report for m in members])
+            reports = [m.report for m in members]
+            hello = self._hello(now, reports, service)
             if are_new:
                 hello = msgspec.structs.replace(
                     hello, agents=_newest(members), wants_report=True
@@ -185,7 +215,13 @@
         self._rotation += 1
         return tuple((peers[start:] + peers[:start])[:PEERS_PER_HELLO])
 
-    def _hello(self, now: Seconds, reports: list[AgentReport]) -> Hello:
+    def _hello(
+        self,
+        now: Seconds,
+        reports: list[AgentReport],
+        service: ServiceName = NO_SERVICE,
+    ) -> Hello:
+        """Return a hello message, to an agent with its service."""
         start = 0
         if len(reports) > REPORTS_PER_HELLO:
             start = self._rotation % len(reports)
@@ -202,6 +238,8 @@
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
             period_s=self._agent_interval.period_s(len(self._members.agents)),
+            evacuated=self._evacuation.current,
+            cold_per_s=self._routes.cold_per_s(service),
         )
 
 
--- a/packages/core/src/medlar_core/relay/lookup/owners.py
+++ b/packages/core/src/medlar_core/relay/lookup/owners.py
@@ -113,7 +113,11 @@
     messages than that so many agents are down. If none accepts new flows,
     agents with open flows are eligible, and in the last resort all.
     """
-    accepting = [m for m in members if m.report.state in _ACCEPTING]
+    accepting = [
+        m
+        for m in members
+        if m.report.state in _ACCEPTING and not m.report.evacuated
+    ]
     reporting = recently_reporting(accepting, now)
     if accepting:
         chosen = (
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -30,7 +30,10 @@
 from .messages import Hello
 from .messages import LoadReport
 from .messages import ReportAsked
+from .zones.evacuation import EvacuatedPlaces
 
+NO_ROOM_S = 0.3
+"""A cold server that had no room for new flows may have some after this."""
 NO_REPLY_NAMED_S = 0.7
 """An agent that another process has removed, and that has not replied for
 this, is removed here too."""
@@ -74,6 +77,9 @@
         self._views: dict[ServiceName, int] = {}
         self._views_changes = 0
         self._departures = Departures()
+        self._evacuated = EvacuatedPlaces()
+        self._without_room: dict[NodeId, float] = {}
+        """When cold servers had no more room for new flows."""
 
     def apply_report(
         self, now: Seconds, report: AgentReport, direct: bool
@@ -108,8 +114,9 @@
             report = msgspec.structs.replace(
                 report, period_s=member.report.period_s
             )
-        member.report = report
+        member.report = self._with_evacuation(report)
         member.assigned = 0
+        self._record_room(now, member)
         if direct:
             self._record_report(now, member)
 
@@ -135,9 +142,52 @@
             room=load.room,
         )
         member.assigned = 0
+        self._record_room(now, member)
         self._record_report(now, member)
         return True
 
+    def apply_evacuated(self, evacuated: EvacuatedPlaces) -> None:
+        """Apply which places get no new flows.
+
+        From then on it replaces what the agents of these places report.
+        """
+        self._evacuated = evacuated
+        for member in self.agents.values():
+            member.report = self._with_evacuation(member.report)
+
+    def _with_evacuation(self, report: AgentReport) -> AgentReport:
+        if not self._evacuated.revision:
+            return report
+        is_evacuated = report.place in self._evacuated.places
+        if report.evacuated is is_evacuated:
+            return report
+        return msgspec.structs.replace(report, evacuated=is_evacuated)
+
+    def record_assigned(self, now: Seconds, node: NodeId) -> None:
+        """Count a new flow that this process forwards to an agent."""
+        member = self.agents.get(node)
+        if member is None:
+            return
+        member.assigned += 1
+        if member.report.room > 0:
+            room = member.report.room - 1
+            member.report = msgspec.structs.replace(member.report, room=room)
+            self._record_room(now, member)
+
+    def _record_room(self, now: Seconds, member: Member) -> None:
+        if not member.report.room:
+            self._without_room[member.report.id] = now
+
+    def renew_room(self, now: Seconds) -> None:
+        """Let cold servers without room be tried with one flow again."""
+        for node, since in list(self._without_room.items()):
+            if now - since < NO_ROOM_S:
+                continue
+            del self._without_room[node]
+            member = self.agents.get(node)
+            if member is not None and not member.report.room:
+                member.report = msgspec.structs.replace(member.report, room=1)
+
     def record_message(self, now: Seconds, node: NodeId) -> None:
         """Record a message of any kind as a sign of life of an agent."""
         member = self.agents.get(node)
--- a/packages/core/src/medlar_core/relay/own_state.py
+++ b/packages/core/src/medlar_core/relay/own_state.py
@@ -14,6 +14,8 @@
 from .messages import UNLIMITED_ROOM
 from .registration import Registration
 from .report_sender import ReportSender
+from .zones.settings import NO_ZONE_RULES
+from .zones.settings import ZoneSettings
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
@@ -30,6 +32,7 @@
     heartbeat_s: float
     seeds: tuple[NodeId, ...]
     started_at: float = float("inf")
+    zones: ZoneSettings = NO_ZONE_RULES
 
 
 class _ServerFacts(msgspec.Struct, frozen=True):
@@ -73,6 +76,7 @@
     def report(self, now: Seconds) -> AgentReport:
         """Return a new report of this agent; each has a higher count."""
         server = self._local_server.server
+        place = self._ctx.own_place
         self._report_count += 1
         return AgentReport(
             id=self._identity.node,
@@ -85,10 +89,12 @@
             busy=self._ctx.table.busy_count,
             waiting=self._ctx.table.waiting_count(now),
             flows=self._ctx.table.open_count,
-            cold=server is not None and server.cold_until > now,
+            cold=server is not None and place.cold.is_cold(now, server),
             knows_all_flows=self._local_server.knows_all_flows(now),
             server=server.name if server else "",
             server_born=server.born_ms if server else 0,
+            room=place.cold.room(now, server),
+            evacuated=place.is_closed(now),
         )
 
     def _state(self, now: Seconds) -> AgentState:
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -109,7 +109,7 @@
         """
         node = self._ctx.node
         if not own_report.accepts_flows:
-            return self.place(now, new_flow, own_report)
+            return self.place_elsewhere(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self._open_here(now, new_flow)
         peers = self._ctx.members.of(self._ctx.service)
@@ -125,6 +125,19 @@
             return self._defer(new_flow)
         return self._open_here(now, new_flow)
 
+    def place_elsewhere(
+        self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
+    ) -> list[RelayEffect]:
+        """Place a new flow that the local server must not get.
+
+        Nobody who does not know this yet sends it back here.
+        """
+        if own_report.evacuated:
+            self._ctx.own_place.declined_count += 1
+        if own_report.state is AgentState.READY:
+            new_flow = new_flow.declined_by(self._ctx.node)
+        return self.place(now, new_flow, own_report)
+
     def place(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
     ) -> list[RelayEffect]:
@@ -221,10 +234,11 @@
         return not own_report.busy and not own_report.flows
 
     def accepts_flows(self, now: Seconds, node: NodeId, since: float) -> bool:
-        """Return whether another agent's server accepts new flows.
+        """Return whether another agent handles the copies of a flow's SYN.
 
         ``since`` is when a flow was placed there, which the agent has to
-        confirm by any message.
+        confirm by any message. The agent of a server that gets no new flows
+        places it elsewhere, unless its server has accepted it.
         """
         member = self._ctx.members.agents.get(node)
         if member is None or member.is_silent(now):
@@ -232,14 +246,12 @@
         is_late = now - since >= CONFIRMATION_TIMEOUT_S
         if is_late and member.silent_s(now) > now - since:
             return False
-        return member.report.accepts_flows
+        return member.report.state is AgentState.READY
 
     def _forward(
         self, now: Seconds, new_flow: NewFlow, node: NodeId
     ) -> list[RelayEffect]:
-        member = self._ctx.members.agents.get(node)
-        if member is not None:
-            member.assigned += 1
+        self._ctx.members.record_assigned(now, node)
         self._add(now, new_flow, node)
         packet = ForwardedPacket(
             reason=int(ForwardReason.PLACED),
@@ -294,6 +306,7 @@
     def _open_here(self, now: Seconds, new_flow: NewFlow) -> list[RelayEffect]:
         ctx = self._ctx
         flow = self._add(now, new_flow, ctx.node)
+        ctx.own_place.cold.record_opened(now)
         event = ctx.event_factory.flow_event(
             Topic.PLACEMENT,
             f"flows: opened with {ctx.table.busy_count} busy, "
@@ -339,13 +352,22 @@
         ctx = self._ctx
         ctx.table.remove(new_flow.flow_id)
         members = ctx.members.of(ctx.service)
-        states = [own_report.state, *(m.report.state for m in members)]
+        reports = [own_report, *(m.report for m in members)]
+        states = [r.state for r in reports if not r.evacuated]
         if not ctx.knows_all_members(now) or any(
             s in _MAY_BECOME_READY for s in states
         ):
             return []
-        if any(member.is_silent(now) for member in members):
+        if any(m.is_silent(now) and not m.report.evacuated for m in members):
+            return []
+        if ctx.own_place.is_unknown(now):
             return []
+        is_evacuated = any(r.evacuated for r in reports)
+        if is_evacuated and new_flow.segment.ack:
+            # An earlier copy may have opened the flow before.
+            return self._drop(new_flow, "places evacuated")
+        if any(not r.room and not r.evacuated for r in reports):
+            return self._drop(new_flow, "no room at cold servers")
         why = Reason.NO_SERVER
         if AgentState.READY in states:
             why = Reason.SHED
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -30,6 +30,8 @@
 from .store_watcher import Change
 from .store_watcher import Snapshot
 from .store_watcher import StoreWatcher
+from .zones.evacuation import EvacuatedPlaces
+from .zones.evacuation_items import EvacuationItems
 
 CONFIGURATION_WATCH_S = 2.0
 """Longest wait of one watch. A watch whose answer is lost delays a change by
@@ -62,6 +64,8 @@
     ``seeds`` are the processes contacted while no other is known.
     ``configuration`` is a key, ``members`` a prefix; ``agents`` and
     ``balancers`` are prefixes under ``members``, ``record`` is a key there.
+    ``evacuations`` is the prefix of the places that operators evacuate,
+    empty if they cannot; ``operators`` covers it and ``configuration``.
     """
 
     node: NodeId
@@ -72,13 +76,26 @@
     agents: str
     balancers: str
     record: str
+    operators: str = ""
+    evacuations: str = ""
+
+    @property
+    def watched(self) -> str:
+        """What one watch has to cover for all that operators write."""
+        if self.evacuations:
+            return self.operators
+        return self.configuration
 
 
 class StoreUpdate(msgspec.Struct):
-    """Result of an answer of the store: new route tables and effects."""
+    """Result of an answer of the store: new route tables and effects.
+
+    ``evacuated`` are the evacuated places, None if it does not tell.
+    """
 
     tables: list[RouteTable]
     effects: list[RelayEffect]
+    evacuated: EvacuatedPlaces | None = None
 
 
 class StoreView:
@@ -106,9 +123,10 @@
         self._configuration = StoreWatcher(
             access,
             Part.CONFIGURATION,
-            identity.configuration,
+            identity.watched,
             CONFIGURATION_WATCH_S,
         )
+        self._evacuations = EvacuationItems(identity.evacuations)
         self._entries = StoreWatcher(
             access,
             Part.MEMBERS,
@@ -242,7 +260,11 @@
     def _apply_configuration(
         self, result: Snapshot | Change | None, update: StoreUpdate
     ) -> None:
-        for item in result.items if result else ():
+        if result is None:
+            return
+        if self._identity.evacuations:
+            self._apply_evacuations(result, update)
+        for item in result.items:
             if item.key != self._identity.configuration:
                 continue
             try:
@@ -255,6 +277,19 @@
                     )
                 )
 
+    def _apply_evacuations(
+        self, result: Snapshot | Change, update: StoreUpdate
+    ) -> None:
+        revision = self._configuration.revision
+        update.evacuated = self._evacuations.apply(result, revision)
+        for key in self._evacuations.pop_unreadable():
+            text = f"places: {key} ignored, expected the name of one place"
+            update.effects.append(
+                self._event_factory.state_event(
+                    Topic.MEMBERSHIP, text, reason="unreadable"
+                )
+            )
+
     def _apply_entries(
         self, now: Seconds, result: Snapshot | Change, update: StoreUpdate
     ) -> None:
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -171,7 +171,9 @@
                 self._call_store(src, call, op)
             case FetchRoutes(src=peer):
                 if (found := self.routes_of(peer)) and peer not in self.paused:
-                    fetched = RoutesFetched(peer, found.table, found.record)
+                    fetched = RoutesFetched(
+                        peer, found.table, found.record, found.evacuated
+                    )
                     self._dispatch_later(src, fetched)
             case Record(event=event):
                 self.events.append(event)
--- a/packages/node/src/medlar_node/relay/agent.py
+++ b/packages/node/src/medlar_node/relay/agent.py
@@ -73,6 +73,7 @@
         cfg.beat_s,
         cfg.seeds,
         now(),
+        cfg.zones,
     )
     registration = Registration(access, prefix + cfg.node, rng)
     reducer = RelayAgent(identity, codec, access, registration, rng)
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -209,6 +209,8 @@
     "agents_down": "Agents known whose server is silent",
     "agents_lost": "Agents removed without a report of their server's end",
     "balancers": "Other balancers known",
+    "places_evacuated": "Places that get no new flows",
+    "flows_declined_for_place": "New flows that came though none may",
     "configuration_version": "Version of the configuration in force",
     "configuration_age_seconds": "Time since the store told the newest",
     "store_failing": "1 while the store is held to be failing",
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -388,7 +388,10 @@
             return
         finally:
             client.close()
-        self.dispatch(RoutesFetched(src, shared.table, shared.record))
+        fetched = RoutesFetched(
+            src, shared.table, shared.record, shared.evacuated
+        )
+        self.dispatch(fetched)
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -40,6 +40,8 @@
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
 from medlar_core.relay.store_view import BalancerIdentity
+from medlar_core.relay.zones.settings import NO_ZONE_RULES
+from medlar_core.relay.zones.settings import ZoneSettings
 from medlar_core.store import Delete
 from medlar_core.store import Put
 from medlar_fakes.relay import encode
@@ -57,7 +59,9 @@
 LONG_IDLE_S = 60.0
 LEASE_AND_REMOVAL_S = 12.0
 """An agent that stopped is removed by all balancers after this."""
-CONFIGURATION = "conf"
+OPERATORS = "op/"
+CONFIGURATION = "op/conf"
+EVACUATIONS = "op/evacuate/"
 MEMBERS = "m/"
 AGENTS = "m/agents/"
 BALANCERS = "m/balancers/"
@@ -120,12 +124,19 @@
     server without an entry is silent. After ``clock_jumped`` is set,
     announcements don't tell how long the server has run.
     In its methods, ``by`` is the number of the balancer that receives a
-    caller's packet.
+    caller's packet. ``places`` go round over the processes of a kind.
     """
 
     def __init__(
-        self, agents: int = 4, balancers: int = 3, seed: int = 1
+        self,
+        agents: int = 4,
+        balancers: int = 3,
+        seed: int = 1,
+        zones: ZoneSettings = NO_ZONE_RULES,
+        places: tuple[PlaceName, ...] = (PLACE,),
     ) -> None:
+        self.zones = zones
+        self.places = places
         self.world = RelaySimulation(seed)
         self.agents: dict[NodeId, RelayAgent] = {}
         self.balancers: dict[NodeId, RelayBalancer] = {}
@@ -160,6 +171,11 @@
         stored = self.world.store.items[key]
         self.world.store.call(Delete(key, stored.revision), lambda _: None)
 
+    def place(self, address: NodeId) -> PlaceName:
+        """Return the place of a process, by its number."""
+        number = int(address.rpartition(":")[0].rpartition(".")[2])
+        return self.places[number % len(self.places)]
+
     def start_balancer(
         self, address: NodeId, seeds: tuple[NodeId, ...] = ()
     ) -> RelayBalancer:
@@ -167,13 +183,15 @@
         access = new_access(rng)
         identity = BalancerIdentity(
             address,
-            PLACE,
+            self.place(address),
             seeds,
             CONFIGURATION,
             MEMBERS,
             AGENTS,
             BALANCERS,
             RECORD,
+            OPERATORS,
+            EVACUATIONS if self.zones.evacuates else "",
         )
         balancer = RelayBalancer(
             identity,
@@ -197,12 +215,13 @@
         incarnation = int(self.world.clock.now * 1_000) + self.starts
         identity = AgentIdentity(
             address,
-            PLACE,
+            self.place(address),
             service,
             incarnation,
             ANNOUNCE_INTERVAL_S,
             seeds,
             self.world.clock.now,
+            self.zones,
         )
         agent = RelayAgent(
             identity,
--- a/testing/core/relay/test_members.py
+++ b/testing/core/relay/test_members.py
@@ -6,6 +6,7 @@
 from medlar_core.relay.messages import MembersAsked
 
 from .kit import AGENTS
+from .kit import CONFIGURATION
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
@@ -201,7 +202,7 @@
 
 def test_an_invalid_configuration_leaves_the_last_one_in_force():
     fleet = Fleet()
-    fleet.write("conf", "{")
+    fleet.write(CONFIGURATION, "{")
     fleet.run(1.0)
     assert fleet.answer_count(fleet.open(1)) == 1
     assert any(e.reason == "unreadable" for e in fleet.world.events)
