Limit a call by its stalls, not by the time of its whole answer

An answer of 350 KB does not pass a link of 5 Mbit/s within 0.8 s beside other packets. Each attempt ended as 'store unavailable' and began anew. The limit of a call now counts from the last bytes that arrived; 8 s later than the limit it ends in any case.

The first new test fails before the change; the two others guard its limits.

--- a/packages/node/src/medlar_node/relay/http.py
+++ b/packages/node/src/medlar_node/relay/http.py
@@ -15,6 +15,9 @@
 READ_BYTES = 65_536
 IDLE_CONNECTIONS_MAX = 4
 BODY_BYTES_MAX = 8 * 1024 * 1024
+TRANSFER_MAX_S = 8.0
+"""Longest time between the time limit of a call and the end of its answer
+while that keeps arriving: a large answer takes long on a slow link."""
 JSON = "application/json"
 
 log = part_logger("http")
@@ -59,6 +62,8 @@
         self._reader = reader
         self._writer = writer
         self._idle_read: asyncio.Task[bytes] | None = None
+        self.on_data: Callable[[], None] = lambda: None
+        """Called whenever bytes have arrived."""
 
     async def send(self, *events: h11.Event) -> None:
         for event in events:
@@ -71,6 +76,7 @@
             if event is not h11.NEED_DATA:
                 return event
             self.h11.receive_data(await self._reader.read(READ_BYTES))
+            self.on_data()
 
     async def read_body(self) -> bytes:
         parts: list[bytes] = []
@@ -129,12 +135,21 @@
     async def call(self, req: Request, limit_s: float) -> Response:
         """Return the response to a request.
 
-        :raises HttpError: if no complete response was received within
-            ``limit_s`` seconds.
+        :raises HttpError: if nothing of the response was received for
+            ``limit_s`` seconds, or it is not complete ``TRANSFER_MAX_S``
+            later than that.
         """
+        loop = asyncio.get_running_loop()
+        last_at = loop.time() + limit_s + TRANSFER_MAX_S
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._call(req)
+            async with asyncio.timeout(limit_s) as timeout:
+
+                def prolong() -> None:
+                    if not timeout.expired():
+                        end_at = min(loop.time() + limit_s, last_at)
+                        timeout.reschedule(end_at)
+
+                return await self._call(req, prolong)
         except TimeoutError as exc:
             raise HttpError(f"no answer within {limit_s} s") from exc
         except (OSError, h11.ProtocolError) as exc:
@@ -145,8 +160,11 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _call(self, req: Request) -> Response:
+    async def _call(
+        self, req: Request, on_data: Callable[[], None]
+    ) -> Response:
         conn = await self._open_connection()
+        conn.on_data = on_data
         is_reused = False
         try:
             headers = [
--- a/testing/node/relay/test_http.py
+++ b/testing/node/relay/test_http.py
@@ -53,6 +53,50 @@
         asyncio.run(run())
 
 
+async def call_slow_link(parts, gap_s, limit_s):
+    """Return the response to a call whose response comes part by part."""
+
+    async def answer(reader, writer):
+        await reader.read(100)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {parts}\r\n\r\n"
+        writer.write(head.encode())
+        for _ in range(parts):
+            await asyncio.sleep(gap_s)
+            if not reader.at_eof():
+                writer.write(b"x")
+        writer.close()
+        ended.set()
+
+    ended = asyncio.Event()
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    server = await asyncio.start_server(answer, host, int(port))
+    client = HttpClient(address)
+    try:
+        return await client.call(Request("GET", "/"), limit_s)
+    finally:
+        client.close()
+        await ended.wait()
+        server.close()
+        await asyncio.sleep(0.01)
+
+
+def test_a_response_that_keeps_arriving_may_take_longer_than_the_limit():
+    res = asyncio.run(call_slow_link(parts=10, gap_s=0.1, limit_s=0.4))
+    assert res.body == 10 * b"x"
+
+
+def test_a_response_that_stalls_midway_times_out():
+    with pytest.raises(HttpError, match=r"0\.2 s"):
+        asyncio.run(call_slow_link(parts=2, gap_s=1.0, limit_s=0.2))
+
+
+def test_a_response_that_never_ends_times_out(monkeypatch):
+    monkeypatch.setattr("medlar_node.relay.http.TRANSFER_MAX_S", 0.3)
+    with pytest.raises(HttpError):
+        asyncio.run(call_slow_link(parts=20, gap_s=0.05, limit_s=0.2))
+
+
 @pytest.mark.parametrize(
     "sent",
     [
