Ask the store whether a key still has a revision

A process that has a copy of a large item need not read the item again. A watch from the copy's revision is no way: the store forgets changes after 20 s. The adapter sends a transaction that only has a condition, to which the store answers with the current item if that is another one.

--- a/packages/core/src/medlar_core/relay/store_watcher.py
+++ b/packages/core/src/medlar_core/relay/store_watcher.py
@@ -6,6 +6,7 @@
 from ..ids import Seconds
 from ..ids import StoreCallId
 from ..store import Changed
+from ..store import Compare
 from ..store import Found
 from ..store import HistoryGone
 from ..store import Item
@@ -57,6 +58,10 @@
         self._wait_s = wait_s
         self._pace_s = pace_s
         self._after: Revision | None = None
+        self._expected: Revision = 0
+        """Revision that the watched key is expected to have, 0 if none is."""
+        self.is_answered = False
+        """Whether a call was answered, by a failure at least."""
         self._call: StoreCallId | None = None
         self.synced_at = NEVER
         """When the last answer was received that brought this process up to
@@ -73,16 +78,25 @@
         """Watch for changes after a revision that another call has told."""
         self._after = revision
 
+    def expect(self, revision: Revision) -> None:
+        """Ask whether the watched key has a revision, instead of reading it.
+
+        If that gets no answer, the key is read. Has no effect once it was.
+        """
+        self._expected = revision
+
     def due(self, now: Seconds) -> None:
         """Start the next call unless one is pending."""
         if self._call is not None and self._access.is_pending(self._call):
             return
         if self._after is not None and now - self.synced_at < self._pace_s:
             return
-        op: List | Watch = List(self._prefix)
+        op: List | Compare | Watch = List(self._prefix)
         spread_s = 0.0 if self._call is None else RETRY_SPREAD_S
         if self._after is not None:
             op = Watch(self._prefix, self._after, self._wait_s)
+        elif self._expected:
+            op = Compare(self._prefix, self._expected)
         self._call = self._access.submit(now, self._part, op, spread_s)
         self.issued_at = now
 
@@ -96,6 +110,8 @@
         if event.call != self._call:
             return None
         self._call = None
+        self._expected = 0
+        self.is_answered = True
         match self._access.take(now, self._part, event):
             case Found(items=items, revision=revision):
                 self._after = revision
--- a/packages/core/src/medlar_core/store.py
+++ b/packages/core/src/medlar_core/store.py
@@ -52,6 +52,17 @@
     lease: int
 
 
+class Compare(msgspec.Struct, frozen=True, tag="compare"):
+    """Ask whether a key still has a revision; writes nothing.
+
+    The answer is ``Changed`` without items if it has, else ``Found`` with
+    the key's current item. It saves the transfer of a large item.
+    """
+
+    key: str
+    revision: Revision
+
+
 class Watch(msgspec.Struct, frozen=True, tag="watch"):
     """Wait for a change under a prefix after a revision.
 
@@ -64,7 +75,9 @@
     wait_s: float
 
 
-StoreOp: TypeAlias = Get | List | Put | Delete | LeaseGrant | LeaseKeep | Watch
+StoreOp: TypeAlias = (
+    Get | List | Compare | Put | Delete | LeaseGrant | LeaseKeep | Watch
+)
 
 
 class Item(msgspec.Struct, frozen=True):
--- a/packages/fakes/src/medlar_fakes/store.py
+++ b/packages/fakes/src/medlar_fakes/store.py
@@ -66,6 +66,11 @@
                 return ops.Found((item,) if item else (), self.revision)
             case ops.List(prefix=prefix):
                 return ops.Found(self._list(prefix, 0), self.revision)
+            case ops.Compare(key=key, revision=revision):
+                item = self.items.get(key)
+                if item is not None and item.revision == revision:
+                    return ops.Changed((), (), self.revision)
+                return ops.Found((item,) if item else (), self.revision)
             case ops.Put():
                 return self._put(op)
             case ops.Delete(key=key, expected=expected):
@@ -167,4 +172,4 @@
 
 def _writes(op: ops.StoreOp) -> bool:
     """Return whether a call can modify the store."""
-    return not isinstance(op, ops.Get | ops.List | ops.Watch)
+    return not isinstance(op, ops.Get | ops.List | ops.Compare | ops.Watch)
--- a/testing/users_platform/test_store.py
+++ b/testing/users_platform/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from medlar_core.store import Changed
+from medlar_core.store import Compare
 from medlar_core.store import Conflict
 from medlar_core.store import Delete
 from medlar_core.store import Found
@@ -108,6 +109,31 @@
     }
 
 
+def test_compare_sends_a_condition_and_writes_nothing(free_port):
+    compare = Compare("a", 4)
+    answer, calls = execute(compare, body(revision=9), port=free_port)
+    assert answer == Changed((), (), 9)
+    assert json.loads(calls[0].body) == {
+        "expected_revision": [{"key": "a", "revision": 4}],
+        "set_keys": [],
+        "remove": [],
+    }
+
+
+@pytest.mark.parametrize(
+    ("items", "found"),
+    [
+        ([item("a", 9)], Found((Item("a", "v", 9),), 9)),
+        ([], Found((), 0)),
+        ([{"key": "a", "revision": 0}], Found((), 0)),
+    ],
+)
+def test_compare_of_a_changed_key_returns_its_item(free_port, items, found):
+    response = body(412, items=items)
+    answer, _ = execute(Compare("a", 4), response, port=free_port)
+    assert answer == found
+
+
 def test_delete_sends_expected_revision(free_port):
     answer, calls = execute(Delete("a", 4), body(revision=5), port=free_port)
     assert answer == Written(5)
