Start from a compact copy of the configuration in the store

A start of all processes with 1,925 routes had each balancer read 467 KB (Base64) from the store. A balancer that starts asks the store whether the copy is of the newest configuration, and uses it then; an older, missing or damaged one is left and the item is read.

Those with the widest links watch the store, as they get each changed item whole; the links are told in hello messages.

The fakes have links of limited bandwidth. test_scope_proof relied on a fetch of once a second at most to have a balancer that lags; its fetches now fail instead, so that it lags for longer than before.

--- a/packages/core/src/medlar_core/relay/configuration/pending_routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/pending_routes.py
@@ -33,6 +33,11 @@
         """Oldest first. Each waits for itself, so that one that follows
         does not cut the wait short, nor prolong it."""
 
+    @property
+    def version(self) -> int:
+        """The newest version that was offered, 0 if none waits."""
+        return self._pending[-1].table.version if self._pending else 0
+
     def offer(self, now: Seconds, table: RouteTable, source: str) -> None:
         """Add a configuration that is newer than the one in force."""
         if self._pending and table.version <= self._pending[-1].table.version:
--- a/packages/core/src/medlar_core/relay/events.py
+++ b/packages/core/src/medlar_core/relay/events.py
@@ -43,6 +43,12 @@
     record: ScopeRecord | None = None
 
 
+class RoutesFetchFailed(msgspec.Struct, frozen=True):
+    """A balancer did not give its route table."""
+
+    src: NodeId
+
+
 class SeedsChanged(msgspec.Struct, frozen=True):
     """The seed processes in the settings have changed."""
 
--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -202,6 +202,7 @@
             service_size=len(reports) if self._view.has_read_entries else 0,
             config_age_s=now - self._view.config_confirmed_at,
             period_s=self._agent_interval.period_s(len(self._members.agents)),
+            link_mbps=self._identity.link_mbps,
         )
 
 
--- a/packages/core/src/medlar_core/relay/known_balancer.py
+++ b/packages/core/src/medlar_core/relay/known_balancer.py
@@ -16,7 +16,8 @@
     ``heard_at`` is when its last hello message was received, or when it
     became known; ``config_confirmed_at`` when the store last confirmed its
     configuration to it, as far as this process uses that; ``period_s`` is
-    the time between two of its messages, ``version`` of its configuration.
+    the time between two of its messages, ``version`` of its configuration,
+    ``link_mbps`` its link, 0 if unknown.
     """
 
     heard_at: float
@@ -24,6 +25,7 @@
     config_confirmed_at: float = NEVER
     period_s: float = 0.0
     version: int = 0
+    link_mbps: float = 0.0
 
     def is_expired(self, now: Seconds) -> bool:
         """Return whether the balancer is to be removed."""
--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -19,6 +19,8 @@
 from ..storeaccess.access import Part
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
+from .configuration.compact import RoutesCopy
+from .configuration.copy_store import CopyStore
 from .configuration.routes import RouteTable
 from .configuration.scope_store import ScopeStore
 from .effects import RelayEffect
@@ -61,7 +63,8 @@
 
     ``seeds`` are the processes contacted while no other is known.
     ``configuration`` is a key, ``members`` a prefix; ``agents`` and
-    ``balancers`` are prefixes under ``members``, ``record`` is a key there.
+    ``balancers`` are prefixes under ``members``, ``record`` and ``copy``
+    are keys there. ``link_mbps`` is the balancer's link, 0 if unknown.
     """
 
     node: NodeId
@@ -72,6 +75,8 @@
     agents: str
     balancers: str
     record: str
+    copy: str
+    link_mbps: float = 0.0
 
 
 class StoreUpdate(msgspec.Struct):
@@ -101,8 +106,12 @@
         self._registration = registration
         self._members = members
         self._event_factory = event_factory
+        self._copy = CopyStore(access, identity.copy)
         self._entry_keys: set[str] = set()
         self._watching_since = 0.0
+        self._is_copy_expected = False
+        """Whether the store is asked if the copy is of the newest
+        configuration."""
         self._configuration = StoreWatcher(
             access,
             Part.CONFIGURATION,
@@ -136,26 +145,38 @@
         """Return whether this balancer is one that watches the store.
 
         Every balancer is until it has read everything once. After that
-        the first ``WATCHER_COUNT`` in the order of their addresses are,
-        leaving out those that don't reach the store. The later in that
-        order, the later a balancer takes the place of one that is silent.
+        the first ``WATCHER_COUNT`` are, those with the widest links first
+        and by address among equals, leaving out those that don't reach the
+        store. The later in that order, the later a balancer takes the place
+        of one that is silent.
         """
         if _NEVER in (self._entries.synced_at, self._configuration.synced_at):
             return True
+        return self._watchers_before(now) < WATCHER_COUNT
+
+    def _watchers_before(self, now: Seconds) -> int:
+        """Return how many watch the store before this one in the order."""
+        own = (-self._identity.link_mbps, self._identity.node)
         before = [
             balancer
             for node, balancer in self._members.balancers.items()
-            if node < self._identity.node
+            if (-balancer.link_mbps, node) < own
         ]
         queued = max(0, len(before) - WATCHER_COUNT)
         delay_s = queued * WATCHER_STAGGER_S
-        watchers_before = sum(
+        return sum(
             now - balancer.heard_at <= WATCHER_HELLO_TIMEOUT_S + delay_s
             and now - balancer.config_confirmed_at
             <= WATCHER_CONFIG_TIMEOUT_S + delay_s
             for balancer in before
         )
-        return watchers_before < WATCHER_COUNT
+
+    def copied_table(self, version: int) -> RouteTable | None:
+        """Return a version if the copy in the store is of that one."""
+        stored = self._copy.stored
+        if stored is None or stored.table.version != version:
+            return None
+        return stored.table
 
     def stop(self) -> None:
         """Remove this balancer's entry from the store."""
@@ -167,8 +188,11 @@
             self._registration.set_entry(self._identity.node)
             is_watcher = self.is_watcher(now)
             if is_watcher:
-                self._configuration.due(now)
                 self._entries.due(now)
+                # The entries hold the copy, which may save a large transfer.
+                if self._entries.is_answered:
+                    self._configuration.due(now)
+                self._copy.due(now, self._watchers_before(now))
             self._scopes.due(now, is_watcher)
         self._registration.issue_next_call(now)
         return self._access.due(now)
@@ -177,24 +201,33 @@
         """Apply an answer of the store."""
         update = StoreUpdate([], [])
         self._scopes.handle_answer(now, event)
+        self._copy.handle_answer(now, event)
         if self._registration.handle_answer(now, event):
             return update
-        self._apply_configuration(
-            self._configuration.handle_answer(now, event), update
-        )
+        configuration = self._configuration.handle_answer(now, event)
+        if configuration is not None:
+            self._apply_configuration(now, configuration, update)
         entries = self._entries.handle_answer(now, event)
         if entries is not None:
             self._apply_entries(now, entries, update)
             update.effects += self.notify_unregistered(now)
-        unreadable = self._scopes.pop_unreadable()
-        if unreadable:
-            text = f"scopes: stored record ignored, not valid: {unreadable}"
+        self._report_unreadable(update)
+        return update
+
+    def _report_unreadable(self, update: StoreUpdate) -> None:
+        for name, why in (
+            ("scopes: stored record", self._scopes.pop_unreadable()),
+            ("configuration: stored copy", self._copy.pop_unreadable()),
+        ):
+            if not why:
+                continue
             update.effects.append(
                 self._event_factory.state_event(
-                    Topic.CONFIGURATION, text, reason="unreadable"
+                    Topic.CONFIGURATION,
+                    f"{name} ignored, not valid: {why}",
+                    reason="unreadable",
                 )
             )
-        return update
 
     def handle_missing_entry(self, now: Seconds) -> None:
         """Handle a message that the store has no entry of this balancer."""
@@ -240,13 +273,20 @@
         return self._entries.synced_at >= self._watching_since
 
     def _apply_configuration(
-        self, result: Snapshot | Change | None, update: StoreUpdate
+        self, now: Seconds, result: Snapshot | Change, update: StoreUpdate
     ) -> None:
-        for item in result.items if result else ():
+        """Use the operators' configuration, or the copy if it is current."""
+        if self._is_copy_expected and isinstance(result, Change):
+            assert self._copy.stored is not None
+            update.tables.append(self._copy.stored.table)
+        self._is_copy_expected = False
+        for item in result.items:
             if item.key != self._identity.configuration:
                 continue
             try:
-                update.tables.append(self._read_routes(item.value))
+                table = self._read_routes(item.value)
+                update.tables.append(table)
+                self._copy.want(now, RoutesCopy(item.revision, table))
             except ValueError as exc:
                 text = f"configuration: invalid, ignored: {exc}"
                 update.effects.append(
@@ -264,13 +304,24 @@
             issued_at = Seconds(watcher.issued_at)
             revision = watcher.revision
             self._scopes.adopt(now, result, revision, issued_at)
+            self._copy.update(result)
+            self._compare_copy()
         else:
+            self._copy.update(result)
             self._scopes.update(now, result)
             self._entry_keys.difference_update(result.deleted)
         for item in result.items:
             self._entry_keys.add(item.key)
             self._apply_entry(now, item, update)
 
+    def _compare_copy(self) -> None:
+        """Ask whether the copy is current, before any other is known."""
+        stored = self._copy.stored
+        if stored is None or self._configuration.synced_at > _NEVER:
+            return
+        self._configuration.expect(stored.revision)
+        self._is_copy_expected = True
+
     def _apply_entry(
         self, now: Seconds, item: Item, update: StoreUpdate
     ) -> None:
--- a/packages/fakes/src/medlar_fakes/relay.py
+++ b/packages/fakes/src/medlar_fakes/relay.py
@@ -1,6 +1,8 @@
 """Simulation of relay processes, their servers and callers."""
 
+import collections
 from collections.abc import Callable
+import functools
 import random
 from typing import Any
 
@@ -18,6 +20,7 @@
 from medlar_core.ids import StoreCallId
 from medlar_core.packets import Flag
 from medlar_core.relay.access import CALL_LIMIT_S
+from medlar_core.relay.configuration.compact import CompactRoutes
 from medlar_core.relay.configuration.scope_record import SharedRoutes
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
@@ -27,9 +30,12 @@
 from medlar_core.relay.events import CallerPacketReceived
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import RoutesFetched
+from medlar_core.relay.events import RoutesFetchFailed
 from medlar_core.relay.events import ServerPacketReceived
 from medlar_core.relay.segment import FlowId
 from medlar_core.relay.segment import Segment
+from medlar_core.store import Changed
+from medlar_core.store import Found
 from medlar_core.store import StoreAnswer
 from medlar_core.store import StoreOp
 from medlar_core.store import Unavailable
@@ -41,6 +47,10 @@
 
 TICK_S = 0.1
 HOP_S = 0.001
+STALL_S = 0.6
+"""A fetch from a balancer that sends nothing fails after this."""
+ITEM_OVERHEAD_BYTES = 150
+"""Key, revision and lease of an item, as the store answers it."""
 
 
 class FakeCodec:
@@ -104,7 +114,10 @@
     Events for nodes in ``paused``, ticks included, are dropped. Nodes in
     ``without_store`` cannot reach the store: their calls time out.
     ``cut_links`` holds pairs of nodes: what the first sends to the second
-    is lost.
+    is lost. Fetches of routes by nodes in ``without_fetches`` fail.
+    ``links`` holds the bytes a second of nodes whose link is limited; it
+    delays answers of the store and fetched routes, one after the other.
+    ``transferred`` counts the bytes of these by receiver.
     ``forward_count`` counts packets forwarded to agents.
     """
 
@@ -120,6 +133,10 @@
         self.paused: set[NodeId] = set()
         self.without_store: set[NodeId] = set()
         self.cut_links: set[tuple[NodeId, NodeId]] = set()
+        self.without_fetches: set[NodeId] = set()
+        self.links: dict[NodeId, float] = {}
+        self.transferred: collections.Counter[NodeId] = collections.Counter()
+        self._link_free_at: dict[NodeId, float] = {}
         self.caller_packets: list[Segment] = []
         self.events: list[TimelineEvent] = []
         self.forward_count = 0
@@ -170,9 +187,7 @@
             case CallStore(call=call, op=op):
                 self._call_store(src, call, op)
             case FetchRoutes(src=peer):
-                if (found := self.routes_of(peer)) and peer not in self.paused:
-                    fetched = RoutesFetched(peer, found.table, found.record)
-                    self._dispatch_later(src, fetched)
+                self._fetch_routes(src, peer)
             case Record(event=event):
                 self.events.append(event)
 
@@ -183,7 +198,9 @@
         def answered(answer: StoreAnswer) -> None:
             if not answers:
                 answers.append(answer)
-                self.dispatch(src, StoreAnswered(call, answer))
+                event = StoreAnswered(call, answer)
+                arrive = functools.partial(self.dispatch, src, event)
+                self._transfer((src,), _answer_bytes(answer), arrive)
 
         wait_s = op.wait_s if isinstance(op, Watch) else 0.0
         late = Unavailable("no answer")
@@ -191,9 +208,51 @@
         if src not in self.without_store:
             self.store.call(op, answered)
 
+    def _fetch_routes(self, src: NodeId, peer: NodeId) -> None:
+        failed = RoutesFetchFailed(peer)
+        source = self.nodes.get(peer)
+        found = self.routes_of(peer)
+        is_cut = src in self.without_fetches or (peer, src) in self.cut_links
+        if is_cut or peer in self.paused or found is None or source is None:
+            self.clock.after(STALL_S, lambda: self.dispatch(src, failed))
+            return
+        fetched = RoutesFetched(peer, found.table, found.record)
+
+        def arrive() -> None:
+            is_whole = self.nodes.get(peer) is source
+            self._dispatch_later(src, fetched if is_whole else failed)
+
+        size = len(CompactRoutes().encode(found.table, found.record))
+        self._transfer((peer, src), size, arrive)
+
+    def _transfer(
+        self, nodes: tuple[NodeId, ...], size: int, arrive: Callable[[], None]
+    ) -> None:
+        """Call ``arrive`` once bytes have passed the links of all nodes."""
+        self.transferred[nodes[-1]] += size
+        end_at: float = self.clock.now
+        for node in nodes:
+            if node in self.links:
+                free_at = self._link_free_at.get(node, 0.0)
+                end_at = max(end_at, free_at) + size / self.links[node]
+                self._link_free_at[node] = end_at
+        if end_at > self.clock.now:
+            self.clock.at(end_at, arrive)
+        else:
+            arrive()
+
     def _send(self, src: NodeId, dst: NodeId, event: Any) -> None:
         if (src, dst) not in self.cut_links:
             self._dispatch_later(dst, event)
 
     def _dispatch_later(self, dst: NodeId, event: Any) -> None:
         self.clock.after(HOP_S, lambda: self.dispatch(dst, event))
+
+
+def _answer_bytes(answer: StoreAnswer) -> int:
+    """Return the size of an answer, whose values are Base64 text."""
+    if not isinstance(answer, Found | Changed):
+        return ITEM_OVERHEAD_BYTES
+    return ITEM_OVERHEAD_BYTES + sum(
+        ITEM_OVERHEAD_BYTES + len(item.value) * 4 // 3 for item in answer.items
+    )
--- a/packages/node/src/medlar_node/relay/settings.py
+++ b/packages/node/src/medlar_node/relay/settings.py
@@ -44,5 +44,7 @@
     server: str = ""
     """Address to which an agent sends packets for the local server."""
     service: ServiceName = ServiceName("")
+    link_mbps: float = 0.0
+    """Bandwidth of the machine's link, 0 if unknown."""
     metrics: str = ""
     """Address at which metrics are served; empty to disable."""
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -62,6 +62,7 @@
 AGENTS = "m/agents/"
 BALANCERS = "m/balancers/"
 RECORD = "m/scopes"
+COPY = "m/routes"
 
 
 def node(kind: str, number: int) -> NodeId:
@@ -124,7 +125,11 @@
     """
 
     def __init__(
-        self, agents: int = 4, balancers: int = 3, seed: int = 1
+        self,
+        agents: int = 4,
+        balancers: int = 3,
+        seed: int = 1,
+        link_mbps: dict[NodeId, float] | None = None,
     ) -> None:
         self.world = RelaySimulation(seed)
         self.agents: dict[NodeId, RelayAgent] = {}
@@ -133,6 +138,7 @@
         self.announcements: dict[NodeId, ServerAnnounced] = {}
         self.started_at: dict[NodeId, float] = {}
         self.clock_jumped = False
+        self.link_mbps = dict(link_mbps or {})
         self.starts = 0
         self.world.routes_of = self._routes_of
         self.configure(table(1, DESK))
@@ -174,6 +180,8 @@
             AGENTS,
             BALANCERS,
             RECORD,
+            COPY,
+            self.link_mbps.get(address, 0.0),
         )
         balancer = RelayBalancer(
             identity,
@@ -399,7 +407,8 @@
         self.world.dispatch(address, announcement)
 
     def _routes_of(self, address: NodeId) -> SharedRoutes | None:
-        return self.balancers[address].shared_routes
+        found = self.balancers.get(address)
+        return found.shared_routes if found else None
 
     def _rng(self) -> random.Random:
         self.starts += 1
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -48,6 +48,7 @@
     """Put two versions in force so that one balancer lags behind."""
     fleet.configure(one_route(2, {DESK: 1}))
     fleet.run(0.1)
+    fleet.world.without_fetches.add(node("balancer", LAGGING))
     fleet.configure(one_route(3, {OFFICE: 1}))
     while version(fleet, 0) < 3:
         fleet.run(0.01)
--- a/testing/users_platform/test_settings.py
+++ b/testing/users_platform/test_settings.py
@@ -46,6 +46,12 @@
     assert cfg.caller_port == 8172
     assert cfg.seeds == ("10.1.0.10:7720", "10.2.0.40:7720")
     assert (cfg.beat_s, cfg.grace_s) == (1.2, 6.0)
+    assert cfg.link_mbps == 0.0
+
+
+def test_link_of_the_machine_is_read_where_the_limits_name_it(tmp_path):
+    text = BALANCER + "[limits]\ncores = 2\nlink_mbps = 12.5\n"
+    assert read_settings(write_settings(tmp_path, text)).link_mbps == 12.5
 
 
 def test_agent_settings(tmp_path):
