Fetch a newer configuration compact, from one balancer at a time

Balancers fetched the whole as JSON (374 KB at 1,925 routes) from whoever told of a newer version first, once a second at most, and anew after 1 s. A copy of that version that was read from the store saves the fetch. The form of before is served and used where a peer knows no other.

--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -15,8 +15,10 @@
 from ..ids import Seconds
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
+from .configuration.compact import CompactRoutes
 from .configuration.pending_routes import FROM_STORE
 from .configuration.pending_routes import PendingRoutes
+from .configuration.route_sources import RouteSources
 from .configuration.routes import Routes
 from .configuration.routes import RouteTable
 from .configuration.scope_queries import ScopeQueries
@@ -29,6 +31,7 @@
 from .event_factory import EventFactory
 from .events import CallerPacketReceived
 from .events import RoutesFetched
+from .events import RoutesFetchFailed
 from .events import SeedsChanged
 from .hello_sender import HelloSender
 from .lookup.owners import OwnerRanking
@@ -55,8 +58,6 @@
 from .store_view import RouteReader
 from .store_view import StoreView
 
-FETCH_INTERVAL_S = 1.0
-"""Least time between two fetches of a newer configuration from peers."""
 EXPIRE_INTERVAL_S = 1.0
 STORE_LOST_S = 4.0
 """The store is lost if no balancer has read the configuration for longer."""
@@ -108,7 +109,8 @@
             self._is_store_lost,
         )
         self._seen_changes = 0
-        self._next_fetch_at = 0.0
+        self._route_sources = RouteSources(identity.node, self.members)
+        self._compact_routes = CompactRoutes()
         self._peer_confirmed_at = float("-inf")
         self._early_packets = EarlyPackets()
         self._expire_at = 0.0
@@ -131,6 +133,15 @@
             return None
         return share(self.routes.table, self._scopes.stored)
 
+    @property
+    def compact_routes(self) -> bytes:
+        """The same in its compact form, empty before it is known."""
+        if self.routes.table is None:
+            return b""
+        return self._compact_routes.encode(
+            self.routes.table, self._scopes.stored
+        )
+
     def gauges(self, now: Seconds) -> dict[str, float]:
         """Return the current gauge values by metric name."""
         return {
@@ -139,6 +150,9 @@
             "scope_queries": len(self._scope_queries),
             "configuration_version": self.routes.version,
             "configuration_age_seconds": now - self._config_confirmed_at,
+            "configuration_fetches": float(
+                self._route_sources.fetching_from(now) is not None
+            ),
             "store_failing": float(self._view.is_failing),
             **self.members.gauges(now),
         }
@@ -193,10 +207,11 @@
                 return self._handle_tick(now)
             case StoreAnswered():
                 return self._handle_store_answer(now, event)
-            case RoutesFetched(table=table, src=src):
-                if event.record is not None:
-                    self._scopes.learn(now, event.record)
-                return self._offer_routes(now, table, f"balancer {src}")
+            case RoutesFetched():
+                return self._handle_routes(now, event)
+            case RoutesFetchFailed(src=src):
+                self._route_sources.record_result(now, src, is_newer=False)
+                return self._fetch_routes(now)
             case SeedsChanged(seeds=seeds):
                 self._hello_sender.seeds = seeds
             case StopAsked():
@@ -256,10 +271,10 @@
             self._peer_confirmed_at = max(
                 self._peer_confirmed_at, config_confirmed_at
             )
-        if msg.version > self.routes.version and now >= self._next_fetch_at:
-            self._next_fetch_at = now + FETCH_INTERVAL_S
-            effects.append(FetchRoutes(msg.id))
-        return effects
+        copied = self._view.copied_table(msg.version)
+        if copied is not None:
+            effects += self._offer_routes(now, copied, f"balancer {msg.id}")
+        return effects + self._fetch_routes(now)
 
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
         pause_s = self._pause_detector.record_tick(now)
@@ -280,6 +295,7 @@
         if now >= self._rank_at:
             self._rank_agents(now)
         effects += self._put_in_force(now)
+        effects += self._fetch_routes(now)
         effects += self._answer_scope_queries(now)
         return [*effects, *self._send_hellos(now), *self._store_calls(now)]
 
@@ -343,6 +359,27 @@
         heard = sum(now - peer.heard_at <= PEER_HEARD_S for peer in peers)
         return 2 * heard >= len(peers)
 
+    @property
+    def _known_version(self) -> int:
+        """The newest version here, which may not be in force yet."""
+        return max(self.routes.version, self._pending_routes.version)
+
+    def _fetch_routes(self, now: Seconds) -> list[RelayEffect]:
+        """Fetch a newer version from another balancer, if one has it."""
+        source = self._route_sources.next(now, self._known_version)
+        return [] if source is None else [FetchRoutes(source)]
+
+    def _handle_routes(
+        self, now: Seconds, event: RoutesFetched
+    ) -> list[RelayEffect]:
+        is_newer = event.table.version > self._known_version
+        self._route_sources.record_result(now, event.src, is_newer)
+        if event.record is not None:
+            self._scopes.learn(now, event.record)
+        source = f"balancer {event.src}"
+        effects = self._offer_routes(now, event.table, source)
+        return effects + self._fetch_routes(now)
+
     def _offer_routes(
         self, now: Seconds, table: RouteTable, source: str
     ) -> list[RelayEffect]:
--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -226,6 +226,7 @@
             balancer.heard_at = now
             balancer.place = hello.place
             balancer.period_s = hello.period_s
+            balancer.link_mbps = hello.link_mbps
         for peer in hello.peers:
             self.add_known_balancer(now, peer)
         for departed in hello.departed:
--- a/packages/node/src/medlar_node/relay/balancer.py
+++ b/packages/node/src/medlar_node/relay/balancer.py
@@ -19,11 +19,11 @@
 from .log import LogPipe
 from .process import ExecuteOp
 from .process import RelayProcess
-from .process import respond_to_peer
 from .process import running
 from .process import serving_metrics
 from .reload import Reloader
 from .reload import SettingsSource
+from .route_exchange import respond
 from .settings import RelaySettings
 from .udp import udp_port
 
@@ -67,7 +67,9 @@
         return Response(200 if reducer.is_ready else 503)
 
     async def peer(req: Request) -> Response:
-        return await respond_to_peer(req, reducer.shared_routes)
+        return respond(
+            req, lambda: reducer.compact_routes, lambda: reducer.shared_routes
+        )
 
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_context
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -211,6 +211,7 @@
     "balancers": "Other balancers known",
     "configuration_version": "Version of the configuration in force",
     "configuration_age_seconds": "Time since the store told the newest",
+    "configuration_fetches": "Fetches of a newer configuration under way",
     "store_failing": "1 while the store is held to be failing",
     "log_lines_lost": "Log lines given up as nobody read them",
 }
--- a/packages/node/src/medlar_node/relay/process.py
+++ b/packages/node/src/medlar_node/relay/process.py
@@ -24,7 +24,6 @@
 from medlar_core.events import Tick
 from medlar_core.ids import NodeId
 from medlar_core.ids import Seconds
-from medlar_core.relay.configuration.scope_record import SharedRoutes
 from medlar_core.relay.effects import DeliverToServer
 from medlar_core.relay.effects import FetchRoutes
 from medlar_core.relay.effects import ForwardToAgent
@@ -32,6 +31,7 @@
 from medlar_core.relay.effects import SendToCaller
 from medlar_core.relay.events import PacketForwarded
 from medlar_core.relay.events import RoutesFetched
+from medlar_core.relay.events import RoutesFetchFailed
 from medlar_core.relay.lookup.forwarded import decode as decode_packet
 from medlar_core.relay.lookup.forwarded import encode as encode_packet
 from medlar_core.relay.members import Members
@@ -59,6 +59,7 @@
 from .log import LogPipe
 from .metrics import CONTENT_TYPE
 from .metrics import RelayMetrics
+from .route_exchange import fetch
 from .settings import RelaySettings
 from .udp import OnDatagram
 from .udp import UdpPort
@@ -69,14 +70,12 @@
 do no periodic work stops."""
 OBSERVE_INTERVAL_S = 1.0
 """Time between two observations of the ages of all reports."""
-FETCH_LIMIT_S = 1.0
 PROBE_LIMIT_S = 0.3
 RECORDED_EVENTS_MAX = 1_200
 LOG_LINES_PER_S = 30.0
 """Limit per topic and reason; suppressed lines are counted."""
 PACKET_MARK = b"P"
 CONTROL_MARK = b"C"
-ROUTES_PATH = "/v1/routes"
 METRICS_PATH = "/metrics"
 
 log = part_logger("process")
@@ -377,17 +376,24 @@
 
     async def _fetch_routes(self, src: NodeId) -> None:
         client = HttpClient(src)
+        started_at = now()
         try:
-            req = Request("GET", ROUTES_PATH)
-            res = await client.call(req, FETCH_LIMIT_S)
-            shared = msgspec.json.decode(res.body, type=SharedRoutes)
-        except (HttpError, msgspec.DecodeError) as exc:
-            log.warning(
-                "cannot fetch routes", extra={"src": src, "why": str(exc)}
-            )
+            fetched = await fetch(client)
+        except (HttpError, ValueError) as exc:
+            fields = {"src": src, "why": str(exc), "s": _age_s(started_at)}
+            log.warning("cannot fetch routes", extra=fields)
+            self.dispatch(RoutesFetchFailed(src))
             return
         finally:
             client.close()
+        shared = fetched.shared
+        fields = {
+            "src": src,
+            "version": shared.version,
+            "bytes": fetched.size,
+            "s": _age_s(started_at),
+        }
+        log.info("fetched routes", extra=fields)
         self.dispatch(RoutesFetched(src, shared.table, shared.record))
 
     def _spawn(self, coro: Any) -> None:
@@ -401,15 +407,6 @@
             log.error("background task failed", exc_info=task.exception())
 
 
-async def respond_to_peer(
-    req: Request, shared: SharedRoutes | None
-) -> Response:
-    """Respond to another process that fetches the configuration."""
-    if req.target != ROUTES_PATH or shared is None:
-        return Response(404)
-    return Response(200, msgspec.json.encode(shared))
-
-
 @contextlib.asynccontextmanager
 async def running(
     process: RelayProcess, *others: Coroutine[Any, Any, None]
@@ -447,6 +444,10 @@
         yield
 
 
+def _age_s(started_at: float) -> float:
+    return round(now() - started_at, 3)
+
+
 def now() -> Seconds:
     """Return the monotonic time in seconds."""
     return Seconds(time.monotonic())
