--- a/packages/core/src/medlar_core/relay/hello_sender.py
+++ b/packages/core/src/medlar_core/relay/hello_sender.py
@@ -240,6 +240,7 @@
             period_s=self._agent_interval.period_s(len(self._members.agents)),
             evacuated=self._evacuation.current,
             cold_per_s=self._routes.cold_per_s(service),
+            link_mbps=self._identity.link_mbps,
         )
 
 
--- a/packages/node/src/medlar_node/relay/settings.py
+++ b/packages/node/src/medlar_node/relay/settings.py
@@ -47,5 +47,7 @@
     """Address to which an agent sends packets for the local server."""
     service: ServiceName = ServiceName("")
     zones: ZoneSettings = NO_ZONE_RULES
+    link_mbps: float = 0.0
+    """Bandwidth of the machine's link, 0 if unknown."""
     metrics: str = ""
     """Address at which metrics are served; empty to disable."""
--- a/testing/core/relay/kit.py
+++ b/testing/core/relay/kit.py
@@ -66,6 +66,7 @@
 AGENTS = "m/agents/"
 BALANCERS = "m/balancers/"
 RECORD = "m/scopes"
+COPY = "m/routes"
 
 
 def node(kind: str, number: int) -> NodeId:
@@ -134,6 +135,7 @@
         seed: int = 1,
         zones: ZoneSettings = NO_ZONE_RULES,
         places: tuple[PlaceName, ...] = (PLACE,),
+        link_mbps: dict[NodeId, float] | None = None,
     ) -> None:
         self.zones = zones
         self.places = places
@@ -144,6 +146,7 @@
         self.announcements: dict[NodeId, ServerAnnounced] = {}
         self.started_at: dict[NodeId, float] = {}
         self.clock_jumped = False
+        self.link_mbps = dict(link_mbps or {})
         self.starts = 0
         self.world.routes_of = self._routes_of
         self.configure(table(1, DESK))
@@ -190,6 +193,8 @@
             AGENTS,
             BALANCERS,
             RECORD,
+            COPY,
+            self.link_mbps.get(address, 0.0),
             OPERATORS,
             EVACUATIONS if self.zones.evacuates else "",
         )
@@ -418,7 +423,8 @@
         self.world.dispatch(address, announcement)
 
     def _routes_of(self, address: NodeId) -> SharedRoutes | None:
-        return self.balancers[address].shared_routes
+        found = self.balancers.get(address)
+        return found.shared_routes if found else None
 
     def _rng(self) -> random.Random:
         self.starts += 1
