--- a/packages/core/src/medlar_core/relay/configuration/scope_record.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_record.py
@@ -47,7 +47,7 @@
         if other.version > self.version:
             newer, older = other, self
         services = {
-            address: tuple(sorted({*named, *older.get(address)}))
+            address: _joined(named, older.get(address))
             for address, named in newer.services.items()
         }
         return ScopeRecord(newer.version, newer.idle_s, services)
@@ -61,12 +61,22 @@
 
         Processes that know only the record would not search it for flows.
         """
-        return any(
-            share.service not in self.services[route.address]
-            for route in table.routes
-            if route.address in self.services
-            for share in route.shares
-        )
+        for route in table.routes:
+            named = self.services.get(route.address)
+            if named is None:
+                continue
+            if any(share.service not in named for share in route.shares):
+                return True
+        return False
+
+
+def _joined(
+    named: tuple[ServiceName, ...], others: tuple[ServiceName, ...]
+) -> tuple[ServiceName, ...]:
+    """Return the services that either names, in their order."""
+    if named == others or not others:
+        return named
+    return tuple(sorted({*named, *others}))
 
 
 class SharedRoutes(msgspec.Struct, frozen=True):
--- a/packages/core/src/medlar_core/relay/configuration/scope_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/scope_store.py
@@ -77,9 +77,15 @@
         """
         if not self.has_services_of(table):
             return False
+        recent = {
+            pair
+            for pair, at in self._added_at.items()
+            if now - at < READ_VALID_S
+        }
+        if not recent:
+            return True
         return not any(
-            now - self._added_at.get((route.address, share.service), NEVER)
-            < READ_VALID_S
+            (route.address, share.service) in recent
             for route in table.routes
             for share in route.shares
         )
--- a/packages/core/src/medlar_core/relay/segment.py
+++ b/packages/core/src/medlar_core/relay/segment.py
@@ -6,6 +6,7 @@
 
 import functools
 import ipaddress
+import socket
 from typing import NamedTuple
 from typing import NewType
 from typing import Protocol
@@ -96,7 +97,11 @@
 
     :raises ValueError: if the host is not an IPv4 address.
     """
-    return Endpoint(int(ipaddress.IPv4Address(host)) << _PORT_BITS | port)
+    try:
+        packed = socket.inet_pton(socket.AF_INET, host)
+    except OSError as exc:
+        raise ValueError(f"expected an IPv4 address, got {host!r}") from exc
+    return Endpoint(int.from_bytes(packed, "big") << _PORT_BITS | port)
 
 
 @functools.lru_cache(maxsize=HOST_CACHE_SIZE)
