Keep the flows of a route in its regions

A configuration may name the regions whose servers may get a route's flows; nothing read them. A balancer sends them with the SYN, agents place the flow at servers whose places are in one of them, by the settings' table of zones, and refuse it if there are none. The tests of fleets failed before, with flows at servers of the other region.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -50,6 +50,7 @@
 from .registration import Registration
 from .segment import Segment
 from .segment import SegmentCodec
+from .zones.homes import Homes
 from .zones.own_place import OwnPlace
 from .zones.own_place import PlaceNews
 
@@ -88,6 +89,7 @@
             self.local_server,
             self._event_factory,
             OwnPlace(identity.place, identity.zones),
+            Homes(identity.zones),
         )
         self._flows = AgentFlows(self._ctx, rng)
         self._own_state = OwnState(identity, self._ctx, registration)
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -102,8 +102,9 @@
             packet.low_priority,
             packet.scope,
             packet.terms,
+            packet.regions,
         )
-        if routed and own_report.accepts_flows:
+        if routed and self.placement.may_open_here(new_flow, own_report):
             return self.placement.place(now, new_flow, own_report)
         if routed:
             return self.placement.place_elsewhere(now, new_flow, own_report)
@@ -295,4 +296,5 @@
             flow.low_priority,
             self._ctx.scopes.get(segment.inward.address),
             flow.terms,
+            flow.regions,
         )
--- a/packages/core/src/medlar_core/relay/configuration/routes.py
+++ b/packages/core/src/medlar_core/relay/configuration/routes.py
@@ -122,6 +122,11 @@
         route = self._by_address.get(flow.address)
         return route.terms if route is not None else DEFAULT_TERMS
 
+    def regions(self, flow: FlowId) -> tuple[str, ...]:
+        """Return the regions whose servers may get a flow, empty for all."""
+        route = self._by_address.get(flow.address)
+        return route.regions if route is not None else ()
+
     def has_low_priority(self, flow: FlowId, service: ServiceName) -> bool:
         """Return whether a flow's route has the lowest priority to a service.
 
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -21,6 +21,7 @@
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
+from .zones.homes import Homes
 from .zones.own_place import OwnPlace
 
 MEMBERS_SETTLE_S = 0.1
@@ -40,6 +41,7 @@
         local_server: LocalServer,
         event_factory: EventFactory,
         own_place: OwnPlace,
+        homes: Homes,
     ) -> None:
         self.node = node
         self.service = service
@@ -47,6 +49,7 @@
         self.local_server = local_server
         self.event_factory = event_factory
         self.own_place = own_place
+        self.homes = homes
         self.table = FlowTable(node)
         self.scopes = KnownScopes()
         self._codec = codec
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -45,7 +45,7 @@
     not accept it, ``terms`` are those of its route, ``via`` is the balancer
     that was last notified of the holder, at ``notified_at``.
     ``low_priority`` is set if room has to be left at a server for flows of
-    higher priority.
+    higher priority. ``regions`` are those of its route, empty for all.
     """
 
     holder: NodeId
@@ -67,6 +67,7 @@
     notified_at: float = 0.0
     low_priority: bool = False
     terms: FlowTerms = DEFAULT_TERMS
+    regions: tuple[str, ...] = ()
 
 
 class FlowTable:
--- a/packages/core/src/medlar_core/relay/lookup/forwarded.py
+++ b/packages/core/src/medlar_core/relay/lookup/forwarded.py
@@ -36,7 +36,7 @@
     forwarded the packet. ``low_priority`` is set in a SYN if room has to be
     left at a server for flows of higher priority. ``scope`` is what the
     balancer told of the flow; who forwards the packet passes it on.
-    ``terms`` are those of the flow's route, told with a SYN.
+    ``terms`` and ``regions`` are those of the flow's route, told with a SYN.
     ``unused_1`` and ``unused_2`` are services and agents in packets of
     earlier versions, which keep their places.
     """
@@ -52,6 +52,7 @@
     unused_2: tuple[str, ...] = ()
     scope: FlowScope
     terms: FlowTerms = DEFAULT_TERMS
+    regions: tuple[str, ...] = ()
 
 
 class _UnscopedPacket(msgspec.Struct, array_like=True):
--- a/packages/core/src/medlar_core/relay/packet_router.py
+++ b/packages/core/src/medlar_core/relay/packet_router.py
@@ -97,6 +97,7 @@
             and self._routes.has_low_priority(flow_id, services[0]),
             scope=scope,
             terms=self._routes.terms(flow_id) if is_new else DEFAULT_TERMS,
+            regions=self._routes.regions(flow_id) if is_new else (),
         )
         if not is_new:
             return [ForwardToAgent(dst, packet)]
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -54,7 +54,7 @@
     the balancer that received it from the caller; ``hops`` counts the
     agents that forwarded it. ``low_priority`` is set if room has to be left
     at a server for flows of higher priority; ``scope`` is what a balancer
-    told of it, ``terms`` are those of its route.
+    told of it, ``terms`` and ``regions`` are those of its route.
     """
 
     flow_id: FlowId
@@ -65,6 +65,7 @@
     low_priority: bool
     scope: FlowScope
     terms: FlowTerms = DEFAULT_TERMS
+    regions: tuple[str, ...] = ()
 
     def declined_by(self, node: NodeId) -> "NewFlow":
         """Return the same flow with one more agent in ``declined``."""
@@ -108,11 +109,11 @@
         It is forwarded if that agent used an outdated report.
         """
         node = self._ctx.node
-        if not own_report.accepts_flows:
+        if not self.may_open_here(new_flow, own_report):
             return self.place_elsewhere(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self._open_here(now, new_flow)
-        peers = self._ctx.members.of(self._ctx.service)
+        peers = self._members_for(new_flow)
         recent = [m for m in peers if has_recent_load(now, m)]
         best = self._select(now, new_flow, own_report, recent)
         if best is None or best.node == node:
@@ -125,6 +126,23 @@
             return self._defer(new_flow)
         return self._open_here(now, new_flow)
 
+    def may_open_here(
+        self, new_flow: NewFlow, own_report: AgentReport
+    ) -> bool:
+        """Return whether the local server may get a new flow."""
+        if not own_report.accepts_flows:
+            return False
+        return self._ctx.homes.allow(own_report.place, new_flow.regions)
+
+    def _members_for(self, new_flow: NewFlow) -> list[Member]:
+        """Return the members whose places may get a new flow."""
+        members = self._ctx.members.of(self._ctx.service)
+        regions = new_flow.regions
+        if not regions:
+            return members
+        homes = self._ctx.homes
+        return [m for m in members if homes.allow(m.report.place, regions)]
+
     def place_elsewhere(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
     ) -> list[RelayEffect]:
@@ -146,7 +164,7 @@
             return self._refuse(now, new_flow, own_report)
         if self._is_empty(own_report, new_flow):
             return self._open_here(now, new_flow)
-        members = self._ctx.members.of(self._ctx.service)
+        members = self._members_for(new_flow)
         candidates = self._choice.sample(now, members, new_flow.declined)
         outdated = {
             member.report.id
@@ -215,7 +233,7 @@
         """Place a new flow at the best of the compared servers."""
         best = self._select(now, new_flow, own_report, candidates)
         if best is None:
-            members = self._ctx.members.of(self._ctx.service)
+            members = self._members_for(new_flow)
             if self._choice.sample(now, members, new_flow.declined):
                 return self._drop(new_flow, "loads unknown")
             return self._refuse(now, new_flow, own_report)
@@ -227,7 +245,7 @@
 
     def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
         """Return whether no server can be better than the local one."""
-        if not own_report.accepts_flows:
+        if not self.may_open_here(new_flow, own_report):
             return False
         if self._ctx.node in new_flow.declined:
             return False
@@ -263,6 +281,7 @@
             low_priority=new_flow.low_priority,
             scope=new_flow.scope,
             terms=new_flow.terms,
+            regions=new_flow.regions,
         )
         effects: list[RelayEffect] = [ForwardToAgent(node, packet)]
         if new_flow.via:
@@ -278,6 +297,7 @@
         flow.via = new_flow.via
         flow.low_priority = new_flow.low_priority
         flow.terms = new_flow.terms
+        flow.regions = new_flow.regions
         return flow
 
     def _select(
@@ -287,7 +307,8 @@
         own_report: AgentReport,
         others: list[Member],
     ) -> Selection | None:
-        eligible = own_report if own_report.accepts_flows else None
+        is_eligible = self.may_open_here(new_flow, own_report)
+        eligible = own_report if is_eligible else None
         via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
@@ -351,7 +372,7 @@
         """
         ctx = self._ctx
         ctx.table.remove(new_flow.flow_id)
-        members = ctx.members.of(ctx.service)
+        members = self._members_for(new_flow)
         reports = [own_report, *(m.report for m in members)]
         states = [r.state for r in reports if not r.evacuated]
         if not ctx.knows_all_members(now) or any(
