--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -334,9 +334,7 @@
             return []
         self.members.apply_evacuated(place.known.current)
         return [
-            self._event_factory.evacuation_event(
-                change, f"balancer {msg.id}", msg.config_age_s
-            )
+            self._event_factory.evacuation_event(change, f"balancer {msg.id}")
         ]
 
     def _known_count(self) -> int:
--- a/packages/core/src/medlar_core/relay/balancer.py
+++ b/packages/core/src/medlar_core/relay/balancer.py
@@ -270,28 +270,20 @@
         if msg.version > self.routes.version and now >= self._next_fetch_at:
             self._next_fetch_at = now + FETCH_INTERVAL_S
             effects.append(FetchRoutes(msg.id))
-        return effects + self._learn_places(
-            now, msg.evacuated, f"balancer {msg.id}", msg.config_age_s
-        )
+        source = f"balancer {msg.id}"
+        return effects + self._learn_places(now, msg.evacuated, source)
 
     def _learn_places(
-        self,
-        now: Seconds,
-        found: EvacuatedPlaces,
-        source: str,
-        age_s: float = 0.0,
+        self, now: Seconds, found: EvacuatedPlaces, source: str
     ) -> list[RelayEffect]:
-        """Apply which places are evacuated, and tell others of a change.
-
-        ``age_s`` is how long ago the store confirmed it to the source.
-        """
+        """Apply which places are evacuated, and tell others of a change."""
         change = self._evacuation.learn(found) if self._evacuates else None
         if change is None:
             return []
         self.members.apply_evacuated(found)
         self._rank_agents(now)
         effects: list[RelayEffect] = [
-            self._event_factory.evacuation_event(change, source, age_s)
+            self._event_factory.evacuation_event(change, source)
         ]
         if self.stopping:
             return effects
--- a/packages/core/src/medlar_core/relay/event_factory.py
+++ b/packages/core/src/medlar_core/relay/event_factory.py
@@ -57,16 +57,13 @@
         )
 
     def evacuation_event(
-        self, change: EvacuationChange, source: str, age_s: float
+        self, change: EvacuationChange, source: str
     ) -> Record:
-        """Return the event of a change of the evacuated places.
-
-        ``age_s`` is how long ago the store confirmed it to the source.
-        """
+        """Return the event of a change of the evacuated places."""
         return self.state_event(
             Topic.MEMBERSHIP,
             f"places: {change.text}, as of revision {change.revision}, "
-            f"received from {source}, confirmed {age_s:.2f} s before",
+            f"received from {source}",
             reason="evacuation",
         )
 
