Decide which new flows a server starts, holds or refuses

Cause: a server with two or three waiting callers a slot had its agent drop every further SYN, whoever sent it; the caller's retransmission competed with newcomers from the start, and what was opened waited first come first served.

Change: `relay/admission` holds a bounded number of SYNs and starts them when the server has room by the time that the request arrives. Not wired yet.

--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -5,6 +5,7 @@
 from ..ids import ServiceName
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .admission.held import HeldFlows
 from .effects import DeliverToServer
 from .effects import ForwardToAgent
 from .effects import RelayEffect
@@ -16,11 +17,14 @@
 from .lookup.forwarded import ForwardedPacket
 from .lookup.forwarded import ForwardReason
 from .members import Members
+from .new_flow import NewFlow
 from .scope import FlowScope
 from .scope import KnownScopes
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
+from .terms import DEFAULT_TERMS
+from .terms import FlowTerms
 
 MEMBERS_SETTLE_S = 0.1
 """Time to receive hello messages of other balancers, once this agent knows
@@ -45,6 +49,7 @@
         self.local_server = local_server
         self.event_factory = event_factory
         self.table = FlowTable(node)
+        self.held = HeldFlows()
         self.scopes = KnownScopes()
         self._codec = codec
         self._members_known_at: float | None = None
@@ -111,6 +116,16 @@
             )
         ]
 
+    def add_flow(
+        self, now: Seconds, new_flow: NewFlow, holder: NodeId
+    ) -> Flow:
+        """Add a flow to the table, with what a retransmitted SYN needs."""
+        flow = self.table.put(now, new_flow.flow_id, holder, new_flow.declined)
+        flow.via = new_flow.via
+        flow.low_priority = new_flow.low_priority
+        flow.terms = new_flow.terms
+        return flow
+
     def deliver(
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
@@ -133,6 +148,7 @@
         scope: FlowScope,
         declined: tuple[NodeId, ...] = (),
         hops: int = 1,
+        terms: FlowTerms = DEFAULT_TERMS,
     ) -> ForwardToAgent:
         """Forward a packet to another agent."""
         packet = ForwardedPacket(
@@ -142,6 +158,7 @@
             declined=declined,
             hops=hops,
             scope=scope,
+            terms=terms,
         )
         return ForwardToAgent(dst, packet)
 
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -87,6 +87,21 @@
         """Return how many of the busy flows have sent their whole request."""
         return sum(_is_waiting(now, flow) for flow in self._busy.values())
 
+    def pending_count(
+        self, now: Seconds, handshake_s: float, request_s: float
+    ) -> int:
+        """Return how many flows occupy the local server or will soon.
+
+        Left out are handshakes and requests that take longer than the times
+        given: their caller may be gone.
+        """
+        return sum(
+            _is_waiting(now, flow)
+            and now - flow.last_data_at
+            <= (request_s if flow.established else handshake_s)
+            for flow in self._busy.values()
+        )
+
     def __len__(self) -> int:
         return len(self._flows)
 
