Hold the SYNs of a full server at its agent

Change: what was placed at the local server goes through `LocalStarts`; held flows start as the server answers and on ticks, move elsewhere once it gets no new flows, and count as waiting in reports. A retransmitted SYN keeps its route's terms when it is forwarded to the holder, and is confirmed each time, so that the death of a holder after its first confirmation is noticed. Flows without a timeout in their terms are placed as before.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -145,6 +145,7 @@
             "flows_waiting": self._ctx.table.busy_count,
             "flows_known": len(self._ctx.table),
             "flows_placing": self._flows.placement.pending_count,
+            "flows_held": len(self._ctx.held),
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
             **self.members.gauges(now),
@@ -192,13 +193,19 @@
         self, now: Seconds, segment: Segment
     ) -> list[RelayEffect]:
         if not segment.flags & _BOUNCED:
-            return self._flows.handle_server_packet(now, segment)
+            effects = self._flows.handle_server_packet(now, segment)
+            return effects + self._start_held(now)
         if segment.flags & _SYN:
             return self._flows.handle_declined_syn(
                 now, segment, self.report(now)
             )
         return self._flows.handle_bounced(now, segment)
 
+    def _start_held(self, now: Seconds) -> list[RelayEffect]:
+        if not self._ctx.held:
+            return []
+        return self._flows.placement.start_held(now, self.report(now))
+
     def _handle_probe(self, now: Seconds, alive: bool) -> list[RelayEffect]:
         if not self.local_server.handle_probe(now, alive):
             return []
@@ -357,6 +364,7 @@
         effects += self._reports.due(now, self._ctx.service)
         effects += self._query_members(now)
         effects += self._flows.placement.place_late(now, self.report)
+        effects += self._start_held(now)
         effects += self._flows.lookup.retry(now)
         effects += self.members.pop_requests(now)
         effects += self._store_calls(now)
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -17,7 +17,7 @@
 from .messages import AgentState
 from .messages import FlowHeld
 from .messages import OtherService
-from .placement import NewFlow
+from .new_flow import NewFlow
 from .placement import Placement
 from .segment import Segment
 
@@ -53,12 +53,17 @@
         """Handle a forwarded packet other than a SYN."""
         flow_id = event.segment.inward
         self._record_scope(event)
+        # A caller sends other packets only once its flow is open.
+        self.placement.starts.discard(flow_id)
         flow = self._ctx.table.get(flow_id)
         packet = event.packet
         if packet.hops > MAX_HOPS:
             return [self._drop_over_hop_limit(event)]
         if flow is not None and flow.holder == self._ctx.node:
+            was_established = flow.established
             effects = self._ctx.deliver(now, flow, event.segment)
+            if flow.established and not was_established:
+                self.placement.starts.record_established(now, flow)
             if packet.reason in _EXPECTING_REPLY:
                 held = FlowHeld(flow_id, self._ctx.node)
                 effects.append(Send(event.src, held))
@@ -86,8 +91,14 @@
         packet = event.packet
         if packet.hops > MAX_HOPS:
             return [self._drop_over_hop_limit(event)]
+        if self.placement.starts.is_held(flow_id):
+            self.placement.starts.record_copy(event.segment)
+            return self._confirm(event)
         if flow is not None and flow.holder == ctx.node:
-            return self._handle_local_syn(now, event.segment, flow, own_report)
+            effects = self._handle_local_syn(
+                now, event.segment, flow, own_report
+            )
+            return effects + self._confirm(event)
         if packet.service != ctx.service:
             return [Send(event.src, OtherService(packet.service, own_report))]
         if flow is not None and flow.holder not in packet.declined:
@@ -107,11 +118,19 @@
         if routed:
             return self.placement.place(now, new_flow, own_report)
         effects = self.placement.handle_placed(now, new_flow, own_report)
-        flow = ctx.table.get(flow_id)
-        if flow is not None and flow.holder == ctx.node:
-            # Confirms the flow to the agent that placed it here.
-            effects.append(Send(event.src, FlowHeld(flow_id, ctx.node)))
-        return effects
+        return effects + self._confirm(event)
+
+    def _confirm(self, event: PacketForwarded) -> list[RelayEffect]:
+        """Confirm a flow to the agent that placed it here."""
+        flow_id = event.segment.inward
+        flow = self._ctx.table.get(flow_id)
+        is_local = flow is not None and flow.holder == self._ctx.node
+        if event.packet.reason == ForwardReason.ROUTED:
+            return []
+        if not is_local and not self.placement.starts.is_held(flow_id):
+            return []
+        held = FlowHeld(flow_id, self._ctx.node)
+        return [Send(event.src, held)]
 
     def handle_server_packet(
         self, now: Seconds, segment: Segment
@@ -133,7 +152,10 @@
             flow.request_seq = segment.ack
             flow.acked_seq = segment.seq
             effects += self.lookup.handle_rediscovered(now, flow_id, flow)
+        was_busy = flow.busy
         table.record_server_packet(now, flow, segment)
+        if was_busy and not flow.busy:
+            self.placement.starts.record_answer(now, flow)
         return effects
 
     def handle_declined_syn(
@@ -215,6 +237,7 @@
             event.packet.scope,
             flow.declined,
             hops,
+            event.packet.terms,
         )
         return [packet, *self._notify_sender(now, event, flow)]
 
@@ -269,6 +292,8 @@
         It is placed anew if the holder accepts no new flows.
         """
         if self.placement.accepts_flows(now, flow.holder, flow.opened_at):
+            # The holder confirms each one: it may have ended since the last.
+            flow.opened_at = now
             return self._forward_to_holder(now, event, flow)
         new_flow = self._new_flow_from(event.segment, flow, event.packet.hops)
         new_flow = new_flow.declined_by(flow.holder)
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -9,6 +9,8 @@
 from ..ids import Seconds
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .admission.local_starts import can_hold
+from .admission.local_starts import LocalStarts
 from .balance.choice import Choice
 from .balance.choice import has_recent_load
 from .balance.choice import load
@@ -18,19 +20,15 @@
 from .effects import ForwardToAgent
 from .effects import RelayEffect
 from .flow_context import FlowContext
-from .flow_table import Flow
 from .lookup.forwarded import ForwardedPacket
 from .lookup.forwarded import ForwardReason
 from .member import Member
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import FlowHeld
+from .new_flow import NewFlow
 from .report_sender import ReadReport
-from .scope import FlowScope
 from .segment import FlowId
-from .segment import Segment
-from .terms import DEFAULT_TERMS
-from .terms import FlowTerms
 
 MIN_FORWARD_GAIN = 1.0
 """A new flow that another agent placed here is forwarded once if another
@@ -47,31 +45,6 @@
 _MAY_BECOME_READY = (AgentState.STARTING, AgentState.RESTARTING)
 
 
-class NewFlow(msgspec.Struct, frozen=True):
-    """A SYN to be placed at a server.
-
-    ``declined`` names agents whose servers did not accept it, ``via`` is
-    the balancer that received it from the caller; ``hops`` counts the
-    agents that forwarded it. ``low_priority`` is set if room has to be left
-    at a server for flows of higher priority; ``scope`` is what a balancer
-    told of it, ``terms`` are those of its route.
-    """
-
-    flow_id: FlowId
-    segment: Segment
-    declined: tuple[NodeId, ...]
-    via: NodeId
-    hops: int
-    low_priority: bool
-    scope: FlowScope
-    terms: FlowTerms = DEFAULT_TERMS
-
-    def declined_by(self, node: NodeId) -> "NewFlow":
-        """Return the same flow with one more agent in ``declined``."""
-        declined = (*self.declined, node)
-        return msgspec.structs.replace(self, declined=declined)
-
-
 class _PendingFlow(msgspec.Struct):
     """A new flow that waits for the loads of some agents."""
 
@@ -93,6 +66,7 @@
     def __init__(self, ctx: FlowContext, rng: random.Random) -> None:
         self._ctx = ctx
         self._choice = Choice(ctx.node, rng)
+        self.starts = LocalStarts(ctx)
         self._pending: dict[FlowId, _PendingFlow] = {}
 
     @property
@@ -111,7 +85,7 @@
         if not own_report.accepts_flows:
             return self.place(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
-            return self._open_here(now, new_flow)
+            return self.starts.admit(now, new_flow, own_report)
         peers = self._ctx.members.of(self._ctx.service)
         recent = [m for m in peers if has_recent_load(now, m)]
         best = self._select(now, new_flow, own_report, recent)
@@ -121,9 +95,9 @@
             gain = load(own_report) - self._load_of(best.node)
         if gain >= MIN_FORWARD_GAIN:
             return self.place(now, new_flow.declined_by(node), own_report)
-        if best is not None and best.full:
+        if best is not None and best.full and not _can_wait(new_flow):
             return self._defer(new_flow)
-        return self._open_here(now, new_flow)
+        return self.starts.admit(now, new_flow, own_report)
 
     def place(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
@@ -132,7 +106,7 @@
         if len(new_flow.declined) >= MAX_DECLINES:
             return self._refuse(now, new_flow, own_report)
         if self._is_empty(own_report, new_flow):
-            return self._open_here(now, new_flow)
+            return self.starts.admit(now, new_flow, own_report)
         members = self._ctx.members.of(self._ctx.service)
         candidates = self._choice.sample(now, members, new_flow.declined)
         outdated = {
@@ -201,17 +175,40 @@
     ) -> list[RelayEffect]:
         """Place a new flow at the best of the compared servers."""
         best = self._select(now, new_flow, own_report, candidates)
+        if best is None and self._may_hold(own_report, new_flow):
+            return self.starts.admit(now, new_flow, own_report)
         if best is None:
             members = self._ctx.members.of(self._ctx.service)
             if self._choice.sample(now, members, new_flow.declined):
                 return self._drop(new_flow, "loads unknown")
             return self._refuse(now, new_flow, own_report)
-        if best.full:
+        if best.full and not _can_wait(new_flow):
             return self._defer(new_flow)
         if best.node == self._ctx.node:
-            return self._open_here(now, new_flow)
+            return self.starts.admit(now, new_flow, own_report)
         return self._forward(now, new_flow, best.node)
 
+    def start_held(
+        self, now: Seconds, own_report: AgentReport
+    ) -> list[RelayEffect]:
+        """Start held flows, or move them once the server gets no new ones."""
+        if can_hold(own_report):
+            return self.starts.start_held(now, own_report)
+        effects: list[RelayEffect] = []
+        for new_flow in self.starts.pop_all():
+            # Others that declined it were busier than this server then.
+            moved = msgspec.structs.replace(
+                new_flow, declined=(self._ctx.node,), hops=0
+            )
+            effects += self.place(now, moved, own_report)
+        return effects
+
+    def _may_hold(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
+        """Return whether a flow may wait for the local server to have room."""
+        if self._ctx.node in new_flow.declined or not _can_wait(new_flow):
+            return False
+        return can_hold(own_report)
+
     def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
         """Return whether no server can be better than the local one."""
         if not own_report.accepts_flows:
@@ -240,7 +237,7 @@
         member = self._ctx.members.agents.get(node)
         if member is not None:
             member.assigned += 1
-        self._add(now, new_flow, node)
+        self._ctx.add_flow(now, new_flow, node)
         packet = ForwardedPacket(
             reason=int(ForwardReason.PLACED),
             service=self._ctx.service,
@@ -258,16 +255,6 @@
             effects.append(Send(new_flow.via, held))
         return effects
 
-    def _add(self, now: Seconds, new_flow: NewFlow, holder: NodeId) -> Flow:
-        """Add a flow to the table, with what a retransmitted SYN needs."""
-        flow = self._ctx.table.put(
-            now, new_flow.flow_id, holder, new_flow.declined
-        )
-        flow.via = new_flow.via
-        flow.low_priority = new_flow.low_priority
-        flow.terms = new_flow.terms
-        return flow
-
     def _select(
         self,
         now: Seconds,
@@ -291,24 +278,6 @@
             limit,
         )
 
-    def _open_here(self, now: Seconds, new_flow: NewFlow) -> list[RelayEffect]:
-        ctx = self._ctx
-        flow = self._add(now, new_flow, ctx.node)
-        event = ctx.event_factory.flow_event(
-            Topic.PLACEMENT,
-            f"flows: opened with {ctx.table.busy_count} busy, "
-            f"{ctx.table.open_count} open, "
-            f"declined by {len(new_flow.declined)}",
-            new_flow.flow_id,
-            ctx.service,
-            ctx.node,
-        )
-        effects = [*ctx.deliver(now, flow, new_flow.segment), event]
-        if new_flow.via and not new_flow.hops:
-            held = FlowHeld(new_flow.flow_id, ctx.node)
-            effects.append(Send(new_flow.via, held))
-        return effects
-
     def _defer(self, new_flow: NewFlow) -> list[RelayEffect]:
         """Drop a SYN, as all compared servers are full.
 
@@ -354,3 +323,8 @@
     def _load_of(self, node: NodeId) -> float:
         member = self._ctx.members.agents.get(node)
         return load(member.report) if member else float("inf")
+
+
+def _can_wait(new_flow: NewFlow) -> bool:
+    """Return whether the agent of a full server decides how long it waits."""
+    return bool(new_flow.terms.timeout_ms)
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -199,6 +199,7 @@
     "flows_open": "Open flows of the own server",
     "flows_waiting": "Flows whose caller waits for an answer",
     "flows_known": "Flows known here, also those of other servers",
+    "flows_held": "New flows that wait for the own server to have room",
     "flows_placing": "New flows that wait for the loads of servers",
     "packets_held": "Packets that wait for a configuration or members",
     "scope_queries": "Flows whose services an agent asks for",
