--- /dev/null
+++ b/packages/bench/src/medlar_bench/relay/__init__.py
@@ -0,0 +1,6 @@
+"""Rows of the relay's decisions under load."""
+
+from ..rows import Measurement
+from .room import ROOM
+
+MEASUREMENTS: tuple[Measurement, ...] = (*ROOM,)
