--- a/packages/core/src/medlar_core/relay/admission/held.py
+++ b/packages/core/src/medlar_core/relay/admission/held.py
@@ -105,13 +105,6 @@
         if held is not None:
             self.size -= held.size
 
-    def count_by_rank(self) -> dict[int, int]:
-        """Return how many flows of each rank are held."""
-        counts: dict[int, int] = {}
-        for held in self._flows.values():
-            counts[held.terms.rank] = counts.get(held.terms.rank, 0) + 1
-        return counts
-
 
 def hold(now: Seconds, new_flow: NewFlow) -> Held:
     """Return a new flow as one that waits from now on."""
