--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -5,6 +5,7 @@
 from ..ids import ServiceName
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .admission.held import HeldFlows
 from .effects import DeliverToServer
 from .effects import ForwardToAgent
 from .effects import RelayEffect
@@ -16,11 +17,14 @@
 from .lookup.forwarded import ForwardedPacket
 from .lookup.forwarded import ForwardReason
 from .members import Members
+from .new_flow import NewFlow
 from .scope import FlowScope
 from .scope import KnownScopes
 from .segment import FlowId
 from .segment import Segment
 from .segment import SegmentCodec
+from .terms import DEFAULT_TERMS
+from .terms import FlowTerms
 from .zones.homes import Homes
 from .zones.own_place import OwnPlace
 
@@ -51,6 +55,7 @@
         self.own_place = own_place
         self.homes = homes
         self.table = FlowTable(node)
+        self.held = HeldFlows()
         self.scopes = KnownScopes()
         self._codec = codec
         self._members_known_at: float | None = None
@@ -117,6 +122,17 @@
             )
         ]
 
+    def add_flow(
+        self, now: Seconds, new_flow: NewFlow, holder: NodeId
+    ) -> Flow:
+        """Add a flow to the table, with what a retransmitted SYN needs."""
+        flow = self.table.put(now, new_flow.flow_id, holder, new_flow.declined)
+        flow.via = new_flow.via
+        flow.low_priority = new_flow.low_priority
+        flow.terms = new_flow.terms
+        flow.regions = new_flow.regions
+        return flow
+
     def deliver(
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
@@ -139,6 +155,7 @@
         scope: FlowScope,
         declined: tuple[NodeId, ...] = (),
         hops: int = 1,
+        terms: FlowTerms = DEFAULT_TERMS,
     ) -> ForwardToAgent:
         """Forward a packet to another agent."""
         packet = ForwardedPacket(
@@ -148,6 +165,7 @@
             declined=declined,
             hops=hops,
             scope=scope,
+            terms=terms,
         )
         return ForwardToAgent(dst, packet)
 
--- a/packages/core/src/medlar_core/relay/zones/cold_limit.py
+++ b/packages/core/src/medlar_core/relay/zones/cold_limit.py
@@ -46,6 +46,7 @@
         """Count a SYN that was delivered to the server."""
         if self._limit is not None:
             self._opened_at.append(now)
+            self._forget_before(now - WINDOW_S)
 
     def is_cold(self, now: Seconds, server: ServerIncarnation) -> bool:
         """Return whether a server is cold, or may be as far as it told."""
@@ -64,10 +65,13 @@
             return UNLIMITED_ROOM
         if now - self._started_at < WINDOW_S:
             return 0
-        while self._opened_at and now - self._opened_at[0] >= WINDOW_S:
-            self._opened_at.popleft()
+        self._forget_before(now - WINDOW_S)
         return max(0, limit - len(self._opened_at))
 
+    def _forget_before(self, limit_at: float) -> None:
+        while self._opened_at and self._opened_at[0] <= limit_at:
+            self._opened_at.popleft()
+
     @property
     def _limit(self) -> int | None:
         """New flows in any second, None for any number."""
