Let the soak evacuate zones and start servers cold

Real processes: zones are evacuated and taken back, overlapping, beside all other faults, and servers are cold for 2 s after each start. Two checks more: no flow sent 3 s after an evacuation opens there, and no cold server gets more than its bound in any second. Around an evacuation a reset of a new flow is no violation, as its service may have no server left.

--- a/testing/users_platform/soak/checker.py
+++ b/testing/users_platform/soak/checker.py
@@ -7,6 +7,10 @@
 drain was acknowledged."""
 CONFIGURATION_S = 3.0
 """Time within which a configuration is in force everywhere."""
+COLD_PER_S = 2.0
+COLD_LIMIT = 6
+"""New flows that a cold server gets in any second at most: of 2 a second,
+times 1.5, and 3 more."""
 STORE_FAILURE_EXTRA_S = 12.0
 """Extra time for a configuration while the store fails."""
 
@@ -34,6 +38,10 @@
         self._removed_at: dict[int, float] = {}
         self._moves: dict[int, list[tuple[float, str]]] = {}
         """Time and new service of each move of a port's route."""
+        self._evacuated_at: dict[str, float] = {}
+        self._evacuation_ended_at = float("-inf")
+        self._cold_flows: dict[str, list[float]] = {}
+        """When each cold server received new flows."""
 
     def add_violation(self, at: float, promise: str, what: str) -> None:
         """Add the violation of a guarantee."""
@@ -74,6 +82,33 @@
         """Record an acknowledged change of the service of a port."""
         self._moves.setdefault(port, []).append((now, service))
 
+    def on_evacuation(self, now: float, zone: str, is_evacuated: bool) -> None:
+        """Record that the store acknowledged an evacuation or its end."""
+        if is_evacuated:
+            self._evacuated_at[zone] = now
+        else:
+            self._evacuated_at.pop(zone, None)
+            self._evacuation_ended_at = now
+
+    def on_evacuable_flow(
+        self, zone: str, server: str, sent_at: float
+    ) -> None:
+        """Record that a server of a zone accepted a new flow."""
+        since = self._evacuated_at.get(zone)
+        if since is not None and sent_at - since > self._bound_s(since):
+            what = f"{server} received a new flow sent {sent_at - since:.1f} s"
+            what += f" after the evacuation of {zone}"
+            self.add_violation(sent_at, "evacuation", what)
+
+    def on_cold_flow(self, now: float, server: str) -> None:
+        """Record that a cold server accepted a new flow."""
+        times = self._cold_flows.setdefault(server, [])
+        times.append(now)
+        recent = sum(now - at < 1.0 for at in times)
+        if recent > COLD_LIMIT:
+            what = f"{server} received {recent} flows in a second while cold"
+            self.add_violation(now, "cold", what)
+
     def on_flow_opened(
         self, now: float, port: int, server: str, service: str, sent_at: float
     ) -> None:
@@ -97,7 +132,13 @@
             self.add_violation(now, "configuration", what)
 
     def on_flow_reset(self, now: float, port: int, sent_at: float) -> None:
-        """Record that a new flow to a port was reset by the relay."""
+        """Record that a new flow to a port was reset by the relay.
+
+        Around an evacuation it may have no server left.
+        """
+        ended = self._evacuation_ended_at
+        if self._evacuated_at or sent_at - ended <= self._bound_s(ended):
+            return
         added = self._added_at.get(port)
         if port in self._removed_at or added is None:
             return
--- a/testing/users_platform/soak/plan.py
+++ b/testing/users_platform/soak/plan.py
@@ -40,6 +40,7 @@
     ROUTE_MOVED = "route moved and back"
     TIMEOUT_LOWERED = "idle timeout lowered and raised"
     BALANCERS_KILLED = "all balancers killed"
+    ZONE_EVACUATED = "zone evacuated and taken back"
 
 
 CHANGES = (
@@ -52,6 +53,13 @@
 """Mean time between two of these."""
 CHANGES_SEED = 1_000_003
 """Added to the seed of the run."""
+EVACUATION_GAP_S = 4.0
+"""Mean time between two evacuations; these may overlap."""
+EVACUATION_MAX_S = 9.0
+EVACUATIONS_SEED = 2_000_003
+"""Added to the seed of the run, as they too are drawn apart."""
+EVACUATED_ZONES = 2
+"""Zones that may be evacuated; at least one is not."""
 
 ON_PROCESS = (
     FaultKind.KILL,
@@ -84,8 +92,9 @@
 ) -> list[Fault]:
     """Return the faults of a run, sorted by start time."""
     rng = random.Random(seed)
-    faults = _draw_changes(seed, seconds)
-    kinds = [kind for kind in FaultKind if kind not in CHANGES]
+    faults = _draw_changes(seed, seconds) + _draw_evacuations(seed, seconds)
+    apart = (*CHANGES, FaultKind.ZONE_EVACUATED)
+    kinds = [kind for kind in FaultKind if kind not in apart]
     at = CALM_START_S
     while at < seconds - CALM_END_S:
         kind = rng.choice(kinds)
@@ -116,3 +125,17 @@
         faults.append(Fault(at, kind, rng.randrange(2), duration_s))
         at += rng.expovariate(1 / CHANGE_GAP_S)
     return faults
+
+
+def _draw_evacuations(seed: int, seconds: float) -> list[Fault]:
+    """Return the evacuations of zones, each with its end."""
+    rng = random.Random(EVACUATIONS_SEED + seed)
+    faults: list[Fault] = []
+    at = CALM_START_S + rng.expovariate(1 / EVACUATION_GAP_S)
+    while at < seconds - CALM_END_S:
+        duration_s = rng.uniform(0.1, EVACUATION_MAX_S)
+        duration_s = min(duration_s, seconds - CALM_END_S - at)
+        zone = rng.randrange(EVACUATED_ZONES)
+        faults.append(Fault(at, FaultKind.ZONE_EVACUATED, zone, duration_s))
+        at += rng.expovariate(1 / EVACUATION_GAP_S)
+    return faults
--- a/testing/users_platform/soak/run.py
+++ b/testing/users_platform/soak/run.py
@@ -1,6 +1,7 @@
 """One soak run: the fleet, its faults and the resulting violations."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 from collections.abc import Coroutine
 import contextlib
@@ -21,6 +22,7 @@
 from ..standin import settings
 from .caller import Callers
 from .checker import Checker
+from .checker import COLD_PER_S
 from .checker import Violation
 from .plan import CALM_END_S
 from .plan import CALM_START_S
@@ -37,6 +39,8 @@
 
 FIRST_ROUTES = {8001: "desk", 8002: "office"}
 EXTRA_PORTS = 4
+ZONES = ("z0", "z1", "z2")
+"""Processes of a kind are in these in turn."""
 START_LIMIT_S = 20.0
 SETTLE_S = 2.0
 """Entries of servers are known to all balancers about so long after they were
@@ -150,6 +154,8 @@
         self._low_timeouts = 0
         """Faults in progress that have lowered the idle timeout."""
         self._timeouts = IdleTimeouts()
+        self._evacuations: collections.Counter[str] = collections.Counter()
+        """Evacuations in progress, by zone."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         sock.bind((self._ip(9, 1), PORTS.packets))
@@ -168,9 +174,9 @@
             self.checker, self._rng, sock, self.router, self._must_stay_open
         )
         for number in range(size.balancers):
-            self._add_instance(self._ip(1, number), "frontend")
+            self._add_instance(self._ip(1, number), "frontend", number)
         for number, service in enumerate(size.services):
-            self._add_instance(self._ip(2, number), "side", service)
+            self._add_instance(self._ip(2, number), "side", number, service)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -235,6 +241,10 @@
                 self._change_timeout(+1)
                 await asyncio.sleep(fault.for_s)
                 self._change_timeout(-1)
+            case FaultKind.ZONE_EVACUATED:
+                self._change_evacuation(ZONES[fault.target], +1)
+                await asyncio.sleep(fault.for_s)
+                self._change_evacuation(ZONES[fault.target], -1)
             case FaultKind.BALANCERS_KILLED:
                 balancers = self.processes[: self.size.balancers]
                 for process in balancers:
@@ -327,6 +337,18 @@
         self._timeouts.change(time.monotonic(), idle_s)
         self._publish_routes(0, 0)
 
+    def _change_evacuation(self, zone: str, change: int) -> None:
+        was_evacuated = self._evacuations[zone] > 0
+        self._evacuations[zone] += change
+        is_evacuated = self._evacuations[zone] > 0
+        if is_evacuated is was_evacuated:
+            return
+        if is_evacuated:
+            self.store.backend.put(f"op/evacuate/{zone}", "{}")
+        else:
+            self.store.backend.remove(f"op/evacuate/{zone}")
+        self.checker.on_evacuation(time.monotonic(), zone, is_evacuated)
+
     def _publish_routes(self, added: int, removed: int) -> None:
         self._version += 1
         routes = [
@@ -336,7 +358,10 @@
         cfg = {
             "version": self._version,
             "routes": routes,
-            "services": [],
+            "services": [
+                {"name": name, "cold_per_s": COLD_PER_S}
+                for name in _OTHER_SERVICE
+            ],
             "limits": {"idle_timeout_ms": self._timeouts.idle_s * 1_000},
         }
         self.store.backend.put("op/config", json.dumps(cfg))
@@ -366,7 +391,10 @@
     def _ip(self, kind: int, number: int) -> str:
         return f"127.{self._block}.{kind}.{number + 1}"
 
-    def _add_instance(self, ip: str, serves: str, service: str = "") -> None:
+    def _add_instance(
+        self, ip: str, serves: str, number: int, service: str = ""
+    ) -> None:
+        zone = ZONES[number % len(ZONES)]
         store = f"{self._ip(8, len(self.processes))}:{PORTS.store}"
         name = f"{serves}-{ip.rpartition('.')[2]}"
         path = self._folder / f"{name}.toml"
@@ -381,6 +409,7 @@
                 store,
                 PORTS,
                 int(HEARTBEAT_S * 1_000),
+                zone,
             )
         )
         self.processes.append(Process(path, self._folder / f"{name}.log"))
@@ -393,6 +422,7 @@
                     (ip, PORTS.app),
                     f"{ip}:{PORTS.control}",
                     (ip, PORTS.outbound),
+                    zone,
                 )
             )
 
--- a/testing/users_platform/soak/server.py
+++ b/testing/users_platform/soak/server.py
@@ -20,6 +20,8 @@
 CALL_LIMIT_S = 1.0
 WORK_S = 0.008
 DRAIN_S = 2.0
+COLD_S = 2.0
+"""Time after its start in which a server counts as cold."""
 
 
 class ServerFlow:
@@ -43,8 +45,10 @@
         app: tuple[str, int],
         agent: str,
         outbound: tuple[str, int],
+        zone: str = "",
     ) -> None:
         self.service = service
+        self.zone = zone
         self.name = ""
         self.state = "down"
         self.flows: dict[FlowId, ServerFlow] = {}
@@ -57,6 +61,7 @@
         self._outbound = outbound
         self._stack = contextlib.AsyncExitStack()
         self._starts = 0
+        self._cold_until = 0.0
 
     async def start(self, clock_back_s: float = 0.0) -> None:
         """Start an incarnation with its clock set back by ``clock_back_s``."""
@@ -64,6 +69,7 @@
         self.name = f"i-{self._app[0]}-{self._starts}"
         self.state = "ready"
         self.flows = {}
+        self._cold_until = time.monotonic() + COLD_S
         born_ms = int((time.time() - clock_back_s) * 1_000)
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
@@ -109,7 +115,9 @@
         while True:
             sequence += 1
             state = self.state
+            cold_s = max(0.0, self._cold_until - time.monotonic())
             heartbeat = {
+                "cold_remaining_ms": cold_s * 1_000,
                 "service": self.service,
                 "state": state,
                 "slots": 2,
@@ -159,6 +167,11 @@
                 self._checker.on_flow_opened(
                     now, port, self.name, self.service, syn_sent_at
                 )
+                self._checker.on_evacuable_flow(
+                    self.zone, self.name, syn_sent_at
+                )
+                if now < self._cold_until:
+                    self._checker.on_cold_flow(now, self.name)
             flags = Flag.SYN | Flag.ACK
             self._send(sock, flow, flags, held.isn, segment.seq)
         elif held is None or segment.ack != held.isn:
--- a/testing/users_platform/soak/test_soak.py
+++ b/testing/users_platform/soak/test_soak.py
@@ -13,6 +13,7 @@
 
 from . import wire
 from .checker import Checker
+from .checker import COLD_LIMIT
 from .checker import CONFIGURATION_S
 from .checker import DRAIN_S
 from .checker import STORE_FAILURE_EXTRA_S
@@ -111,6 +112,28 @@
     assert violated(checker) == ["configuration"]
 
 
+def test_a_new_flow_in_an_evacuated_zone_is_a_violation():
+    checker = Checker()
+    checker.on_evacuation(10.0, "z0", True)
+    for late_s in (-0.1, 0.1):
+        sent_at = 10.0 + CONFIGURATION_S + late_s
+        checker.on_evacuable_flow("z0", "s1", sent_at)
+        checker.on_evacuable_flow("z1", "s2", sent_at)
+    assert violated(checker) == ["evacuation"]
+    checker.on_evacuation(20.0, "z0", False)
+    checker.on_evacuable_flow("z0", "s1", 21.0)
+    assert violated(checker) == ["evacuation"]
+
+
+def test_too_many_new_flows_at_a_cold_server_are_a_violation():
+    checker = Checker()
+    for number in range(COLD_LIMIT + 1):
+        checker.on_cold_flow(5.0 + number * 1.01 / COLD_LIMIT, "s1")
+    assert not checker.violations
+    checker.on_cold_flow(5.0 + 1.02, "s1")
+    assert violated(checker) == ["cold"]
+
+
 def test_a_flow_expires_by_a_timeout_that_was_in_force_meanwhile():
     timeouts = IdleTimeouts()
     timeouts.change(10.0, 3.0)
--- a/testing/users_platform/standin.py
+++ b/testing/users_platform/standin.py
@@ -189,12 +189,14 @@
     store: str,
     ports: PortNumbers,
     beat_ms: int,
+    zone: str = "z",
 ) -> str:
     """Return the text of a process's settings file."""
     return f"""
 node_name = "{name}"
 ip = "{ip}"
-zone = "z"
+zone = "{zone}"
+contracts = ["flows", "places"]
 serves = ["{serves}"]
 internal_port_range = [{ports.peers}, {ports.peers + 5}]
 heartbeat_interval_ms = {beat_ms}
@@ -207,6 +209,8 @@
 outbound = "{ip}:{ports.outbound}"
 [bounds]
 grace_period_s = 6
+cold_overage = 1.5
+cold_slack = 3
 [platform]
 address = "{store}"
 """
