Take a SYN after the end of its flow for a new flow

A caller that uses its port again within the time that a closed flow is kept had its SYN delivered as a copy of the one that the server had accepted, also in an evacuated place or at a draining server. The new test failed before.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -251,9 +251,10 @@
         """Deliver a retransmitted SYN to the local server.
 
         It is placed anew if the server has not accepted the flow and
-        accepts no new ones.
+        accepts no new ones. After the end of a flow, it opens another one
+        from the same address.
         """
-        if flow.accepted:
+        if flow.accepted and not flow.closed:
             return self._ctx.deliver(now, flow, segment)
         if own_report.accepts_flows:
             self._ctx.own_place.cold.record_opened(now)
--- a/testing/core/relay/zones/test_evacuation.py
+++ b/testing/core/relay/zones/test_evacuation.py
@@ -4,6 +4,7 @@
 import pytest
 
 from medlar_core.packets import Flag
+from medlar_core.relay.segment import Segment
 
 from ..kit import ANNOUNCE_INTERVAL_S
 from ..kit import CONFIGURATION
@@ -74,6 +75,25 @@
     assert fleet.accepted(A) <= before + len(kept)
 
 
+def test_a_caller_that_uses_its_port_again_opens_a_new_flow(fleet):
+    opened = fleet.load()
+    ended = [f for f in opened if fleet.place(fleet.holder(f)) == A]
+    for flow_id in ended:
+        reset = Segment(b"", Flag.RST, *flow_id, 0, 151, 501)
+        fleet.world.send_packet(node("balancer", 0), reset)
+    fleet.evacuate(A)
+    fleet.run(IN_FORCE_S)
+    for address, server in fleet.world.servers.items():
+        if fleet.place(address) == A:
+            server.flows.clear()
+    before = fleet.accepted(A)
+    for flow_id in ended:
+        fleet.syn(flow_id)
+    fleet.run(0.2)
+    assert fleet.accepted(A) == before
+    assert all(fleet.place(fleet.holder(f)) != A for f in ended)
+
+
 def test_a_place_is_evacuated_and_taken_back_within_a_second(fleet):
     fleet.evacuate(A)
     fleet.run(0.2)
