--- a/testing/users_platform/soak/checker.py
+++ b/testing/users_platform/soak/checker.py
@@ -7,6 +7,8 @@
 drain was acknowledged."""
 CONFIGURATION_S = 3.0
 """Time within which a configuration is in force everywhere."""
+EVACUATION_S = 2.0
+"""A zone's servers get no new flow later than this after its evacuation."""
 STORE_FAILURE_EXTRA_S = 12.0
 """Extra time for a configuration while the store fails."""
 
@@ -34,6 +36,8 @@
         self._removed_at: dict[int, float] = {}
         self._moves: dict[int, list[tuple[float, str]]] = {}
         """Time and new service of each move of a port's route."""
+        self._evacuated_at: dict[str, float] = {}
+        """When each evacuated zone was."""
 
     def add_violation(self, at: float, promise: str, what: str) -> None:
         """Add the violation of a guarantee."""
@@ -74,6 +78,22 @@
         """Record an acknowledged change of the service of a port."""
         self._moves.setdefault(port, []).append((now, service))
 
+    def on_evacuated(self, now: float, zone: str) -> None:
+        """Record that the store has acknowledged an evacuation."""
+        self._evacuated_at[zone] = now
+
+    def on_taken_back(self, zone: str) -> None:
+        """Record that a zone is in service again."""
+        self._evacuated_at.pop(zone, None)
+
+    def on_zone_flow(self, now: float, zone: str, server: str) -> None:
+        """Record that a server of a zone accepted a new flow."""
+        since = self._evacuated_at.get(zone)
+        if since is None or now - since <= self._bound_s(since, EVACUATION_S):
+            return
+        what = f"{server} received a new flow {now - since:.1f} s after"
+        self.add_violation(now, "evacuation", what)
+
     def on_flow_opened(
         self, now: float, port: int, server: str, service: str, sent_at: float
     ) -> None:
@@ -108,8 +128,8 @@
                 f"new flow to configured port {port} was reset",
             )
 
-    def _bound_s(self, since: float) -> float:
+    def _bound_s(
+        self, since: float, bound_s: float = CONFIGURATION_S
+    ) -> float:
         store_failed = self.store_failed_at > since - CONFIGURATION_S
-        return CONFIGURATION_S + (
-            STORE_FAILURE_EXTRA_S if store_failed else 0.0
-        )
+        return bound_s + (STORE_FAILURE_EXTRA_S if store_failed else 0.0)
--- a/testing/users_platform/soak/fleet.py
+++ b/testing/users_platform/soak/fleet.py
@@ -26,6 +26,7 @@
 from .plan import FaultKind
 from .process import Process
 from .router import Router
+from .server import COLD_PER_S
 from .server import HEARTBEAT_S
 from .server import Server
 from .store import FaultyStore
@@ -34,6 +35,9 @@
 
 FIRST_ROUTES = {8001: "desk", 8002: "office"}
 EXTRA_PORTS = 4
+ZONES = ("a", "b", "c")
+CONTRACTS = ("places",)
+"""Contracts of the platform beyond those that are always in force."""
 CLOCK_BACK_S = 3_600.0
 RESTART_DELAY_S = 0.5
 """Time before killed balancers start again."""
@@ -46,7 +50,12 @@
     FaultKind.STORE_SILENCE: ProxyMode.SILENCE,
     FaultKind.STORE_ONE_WAY: ProxyMode.ONE_WAY,
 }
-UNPLANNED_FAULTS = (FaultKind.KILL, FaultKind.PAUSE, *_PROXY_MODES)
+UNPLANNED_FAULTS = (
+    FaultKind.KILL,
+    FaultKind.PAUSE,
+    FaultKind.ALL_KILLED,
+    *_PROXY_MODES,
+)
 """Faults of one instance that are not planned operations."""
 
 
@@ -169,7 +178,12 @@
 
     async def _inject(self, fault: Fault) -> None:
         match fault.kind:
-            case FaultKind.CRASH | FaultKind.RELEASE | FaultKind.CLOCK_BACK:
+            case (
+                FaultKind.CRASH
+                | FaultKind.RELEASE
+                | FaultKind.CLOCK_BACK
+                | FaultKind.SERVER_HANGS
+            ):
                 await self._inject_server(fault)
             case (
                 FaultKind.KILL
@@ -190,11 +204,11 @@
                 await asyncio.sleep(fault.for_s)
                 self._change_timeout(-1)
             case FaultKind.BALANCERS_KILLED:
-                balancers = self.processes[: self.size.balancers]
-                for process in balancers:
-                    process.signal(signal.SIGKILL)
-                await asyncio.sleep(RESTART_DELAY_S)
-                await asyncio.gather(*(p.start() for p in balancers))
+                await self._kill(self.processes[: self.size.balancers])
+            case FaultKind.ALL_KILLED:
+                await self._kill_all()
+            case FaultKind.ZONE_EVACUATED:
+                await self._evacuate(ZONES[fault.target], fault.for_s)
             case FaultKind.LOSS:
                 self.router.is_lossy = True
                 await asyncio.sleep(fault.for_s)
@@ -202,10 +216,43 @@
             case _:
                 await self._inject_store(fault)
 
+    async def _kill(self, processes: list[Process]) -> None:
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        await asyncio.sleep(RESTART_DELAY_S)
+        await asyncio.gather(*(p.start() for p in processes))
+
+    async def _kill_all(self) -> None:
+        """Kill all processes; their servers run on."""
+        everyone = range(len(self.processes))
+        self._disturbed.update(dict.fromkeys(everyone, float("inf")))
+        await self._kill(self.processes)
+        now = time.monotonic()
+        self._disturbed.update(dict.fromkeys(everyone, now))
+
+    async def _evacuate(self, zone: str, for_s: float) -> None:
+        """Evacuate a zone, whose servers are cold as it is taken back."""
+        key = f"op/evacuate/{zone}"
+        if key in self.store.backend.items:
+            return
+        self.store.backend.put(key, "{}")
+        self.checker.on_evacuated(time.monotonic(), zone)
+        await asyncio.sleep(for_s)
+        for server in self.servers:
+            if server.zone == zone:
+                server.become_cold()
+        self.store.backend.remove(key)
+        self.checker.on_taken_back(zone)
+
     async def _inject_server(self, fault: Fault) -> None:
         server = self.servers[fault.target]
         if server.state != "ready":
             return
+        if fault.kind is FaultKind.SERVER_HANGS:
+            server.hangs = True
+            await asyncio.sleep(fault.for_s)
+            server.hangs = False
+            return
         if fault.kind is FaultKind.RELEASE:
             await server.drain()
         else:
@@ -290,7 +337,10 @@
         cfg = {
             "version": self._version,
             "routes": routes,
-            "services": [],
+            "services": [
+                {"name": service, "cold_per_s": COLD_PER_S}
+                for service in _OTHER_SERVICE
+            ],
             "limits": {"idle_timeout_ms": self._timeouts.idle_s * 1_000},
         }
         self.store.backend.put("op/config", json.dumps(cfg))
@@ -325,6 +375,7 @@
         name = f"{serves}-{ip.rpartition('.')[2]}"
         path = self._folder / f"{name}.toml"
         app = f"{ip}:{PORTS.app}"
+        zone = ZONES[len(self.processes) % len(ZONES)]
         path.write_text(
             settings(
                 name,
@@ -335,6 +386,8 @@
                 store,
                 PORTS,
                 int(HEARTBEAT_S * 1_000),
+                zone,
+                CONTRACTS,
             )
         )
         self.processes.append(Process(path, self._folder / f"{name}.log"))
@@ -347,5 +400,6 @@
                     (ip, PORTS.app),
                     f"{ip}:{PORTS.control}",
                     (ip, PORTS.outbound),
+                    zone,
                 )
             )
--- a/testing/users_platform/soak/plan.py
+++ b/testing/users_platform/soak/plan.py
@@ -40,6 +40,9 @@
     ROUTE_MOVED = "route moved and back"
     TIMEOUT_LOWERED = "idle timeout lowered and raised"
     BALANCERS_KILLED = "all balancers killed"
+    ZONE_EVACUATED = "zone evacuated and taken back"
+    SERVER_HANGS = "server accepts flows and answers nothing"
+    ALL_KILLED = "all processes killed"
 
 
 CHANGES = (
@@ -50,9 +53,20 @@
 """Drawn apart from the others, so that these stay the same for a seed."""
 CHANGE_GAP_S = 3.0
 """Mean time between two of these."""
+CHANGE_LONGEST_S = 4.0
 CHANGES_SEED = 1_000_003
 """Added to the seed of the run."""
 
+HARD = (
+    FaultKind.ZONE_EVACUATED,
+    FaultKind.SERVER_HANGS,
+    FaultKind.ALL_KILLED,
+)
+"""Drawn apart as well, with a seed of their own."""
+HARD_GAP_S = 4.0
+HARD_LONGEST_S = 8.0
+HARD_SEED = 2_000_003
+
 ON_PROCESS = (
     FaultKind.KILL,
     FaultKind.STOP,
@@ -84,8 +98,13 @@
 ) -> list[Fault]:
     """Return the faults of a run, sorted by start time."""
     rng = random.Random(seed)
-    faults = _draw_changes(seed, seconds)
-    kinds = [kind for kind in FaultKind if kind not in CHANGES]
+    faults = _draw_apart(
+        CHANGES_SEED + seed, seconds, CHANGES, CHANGE_GAP_S, CHANGE_LONGEST_S
+    )
+    faults += _draw_apart(
+        HARD_SEED + seed, seconds, HARD, HARD_GAP_S, HARD_LONGEST_S
+    )
+    kinds = [kind for kind in FaultKind if kind not in (*CHANGES, *HARD)]
     at = CALM_START_S
     while at < seconds - CALM_END_S:
         kind = rng.choice(kinds)
@@ -105,14 +124,22 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _draw_changes(seed: int, seconds: float) -> list[Fault]:
-    """Return the changes of routes and timeouts, and losses of balancers."""
-    rng = random.Random(CHANGES_SEED + seed)
+def _draw_apart(
+    seed: int,
+    seconds: float,
+    kinds: tuple[FaultKind, ...],
+    gap_s: float,
+    longest_s: float,
+) -> list[Fault]:
+    """Return faults of some kinds, ``gap_s`` apart in the mean."""
+    rng = random.Random(seed)
     faults: list[Fault] = []
-    at = CALM_START_S + rng.expovariate(1 / CHANGE_GAP_S)
+    at = CALM_START_S + rng.expovariate(1 / gap_s)
     while at < seconds - CALM_END_S:
-        duration_s = min(rng.uniform(0.1, 4.0), seconds - CALM_END_S - at)
-        kind = rng.choice(CHANGES)
+        duration_s = min(
+            rng.uniform(0.1, longest_s), seconds - CALM_END_S - at
+        )
+        kind = rng.choice(kinds)
         faults.append(Fault(at, kind, rng.randrange(2), duration_s))
-        at += rng.expovariate(1 / CHANGE_GAP_S)
+        at += rng.expovariate(1 / gap_s)
     return faults
--- a/testing/users_platform/soak/server.py
+++ b/testing/users_platform/soak/server.py
@@ -1,6 +1,7 @@
 """Stand-in for a server: announces itself to its agent and serves flows."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import random
@@ -13,6 +14,8 @@
 from medlar_node.relay.http import HttpError
 from medlar_node.relay.http import Request
 
+from ..standin import COLD_OVERAGE
+from ..standin import COLD_SLACK
 from . import wire
 from .checker import Checker
 
@@ -20,6 +23,9 @@
 CALL_LIMIT_S = 1.0
 WORK_S = 0.008
 DRAIN_S = 2.0
+COLD_S = 2.0
+COLD_PER_S = 6.0
+COLD_FLOWS_MAX = COLD_PER_S * COLD_OVERAGE + COLD_SLACK
 
 
 class ServerFlow:
@@ -43,8 +49,12 @@
         app: tuple[str, int],
         agent: str,
         outbound: tuple[str, int],
+        zone: str = "z",
     ) -> None:
         self.service = service
+        self.zone = zone
+        self.hangs = False
+        """Whether it accepts flows and answers none of their requests."""
         self.name = ""
         self.state = "down"
         self.flows: dict[FlowId, ServerFlow] = {}
@@ -57,6 +67,9 @@
         self._outbound = outbound
         self._stack = contextlib.AsyncExitStack()
         self._starts = 0
+        self._cold_until = 0.0
+        self._opened_cold: collections.deque[float] = collections.deque()
+        """When it accepted flows lately while it was cold."""
 
     async def start(self, clock_back_s: float = 0.0) -> None:
         """Start an incarnation with its clock set back by ``clock_back_s``."""
@@ -64,6 +77,7 @@
         self.name = f"i-{self._app[0]}-{self._starts}"
         self.state = "ready"
         self.flows = {}
+        self.become_cold()
         born_ms = int((time.time() - clock_back_s) * 1_000)
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
@@ -99,6 +113,10 @@
         await self._call("Leave", {})
         await self.crash()
 
+    def become_cold(self) -> None:
+        """Bear ``COLD_PER_S`` new flows a second only for some time."""
+        self._cold_until = time.monotonic() + COLD_S
+
     def holds(self, flow: FlowId) -> bool:
         """Return whether the flow is open at this server."""
         held = self.flows.get(flow)
@@ -113,6 +131,7 @@
                 "service": self.service,
                 "state": state,
                 "slots": 2,
+                "cold_remaining_ms": self._cold_remaining_ms(),
                 "sequence": sequence,
                 "born": born_ms,
             }
@@ -122,6 +141,22 @@
                 self._checker.on_drain(time.monotonic(), self.name)
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _cold_remaining_ms(self) -> int:
+        return int(1_000 * max(0.0, self._cold_until - time.monotonic()))
+
+    def _count_cold(self, now: float) -> None:
+        """Check the number of flows in the last second while it is cold."""
+        if now >= self._cold_until:
+            self._opened_cold.clear()
+            return
+        opened = self._opened_cold
+        opened.append(now)
+        while now - opened[0] > 1.0:
+            opened.popleft()
+        if len(opened) > COLD_FLOWS_MAX:
+            what = f"{self.name} received {len(opened)} flows in a second"
+            self._checker.add_violation(now, "cold", what)
+
     async def _call(self, method: str, body: dict[str, object]) -> bool:
         path = f"/-/Instances.{method}/{self.name}"
         client = HttpClient(self._agent)
@@ -155,6 +190,8 @@
                 # The ack of a SYN counts its retransmissions, which the caller
                 # sends 0.2 s and 0.6 s after the first SYN.
                 syn_sent_at = now - (0.0, 0.2, 0.6)[segment.ack]
+                self._count_cold(now)
+                self._checker.on_zone_flow(now, self.zone, self.name)
                 port = wire.port_of(flow)
                 self._checker.on_flow_opened(
                     now, port, self.name, self.service, syn_sent_at
@@ -186,6 +223,8 @@
             self._checker.on_request_run(time.monotonic(), req, self.name)
             response = f"{req} by {self.name}".encode()
             held.responses[segment.seq] = response
+        if self.hangs:
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(
             WORK_S,
--- a/testing/users_platform/soak/test_soak.py
+++ b/testing/users_platform/soak/test_soak.py
@@ -15,6 +15,7 @@
 from .checker import Checker
 from .checker import CONFIGURATION_S
 from .checker import DRAIN_S
+from .checker import EVACUATION_S
 from .checker import STORE_FAILURE_EXTRA_S
 from .idle_timeouts import IdleTimeouts
 from .plan import CALM_END_S
@@ -176,3 +177,16 @@
     outcome = asyncio.run(soak(1, 14.0, BLOCK, tmp_path))
     assert outcome.violations == []
     assert outcome.served > 0
+
+
+def test_a_late_flow_to_a_server_of_an_evacuated_zone_is_a_violation():
+    checker = Checker()
+    checker.on_evacuated(10.0, "a")
+    checker.on_zone_flow(10.0 + EVACUATION_S - 0.1, "a", "s1")
+    checker.on_zone_flow(20.0, "b", "s2")
+    assert not checker.violations
+    checker.on_zone_flow(10.0 + EVACUATION_S + 0.1, "a", "s1")
+    assert violated(checker) == ["evacuation"]
+    checker.on_taken_back("a")
+    checker.on_zone_flow(20.0, "a", "s1")
+    assert violated(checker) == ["evacuation"]
--- a/testing/users_platform/standin.py
+++ b/testing/users_platform/standin.py
@@ -16,6 +16,8 @@
 
 HEADER_BYTES = 31
 SYN, ACK, BOUNCED = 4, 8, 1
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
 
 
 class StoreStandin:
@@ -189,12 +191,15 @@
     store: str,
     ports: PortNumbers,
     beat_ms: int,
+    zone: str = "z",
+    contracts: tuple[str, ...] = (),
 ) -> str:
     """Return the text of a process's settings file."""
     return f"""
 node_name = "{name}"
 ip = "{ip}"
-zone = "z"
+zone = "{zone}"
+contracts = {json.dumps(contracts)}
 serves = ["{serves}"]
 internal_port_range = [{ports.peers}, {ports.peers + 5}]
 heartbeat_interval_ms = {beat_ms}
@@ -207,6 +212,8 @@
 outbound = "{ip}:{ports.outbound}"
 [bounds]
 grace_period_s = 6
+cold_overage = {COLD_OVERAGE}
+cold_slack = {COLD_SLACK}
 [platform]
 address = "{store}"
 """
