Wait for the limit of cold servers from a balancer that has one

Cause: a balancer tells agents of evacuations once it has listed them, which may be before it has a configuration. Its hello then has no limit, and the agent took that for a service without one.

Change: an agent opens flows only once a balancer with a configuration has told both; an evacuation counts as soon as it is told.

Evidence: the agent's log has 16 opened flows from 0.03 s after it learnt of evacuations, 0.68 s after its start, on a server 0.6 s old. test_a_balancer_without_a_configuration_told_of_no_limit failed before.

--- a/packages/core/src/medlar_core/relay/zones/own_place.py
+++ b/packages/core/src/medlar_core/relay/zones/own_place.py
@@ -29,9 +29,9 @@
 class OwnPlace:
     """Decides last for the server of one agent, whoever placed a flow.
 
-    Until the agent has heard which places are evacuated, its server gets no
-    new flows. A balancer knows it before it forwards any, unless it is of an
-    earlier version.
+    Until the agent has heard which places are evacuated, and what a cold
+    server bears, its server gets no new flows. A balancer knows both before
+    it forwards any, unless it is of an earlier version.
     """
 
     def __init__(self, place: PlaceName, settings: ZoneSettings) -> None:
@@ -40,6 +40,8 @@
         self.declined_count = 0
         self._place = place
         self._is_used = settings.evacuates
+        self._is_configured = False
+        """Whether a balancer that has a configuration has told both."""
         self._unknown_since: float | None = None
 
     def apply(self, now: Seconds, news: PlaceNews) -> EvacuationChange | None:
@@ -48,8 +50,9 @@
             return None
         if news.version and self._unknown_since is None:
             self._unknown_since = now
-        if news.evacuated.revision:
+        if news.version and news.evacuated.revision:
             self.cold.configure(news.version, news.cold_per_s)
+            self._is_configured = True
         change = self.known.learn(news.evacuated)
         if change is not None and self._place in change.taken_back:
             self.cold.handle_taken_back(now)
@@ -57,13 +60,13 @@
 
     def is_closed(self, now: Seconds) -> bool:
         """Return whether the server gets no new flows for its place."""
-        if self.known.is_known:
-            return self._place in self.known.current.places
+        if self._place in self.known.current.places:
+            return True
         return self.is_unknown(now)
 
     def is_unknown(self, now: Seconds) -> bool:
-        """Return whether the agent has yet to hear of evacuations."""
-        if not self._is_used or self.known.is_known:
+        """Return whether the agent has yet to hear of both."""
+        if not self._is_used or self._is_configured:
             return False
         since = self._unknown_since
         return since is None or now - since < UNKNOWN_LIMIT_S
--- a/testing/core/relay/zones/test_cold_servers.py
+++ b/testing/core/relay/zones/test_cold_servers.py
@@ -9,6 +9,9 @@
 from medlar_core.relay.messages import UNLIMITED_ROOM
 from medlar_core.relay.zones.cold_limit import ColdLimit
 from medlar_core.relay.zones.cold_limit import WINDOW_S
+from medlar_core.relay.zones.evacuation import EvacuatedPlaces
+from medlar_core.relay.zones.own_place import OwnPlace
+from medlar_core.relay.zones.own_place import PlaceNews
 from medlar_core.relay.zones.settings import ZoneSettings
 
 from ..kit import DESK
@@ -176,3 +179,20 @@
     got, answered = fleet.share_after(A, count=300)
     assert answered == 300
     assert 0 < got <= 4 * 3 * LIMIT
+
+
+def test_a_balancer_without_a_configuration_told_of_no_limit():
+    """Guards against a cold server without a limit (soak, seed 914)."""
+    place = OwnPlace(A, SETTINGS)
+    place.apply(1.0, PlaceNews(0, EvacuatedPlaces(7), 0.0))
+    assert place.is_closed(1.1)
+    place.apply(1.2, PlaceNews(3, EvacuatedPlaces(7), PER_S))
+    assert not place.is_closed(1.2)
+    cold = server(cold_until=100.0)
+    assert place.cold.room(1.3, cold) != UNLIMITED_ROOM
+
+
+def test_an_evacuation_counts_before_any_limit_is_known():
+    place = OwnPlace(A, SETTINGS)
+    place.apply(1.0, PlaceNews(0, EvacuatedPlaces(7, (A,)), 0.0))
+    assert place.is_closed(100.0)
