Let no measured round trip refuse flows while a slot is free

Handshakes over links that were congested after the loss of all had taken seconds; a round trip held to be longer than the route's timeout left no flow a chance, and no further handshake could correct it.

Change: the flow that is next is refused by its age alone, a round trip counts at most 0.1 s. Held flows are judged on ticks and arrivals only; an answer of the server starts flows without judging all others, and costs nothing while the server has no room.

Test: test_handshakes_that_took_seconds_leave_the_server_in_use, red before.

--- a/packages/core/src/medlar_core/relay/admission/admission.py
+++ b/packages/core/src/medlar_core/relay/admission/admission.py
@@ -64,20 +64,31 @@
             decisions.append(self._decision(now, held, Outcome.HELD, wait_s))
         return decisions
 
-    def decide(
+    def start(
         self, now: Seconds, load: ServerLoad, limit: int
     ) -> list[Decision]:
-        """Start held flows that the server has room for; refuse others.
+        """Start the held flows that the server has room for.
 
         ``limit`` is how many may start now, negative for any number.
         """
+        decisions: list[Decision] = []
+        if not load.has_room or not limit:
+            return decisions
         ordered = in_order(now, list(self.held), load, self._callers)
-        decisions = []
-        while ordered and load.has_room and limit:
-            limit -= 1
+        while ordered and load.has_room and len(decisions) != limit:
             held = ordered.pop(next_place(ordered, self._ranks))
             decisions.append(self._start(now, held, load))
             load = msgspec.structs.replace(load, pending=load.pending + 1)
+        return decisions
+
+    def decide(
+        self, now: Seconds, load: ServerLoad, limit: int
+    ) -> list[Decision]:
+        """Start held flows as :meth:`start` does, and refuse others."""
+        decisions = self.start(now, load, limit)
+        pending = load.pending + len(decisions)
+        load = msgspec.structs.replace(load, pending=pending)
+        ordered = in_order(now, list(self.held), load, self._callers)
         hopeful = {held.flow_id for held in ordered}
         ordered += [h for h in self.held if h.flow_id not in hopeful]
         expected = expectations(now, ordered, load)
--- a/packages/core/src/medlar_core/relay/admission/capacity.py
+++ b/packages/core/src/medlar_core/relay/admission/capacity.py
@@ -8,6 +8,9 @@
 
 FIRST_ROUND_TRIP_S = 0.02
 """Assumed until a handshake was seen."""
+MAX_ROUND_TRIP_S = 0.1
+"""A longer time tells of a queue or a lost packet on the caller's link, which
+others may not share."""
 AVERAGE_WEIGHT = 0.125
 """Weight of a new figure in a moving average, as in TCP's round-trip time."""
 MAX_SAMPLE_RATIO = 8.0
@@ -89,6 +92,7 @@
 
     def record_round_trip(self, seconds: float) -> None:
         """Record the time from a SYN to the caller's next packet."""
+        seconds = min(seconds, MAX_ROUND_TRIP_S)
         self.round_trip_s += AVERAGE_WEIGHT * (seconds - self.round_trip_s)
 
     def record_answer(
--- a/packages/core/src/medlar_core/relay/admission/local_starts.py
+++ b/packages/core/src/medlar_core/relay/admission/local_starts.py
@@ -48,10 +48,16 @@
     def start_held(
         self, now: Seconds, own_report: AgentReport
     ) -> list[RelayEffect]:
-        """Start the held flows that the server has room for.
+        """Start the held flows that the server has room for."""
+        decisions = self._admission.start(
+            now, self._load(now, own_report), _limit(own_report)
+        )
+        return self._apply(now, decisions)
 
-        Those without a chance are refused.
-        """
+    def review_held(
+        self, now: Seconds, own_report: AgentReport
+    ) -> list[RelayEffect]:
+        """Start held flows as above, and refuse those without a chance."""
         decisions = self._admission.decide(
             now, self._load(now, own_report), _limit(own_report)
         )
--- a/packages/core/src/medlar_core/relay/admission/order.py
+++ b/packages/core/src/medlar_core/relay/admission/order.py
@@ -37,12 +37,12 @@
     It is opened a round trip ahead of that. A further round trip is for the
     first SYN and the response, which the agent does not see. A caller whose
     attempt ends meanwhile tries again, so that only its timeout counts. A
-    slot that is free now gets a flow whatever its service time is held to be:
-    only an answer can correct that.
+    slot that is free now gets a flow whatever the measured times are: only
+    further flows can correct these.
     """
     age_s = held.age_s(now)
     timeout_s = held.terms.timeout_ms / 1_000
-    if age_s + load.round_trip_s > min(ATTEMPT_S, timeout_s):
+    if age_s > min(ATTEMPT_S, timeout_s):
         return Chance.NONE
     work_s = load.service_s * SERVICE_MARGIN
     total_s = age_s + load.round_trip_s + work_s
--- a/packages/core/src/medlar_core/relay/admission/refusal.py
+++ b/packages/core/src/medlar_core/relay/admission/refusal.py
@@ -15,8 +15,8 @@
 from .order import chance
 from .order import flows_before
 
-MAX_HELD = 256
-MAX_HELD_BYTES = 65_536
+MAX_HELD = 128
+MAX_HELD_BYTES = 32_768
 MAX_UNKNOWN_PER_SLOT = 8
 """Flows held for each slot while the server's service time is unknown."""
 
--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -194,18 +194,16 @@
     ) -> list[RelayEffect]:
         if not segment.flags & _BOUNCED:
             effects = self._flows.handle_server_packet(now, segment)
-            return effects + self._start_held(now)
+            if self._ctx.held:
+                starts = self._flows.placement.starts
+                effects += starts.start_held(now, self.report(now))
+            return effects
         if segment.flags & _SYN:
             return self._flows.handle_declined_syn(
                 now, segment, self.report(now)
             )
         return self._flows.handle_bounced(now, segment)
 
-    def _start_held(self, now: Seconds) -> list[RelayEffect]:
-        if not self._ctx.held:
-            return []
-        return self._flows.placement.start_held(now, self.report(now))
-
     def _handle_probe(self, now: Seconds, alive: bool) -> list[RelayEffect]:
         if not self.local_server.handle_probe(now, alive):
             return []
@@ -364,7 +362,9 @@
         effects += self._reports.due(now, self._ctx.service)
         effects += self._query_members(now)
         effects += self._flows.placement.place_late(now, self.report)
-        effects += self._start_held(now)
+        if self._ctx.held:
+            report = self.report(now)
+            effects += self._flows.placement.review_held(now, report)
         effects += self._flows.lookup.retry(now)
         effects += self.members.pop_requests(now)
         effects += self._store_calls(now)
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -188,12 +188,15 @@
             return self.starts.admit(now, new_flow, own_report)
         return self._forward(now, new_flow, best.node)
 
-    def start_held(
+    def review_held(
         self, now: Seconds, own_report: AgentReport
     ) -> list[RelayEffect]:
-        """Start held flows, or move them once the server gets no new ones."""
+        """Start, refuse or keep the flows held for the local server.
+
+        They move to others once it gets no new ones.
+        """
         if can_hold(own_report):
-            return self.starts.start_held(now, own_report)
+            return self.starts.review_held(now, own_report)
         effects: list[RelayEffect] = []
         for new_flow in self.starts.pop_all():
             # Others that declined it were busier than this server then.
--- a/testing/core/relay/admission/test_failures.py
+++ b/testing/core/relay/admission/test_failures.py
@@ -153,3 +153,23 @@
     room.fleet.run(6.0)
     answered = [call for call in calls if call.answered_at is not None]
     assert len(answered) >= 0.97 * len(calls)
+
+
+def test_handshakes_that_took_seconds_leave_the_server_in_use():
+    room = Room(1)
+    for number in range(30):
+        call = room.call(number, IMPATIENT, at=0.5 * number)
+        call.opened_at = 0.0
+        flow_id = call.flow_id
+        room.clock.after(0.5 * number, lambda f=flow_id: room.fleet.syn(f))
+        room.clock.after(
+            0.5 * number + 3.0, lambda f=flow_id: room.fleet.data(f)
+        )
+    room.fleet.run(20.0)
+    calls = [
+        room.call(number, IMPATIENT, at=0.1 * (number - 100))
+        for number in range(100, 140)
+    ]
+    room.fleet.run(6.0)
+    answered = [call for call in calls if call.answered_at is not None]
+    assert len(answered) >= 0.97 * len(calls)
