--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -1,5 +1,6 @@
 """Flow table of an agent: flows of its server and holders of others."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 import msgspec
@@ -45,7 +46,8 @@
     not accept it, ``terms`` are those of its route, ``via`` is the balancer
     that was last notified of the holder, at ``notified_at``.
     ``low_priority`` is set if room has to be left at a server for flows of
-    higher priority.
+    higher priority, ``judged`` once the current request has counted against
+    the server.
     """
 
     holder: NodeId
@@ -67,6 +69,7 @@
     notified_at: float = 0.0
     low_priority: bool = False
     terms: FlowTerms = DEFAULT_TERMS
+    judged: bool = False
 
 
 class FlowTable:
@@ -83,6 +86,10 @@
         """Number of local flows with a request that has no response."""
         return len(self._busy)
 
+    def busy_flows(self) -> Iterable[Flow]:
+        """Return the local flows with a request that has no response."""
+        return self._busy.values()
+
     def waiting_count(self, now: Seconds) -> int:
         """Return how many of the busy flows have sent their whole request."""
         return sum(_is_waiting(now, flow) for flow in self._busy.values())
