Place few new flows at a server whose flows fail

Agents tell the health of their server in their reports, a change at once, with a log line that names its evidence and age. Who places a flow leaves out suspects but for some flows, idempotent ones first; so does the agent of a suspect with flows that it owns by hash. A copy of a SYN that a mute server has not answered is placed elsewhere; a late answer to the first one opens or resets nothing (the machinery for SYNs that two servers accepted).

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -144,9 +144,10 @@
             "flows_open": self._ctx.table.open_count,
             "flows_waiting": self._ctx.table.busy_count,
             "flows_known": len(self._ctx.table),
-            "flows_placing": self._flows.placement.pending_count,
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
+            **self._flows.placement.gauges(),
+            **self._ctx.server_watch.gauges(),
             **self.members.gauges(now),
         }
 
@@ -232,9 +233,12 @@
     def _apply_announcement(
         self, now: Seconds, event: ServerAnnounced
     ) -> list[RelayEffect]:
+        before = self.local_server.server
         since = self.local_server.handle_announcement(now, event)
         effects: list[RelayEffect] = []
         server = self.local_server.server
+        if since is not None:
+            self._ctx.server_watch.record_restart(now, before)
         if server is not None:
             self._ctx.service = server.service
         if since is not None:
@@ -337,11 +341,13 @@
         """
         self.local_server.exclude_pause(pause_s)
         self.members.exclude_pause(now, pause_s)
+        self._ctx.server_watch.exclude_pause(now)
         self._ctx.forget_members_known()
 
     def _handle_tick(self, now: Seconds) -> list[RelayEffect]:
         self._pause_detector.record_tick(now)
-        effects = self._update_state(now)
+        effects = self._judge_server(now)
+        effects += self._update_state(now)
         if self.local_server.needs_probe(now) and now >= self._probe_at:
             self._probe_at = now + PROBE_INTERVAL_S
             effects.append(ProbeServer())
@@ -362,6 +368,15 @@
         effects += self._store_calls(now)
         return effects
 
+    def _judge_server(self, now: Seconds) -> list[RelayEffect]:
+        """Judge the server's flows; return an event of each change."""
+        return [
+            self._event_factory.health_event(
+                change, self._ctx.service, self._identity.node
+            )
+            for change in self._ctx.server_watch.judge(now)
+        ]
+
     def _store_calls(self, now: Seconds) -> list[RelayEffect]:
         self._registration.issue_next_call(now)
         return list(self._access.due(now))
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -133,6 +133,7 @@
             flow.request_seq = segment.ack
             flow.acked_seq = segment.seq
             effects += self.lookup.handle_rediscovered(now, flow_id, flow)
+        self._ctx.server_watch.record_packet(now, flow_id, flow, segment)
         table.record_server_packet(now, flow, segment)
         return effects
 
@@ -143,6 +144,7 @@
         flow = self._remove_local(segment)
         if flow is None:
             return []
+        self._ctx.server_watch.record_declined(now)
         new_flow = self._new_flow_from(segment, flow)
         new_flow = new_flow.declined_by(self._ctx.node)
         return self.placement.place(now, new_flow, own_report)
@@ -249,9 +251,11 @@
         """Deliver a retransmitted SYN to the local server.
 
         It is placed anew if the server has not accepted the flow and
-        accepts no new ones.
+        accepts no new ones, or is mute.
         """
-        if flow.accepted or own_report.state is AgentState.READY:
+        is_mute = self._ctx.server_watch.is_mute(now, flow)
+        is_ready = own_report.state is AgentState.READY
+        if flow.accepted or (is_ready and not is_mute):
             return self._ctx.deliver(now, flow, segment)
         new_flow = self._new_flow_from(segment, flow)
         new_flow = new_flow.declined_by(self._ctx.node)
--- a/packages/core/src/medlar_core/relay/event_factory.py
+++ b/packages/core/src/medlar_core/relay/event_factory.py
@@ -6,6 +6,7 @@
 from ..timeline.events import TimelineEvent
 from ..timeline.events import Topic
 from ..verdict import Reason
+from .health.server_health import HealthChange
 from .members import Removal
 
 
@@ -55,6 +56,20 @@
             removal.report.id,
         )
 
+    def health_event(
+        self, change: HealthChange, service: ServiceName, node: NodeId
+    ) -> Record:
+        """Return the event of a change of health of the local server."""
+        old, new = change.old.name.lower(), change.new.name.lower()
+        return self.state_event(
+            Topic.PLACEMENT,
+            f"health: server is {new}, was {old}; first sign of it "
+            f"{change.age_s:.2f} s ago",
+            service,
+            node,
+            change.reason,
+        )
+
     def _record(
         self,
         topic: Topic,
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -12,6 +12,7 @@
 from .event_factory import EventFactory
 from .flow_table import Flow
 from .flow_table import FlowTable
+from .health.watch import ServerWatch
 from .local_server import LocalServer
 from .lookup.forwarded import ForwardedPacket
 from .lookup.forwarded import ForwardReason
@@ -46,6 +47,7 @@
         self.event_factory = event_factory
         self.table = FlowTable(node)
         self.scopes = KnownScopes()
+        self.server_watch = ServerWatch(self.table, local_server)
         self._codec = codec
         self._members_known_at: float | None = None
 
--- a/packages/core/src/medlar_core/relay/own_state.py
+++ b/packages/core/src/medlar_core/relay/own_state.py
@@ -9,6 +9,7 @@
 from ..timeline.events import Topic
 from .effects import RelayEffect
 from .flow_context import FlowContext
+from .health.state import HealthState
 from .messages import AgentReport
 from .messages import AgentState
 from .messages import UNLIMITED_ROOM
@@ -40,6 +41,7 @@
 
     server: tuple[ServiceName, str, int]
     knows_all_flows: bool
+    health: HealthState
 
 
 class OwnState:
@@ -89,6 +91,7 @@
             knows_all_flows=self._local_server.knows_all_flows(now),
             server=server.name if server else "",
             server_born=server.born_ms if server else 0,
+            health=self._ctx.server_watch.health.state,
         )
 
     def _state(self, now: Seconds) -> AgentState:
@@ -124,7 +127,7 @@
         return [event, *reports]
 
     def _report_server(self, now: Seconds) -> list[RelayEffect]:
-        """Report at once another server, or that all its flows are known.
+        """Report at once another server, its health or that all is known.
 
         A server of another service has to be known to its service. An
         agent that knows all flows is queried without packets, which are
@@ -148,6 +151,7 @@
                 server.born_ms if server else 0,
             ),
             self._local_server.knows_all_flows(now),
+            self._ctx.server_watch.health.state,
         )
 
     def supersede(self, report: AgentReport) -> None:
@@ -173,5 +177,6 @@
             service_ms=0,
             room=UNLIMITED_ROOM,
             evacuated=False,
+            health=HealthState.HEALTHY,
         )
         self._registration.set_entry(msgspec.json.encode(stored).decode())
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -19,6 +19,7 @@
 from .effects import RelayEffect
 from .flow_context import FlowContext
 from .flow_table import Flow
+from .health.ejection import Ejection
 from .lookup.forwarded import ForwardedPacket
 from .lookup.forwarded import ForwardReason
 from .member import Member
@@ -93,12 +94,15 @@
     def __init__(self, ctx: FlowContext, rng: random.Random) -> None:
         self._ctx = ctx
         self._choice = Choice(ctx.node, rng)
+        self._ejection = Ejection()
         self._pending: dict[FlowId, _PendingFlow] = {}
 
-    @property
-    def pending_count(self) -> int:
-        """Number of new flows that wait for the loads of servers."""
-        return len(self._pending)
+    def gauges(self) -> dict[str, float]:
+        """Return current gauge values by metric name."""
+        return {
+            "flows_placing": len(self._pending),
+            **self._ejection.gauges(),
+        }
 
     def handle_placed(
         self, now: Seconds, new_flow: NewFlow, own_report: AgentReport
@@ -131,9 +135,10 @@
         """Place a new flow at the least loaded of the compared servers."""
         if len(new_flow.declined) >= MAX_DECLINES:
             return self._refuse(now, new_flow, own_report)
+        members = self._ctx.members.of(self._ctx.service)
+        members = self._ejection.usable(now, own_report, members, new_flow)
         if self._is_empty(own_report, new_flow):
             return self._open_here(now, new_flow)
-        members = self._ctx.members.of(self._ctx.service)
         candidates = self._choice.sample(now, members, new_flow.declined)
         outdated = {
             member.report.id
@@ -218,6 +223,8 @@
             return False
         if self._ctx.node in new_flow.declined:
             return False
+        if not self._ejection.admits(self._ctx.node, new_flow):
+            return False
         return not own_report.busy and not own_report.flows
 
     def accepts_flows(self, now: Seconds, node: NodeId, since: float) -> bool:
@@ -276,6 +283,8 @@
         others: list[Member],
     ) -> Selection | None:
         eligible = own_report if own_report.accepts_flows else None
+        if others and not self._ejection.admits(self._ctx.node, new_flow):
+            eligible = None
         via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
