--- a/packages/core/src/medlar_core/relay/health/usual.py
+++ b/packages/core/src/medlar_core/relay/health/usual.py
@@ -6,7 +6,7 @@
 """A response is brief if it takes less of the usual service time, ..."""
 BRIEF_SIZE_SHARE = 0.4
 """... and if it has less of the usual size."""
-LEARNED_RESPONSES = 50
+LEARNED_RESPONSES = 20
 """Responses to be seen before a brief one tells anything."""
 RECENT_RESPONSES = 16
 """Number of responses that the usual times are the mean of."""
