Add rows on servers that fail while they look well

Per kind of failure: the share of requests served within their target while a sixth of the servers fails two flows in five, beside load alone as the baseline, and how many well servers were held to be failing; the same for a burst at 1.7 times the usual rate on well servers.

--- a/packages/bench/src/medlar_bench/registry.py
+++ b/packages/bench/src/medlar_bench/registry.py
@@ -4,7 +4,7 @@
 
 from .rows import Measurement
 
-AREAS = ("flows", "requests", "members", "config", "timeline")
+AREAS = ("flows", "requests", "members", "config", "timeline", "relay")
 
 
 def gather(prefix: str = "") -> tuple[Measurement, ...]:
