--- a/packages/bench/src/medlar_bench/relay/__init__.py
+++ b/packages/bench/src/medlar_bench/relay/__init__.py
@@ -1,6 +1,8 @@
 """Rows of the relay's decisions under load and at a start."""
 
 from ..rows import Measurement
+from .grey import measure_grey
+from .grey import ROWS as GREY_ROWS
 from .room import ROOM
 from .thin import measure_thin
 
@@ -13,4 +15,5 @@
     ),
     measure_thin,
 )
-MEASUREMENTS: tuple[Measurement, ...] = (THIN, *ROOM)
+GREY = Measurement(GREY_ROWS, measure_grey)
+MEASUREMENTS: tuple[Measurement, ...] = (THIN, *ROOM, GREY)
--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -154,6 +154,7 @@
             flow.request_seq = segment.ack
             flow.acked_seq = segment.seq
             effects += self.lookup.handle_rediscovered(now, flow_id, flow)
+        self._ctx.server_watch.record_packet(now, flow_id, flow, segment)
         was_busy = flow.busy
         table.record_server_packet(now, flow, segment)
         if was_busy and not flow.busy:
@@ -167,6 +168,7 @@
         flow = self._remove_local(segment)
         if flow is None:
             return []
+        self._ctx.server_watch.record_declined(now)
         new_flow = self._new_flow_from(segment, flow)
         new_flow = new_flow.declined_by(self._ctx.node)
         return self.placement.place(now, new_flow, own_report)
@@ -274,12 +276,13 @@
         """Deliver a retransmitted SYN to the local server.
 
         It is placed anew if the server has not accepted the flow and
-        accepts no new ones. After the end of a flow, it opens another one
-        from the same address.
+        accepts no new ones, or is mute. After the end of a flow, it opens
+        another one from the same address.
         """
+        is_mute = self._ctx.server_watch.is_mute(now, flow)
         if flow.accepted and not flow.closed:
             return self._ctx.deliver(now, flow, segment)
-        if own_report.accepts_flows:
+        if own_report.accepts_flows and not is_mute:
             self._ctx.own_place.cold.record_opened(now)
             return self._ctx.deliver(now, flow, segment)
         new_flow = self._new_flow_from(segment, flow)
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -1,5 +1,6 @@
 """Flow table of an agent: flows of its server and holders of others."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 import msgspec
@@ -46,6 +47,8 @@
     that was last notified of the holder, at ``notified_at``.
     ``low_priority`` is set if room has to be left at a server for flows of
     higher priority. ``regions`` are those of its route, empty for all.
+    ``judged`` is set once the current request has counted against the
+    server.
     """
 
     holder: NodeId
@@ -68,6 +71,7 @@
     low_priority: bool = False
     terms: FlowTerms = DEFAULT_TERMS
     regions: tuple[str, ...] = ()
+    judged: bool = False
 
 
 class FlowTable:
@@ -84,6 +88,10 @@
         """Number of local flows with a request that has no response."""
         return len(self._busy)
 
+    def busy_flows(self) -> Iterable[Flow]:
+        """Return the local flows with a request that has no response."""
+        return self._busy.values()
+
     def waiting_count(self, now: Seconds) -> int:
         """Return how many of the busy flows have sent their whole request."""
         return sum(_is_waiting(now, flow) for flow in self._busy.values())
