Use a suspect for a flow that all other servers have declined

A flow that the servers in use had declined, or that no peer may take, was dropped, or reset where all members are known, though a suspect was left that might have taken it. Now a server that is left out is the last choice, not none. Both new tests fail before.

--- a/packages/core/src/medlar_core/relay/health/ejection.py
+++ b/packages/core/src/medlar_core/relay/health/ejection.py
@@ -80,6 +80,9 @@
     @property
     def flow_id(self) -> FlowId: ...
 
+    @property
+    def declined(self) -> tuple[NodeId, ...]: ...
+
     @property
     def terms(self) -> FlowTerms: ...
 
@@ -98,12 +101,17 @@
         members: list[Member],
         new_flow: _NewFlow,
     ) -> list[Member]:
-        """Return the members that a new flow may go to; all if none may."""
+        """Return the members that a new flow may go to; all if none may.
+
+        Those that have declined it are none of them.
+        """
         self._refresh(now, own, members)
         if not self._left_out.states:
             return members
         usable = [m for m in members if self.admits(m.report.id, new_flow)]
-        return usable or members
+        if all(m.report.id in new_flow.declined for m in usable):
+            return members
+        return usable
 
     def admits(self, node: NodeId, new_flow: _NewFlow) -> bool:
         """Return whether a new flow may go to a server."""
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -282,9 +282,22 @@
         own_report: AgentReport,
         others: list[Member],
     ) -> Selection | None:
+        """Return the best server; an own one that is left out comes last."""
         eligible = own_report if own_report.accepts_flows else None
-        if others and not self._ejection.admits(self._ctx.node, new_flow):
-            eligible = None
+        if self._ejection.admits(self._ctx.node, new_flow):
+            return self._compare(now, new_flow, eligible, others)
+        best = self._compare(now, new_flow, None, others)
+        if best is not None or eligible is None:
+            return best
+        return self._compare(now, new_flow, eligible, [])
+
+    def _compare(
+        self,
+        now: Seconds,
+        new_flow: NewFlow,
+        own_report: AgentReport | None,
+        others: list[Member],
+    ) -> Selection | None:
         via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
@@ -293,7 +306,7 @@
         )
         return self._choice.select(
             now,
-            eligible,
+            own_report,
             others,
             new_flow.declined,
             via.place if via else None,
--- a/testing/core/relay/health/test_ejection.py
+++ b/testing/core/relay/health/test_ejection.py
@@ -1,12 +1,20 @@
 """Which servers get few new flows, by the reports of their agents."""
 
+import msgspec
 import pytest
 
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+from medlar_core.packets import Flag
+from medlar_core.relay.health.ejection import Ejection
 from medlar_core.relay.health.ejection import left_out
 from medlar_core.relay.health.state import HealthState
+from medlar_core.relay.member import Member
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.segment import FlowId
 from medlar_core.relay.terms import FlowTerms
 
+from ..kit import Fleet
 from ..kit import flow
 from .grey_servers import report
 
@@ -77,3 +85,35 @@
 def test_a_server_on_probation_gets_more_flows_than_a_suspect():
     found = left_out(reports(6, 1, PROBATION))
     assert 0.35 < share(found, report(0).id, UNSAFE) < 0.45
+
+
+class NewFlow(msgspec.Struct):
+    flow_id: FlowId
+    declined: tuple[NodeId, ...]
+    terms: FlowTerms = UNSAFE
+
+
+def test_a_suspect_is_used_by_a_flow_that_the_others_have_declined():
+    own, *peers = reports(6, 0)
+    peers[0] = report(1, SUSPECT)
+    members = [Member(r, 1.0) for r in peers]
+    declined = tuple(r.id for r in peers[1:])
+    ejection = Ejection()
+    new_flow = NewFlow(flow(1), ())
+    usable = ejection.usable(Seconds(1.0), own, members, new_flow)
+    assert usable == members[1:]
+    new_flow.declined = declined
+    usable = ejection.usable(Seconds(1.0), own, members, new_flow)
+    assert members[0] in usable
+
+
+def test_an_agent_opens_a_flow_at_its_suspect_server_if_no_other_may():
+    fleet = Fleet(agents=4)
+    address, *peers = fleet.agents
+    fleet.agents[address]._ctx.server_watch.health.state = SUSPECT
+    fleet.run(0.3)
+    for peer in peers:
+        fleet.world.servers[peer].capacity = 0
+    opened = [fleet.open(number, by=number % 3) for number in range(20)]
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.packet_count(f, Flag.SYN) for f in opened)
