Use the copy that was compared, if the stored one is lost meanwhile

A balancer that starts asks the store whether the copied configuration is current, and watches the entries beside. If the copy was deleted or damaged before the answer, an assertion failed, and again at each later answer of the watch: the process put neither configurations nor evacuations from the store in force.

It now keeps the copy that it asked about. The test was red for both cases before.

--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -127,9 +127,9 @@
         self._copy = CopyStore(access, identity.copy)
         self._entry_keys: set[str] = set()
         self._watching_since = 0.0
-        self._is_copy_expected = False
-        """Whether the store is asked if the copy is of the newest
-        configuration."""
+        self._compared: RoutesCopy | None = None
+        """Copy of which the store is asked if it is of the newest
+        configuration. The stored one may be lost meanwhile."""
         self._configuration = StoreWatcher(
             access,
             Part.CONFIGURATION,
@@ -315,11 +315,10 @@
         self, now: Seconds, result: Snapshot | Change, update: StoreUpdate
     ) -> None:
         """Use the operators' configuration, or the copy if it is current."""
-        if self._is_copy_expected:
+        if self._compared is not None:
             if isinstance(result, Change):
-                assert self._copy.stored is not None
-                update.tables.append(self._copy.stored.table)
-            self._is_copy_expected = False
+                update.tables.append(self._compared.table)
+            self._compared = None
             self._continue_from_listing()
         elif self._identity.evacuations:
             revision = self._configuration.revision
@@ -393,7 +392,7 @@
             return
         key = self._identity.configuration
         self._configuration.expect(key, stored.revision)
-        self._is_copy_expected = True
+        self._compared = stored
 
     def _apply_entry(
         self, now: Seconds, item: Item, update: StoreUpdate
--- a/testing/core/relay/zones/test_start_from_copy.py
+++ b/testing/core/relay/zones/test_start_from_copy.py
@@ -1,5 +1,7 @@
 """A start from the stored copy of the configuration, beside evacuations."""
 
+import pytest
+
 from medlar_core.store import Compare
 
 from ..kit import CONFIGURATION
@@ -10,6 +12,8 @@
 from .kit import ZoneFleet
 
 NEWCOMER = node("balancer", 9)
+ENTRIES_WATCHED_S = 0.7
+"""A balancer that starts has read all entries and watches them since."""
 
 
 def fleet_with_copy():
@@ -77,3 +81,25 @@
     fleet.start_all()
     fleet.run(3.0)
     assert {evacuated_at(fleet, b) for b in fleet.balancers} == {(A,)}
+
+
+@pytest.mark.parametrize("value", ["?", ""], ids=["damaged", "deleted"])
+def test_a_copy_may_be_lost_while_it_is_compared(value):
+    fleet = fleet_with_copy()
+    fleet.lose_power()
+    call = fleet.world.store.call
+
+    def lose_copy_first(op, answered):
+        if not isinstance(op, Compare):
+            call(op, answered)
+            return
+        if value:
+            fleet.write(COPY, value)
+        else:
+            fleet.delete(COPY)
+        fleet.world.clock.after(ENTRIES_WATCHED_S, lambda: call(op, answered))
+
+    fleet.world.store.call = lose_copy_first
+    newcomer = fleet.start_balancer(NEWCOMER)
+    fleet.run(3.0)
+    assert newcomer.routes.version == 1
