Queue one write of the copied configuration at a time

While the store did not answer, each balancer that had a copy to write queued another write of up to 700,000 characters every 2 s, which pushed the watches out of the queue and went before them after the outage.

The next write now waits for the one before it, as the docstring says. The test counted 30 writes in a minute before.

--- a/packages/core/src/medlar_core/relay/configuration/copy_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/copy_store.py
@@ -92,6 +92,8 @@
             return
         if now < self._write_at + rank * WRITE_STAGGER_S:
             return
+        if self._write is not None and self._access.is_pending(self._write):
+            return
         self._write_at = now + RETRY_S
         value = encode_copy(wanted)
         if len(value) > COPY_CHARACTERS_MAX:
