Know the revision of the copied configuration after a listing or a late answer

A write of the copy names the revision that it replaces. A listing without the copy, and an answer that came after the watch had told of a newer copy, left or set an old one: every write was then refused and tried again each 2 s.

--- a/packages/core/src/medlar_core/relay/configuration/copy_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/copy_store.py
@@ -49,6 +49,12 @@
         """Use items from the store, of which one may be the copy."""
         if isinstance(result, Snapshot):
             self._was_read = True
+            is_gone = all(item.key != self._key for item in result.items)
+        else:
+            is_gone = self._key in result.deleted
+        if is_gone:
+            self._item_revision = 0
+            self.stored = None
         for item in result.items:
             if item.key != self._key or item.revision < self._item_revision:
                 continue
@@ -58,10 +64,6 @@
             except ValueError as exc:
                 self.stored = None
                 self._unreadable = str(exc)
-        is_gone = isinstance(result, Change) and self._key in result.deleted
-        if is_gone:
-            self._item_revision = 0
-            self.stored = None
 
     def pop_unreadable(self) -> str:
         """Return why a stored copy was ignored since the last call.
@@ -112,6 +114,8 @@
             return
         answer = self._access.take(now, Part.CONFIGURATION, event)
         self._write = None
-        if isinstance(answer, Written):
+        if not isinstance(answer, Written):
+            return
+        if answer.revision > self._item_revision:
             self._item_revision = answer.revision
             self.stored = self._written
