Bound a cold server by the limit of its own service

An agent whose server is replaced by one of another service kept the limit of cold servers of the service before, and took the limit in any late hello message for its own: a cold server got new flows without a limit until the next message.

The agent now forgets the limit when the service changes, so that the server gets no new flows until a balancer has told the limit of its service, and ignores the limit in messages that name agents of another one. The two tests were red before (room -1 instead of 0 and 8).

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -250,8 +250,9 @@
         server = self.local_server.server
         if since is not None:
             self._ctx.server_watch.record_restart(now, before)
-        if server is not None:
+        if server is not None and server.service != self._ctx.service:
             self._ctx.service = server.service
+            self._ctx.own_place.handle_other_service()
         if since is not None:
             effects += self._flows.handle_server_end(since)
         return effects + self._update_state(now)
@@ -323,7 +324,7 @@
                 self._own_state.supersede(report)
         asker = msg.id if msg.wants_report else None
         effects = [
-            *self._learn_places(now, msg),
+            *self._learn_places(now, msg, is_of_service),
             *self._reports.reports_to_new_balancers(now, service, asker),
             *self._reports.reports_to_new_members(now, service),
             *self.members.pop_requests(now),
@@ -334,10 +335,13 @@
             self._member_query.record_hello(now, msg)
         return effects + self._query_members(now)
 
-    def _learn_places(self, now: Seconds, msg: Hello) -> list[RelayEffect]:
-        """Apply which places are evacuated."""
+    def _learn_places(
+        self, now: Seconds, msg: Hello, is_of_service: bool
+    ) -> list[RelayEffect]:
+        """Apply which places are evacuated, and the limit of the service."""
         place = self._ctx.own_place
-        news = PlaceNews(msg.version, msg.evacuated, msg.cold_per_s)
+        version = msg.version if is_of_service else 0
+        news = PlaceNews(version, msg.evacuated, msg.cold_per_s)
         change = place.apply(now, news)
         if change is None:
             return []
--- a/packages/core/src/medlar_core/relay/zones/cold_limit.py
+++ b/packages/core/src/medlar_core/relay/zones/cold_limit.py
@@ -35,6 +35,11 @@
             self._version = version
             self._per_s = cold_per_s
 
+    def forget_limit(self) -> None:
+        """Forget the limit, as the server is of another service now."""
+        self._version = 0
+        self._per_s = 0.0
+
     def handle_taken_back(self, now: Seconds) -> None:
         """Count the server as cold until its next announcement.
 
--- a/packages/core/src/medlar_core/relay/zones/own_place.py
+++ b/packages/core/src/medlar_core/relay/zones/own_place.py
@@ -18,7 +18,8 @@
 class PlaceNews(msgspec.Struct, frozen=True):
     """What a balancer's hello message told.
 
-    ``version`` is of its configuration, 0 if it has none.
+    ``version`` is of its configuration, 0 if it has none or tells that of
+    another service.
     """
 
     version: int
@@ -58,6 +59,12 @@
             self.cold.handle_taken_back(now)
         return change
 
+    def handle_other_service(self) -> None:
+        """Forget what a cold server of the service before bears."""
+        self.cold.forget_limit()
+        self._is_configured = False
+        self._unknown_since = None
+
     def is_closed(self, now: Seconds) -> bool:
         """Return whether the server gets no new flows for its place."""
         if self._place in self.known.current.places:
--- a/testing/core/relay/zones/test_cold_servers.py
+++ b/testing/core/relay/zones/test_cold_servers.py
@@ -3,9 +3,12 @@
 import msgspec
 import pytest
 
+from medlar_core.events import Received
 from medlar_core.relay.configuration.routes import ServiceLimits
+from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.events import ServerPhase
 from medlar_core.relay.local_server import ServerIncarnation
+from medlar_core.relay.messages import Hello
 from medlar_core.relay.messages import UNLIMITED_ROOM
 from medlar_core.relay.zones.cold_limit import ColdLimit
 from medlar_core.relay.zones.cold_limit import WINDOW_S
@@ -16,6 +19,7 @@
 
 from ..kit import DESK
 from ..kit import node
+from ..kit import OFFICE
 from ..kit import table
 from .kit import A
 from .kit import IN_FORCE_S
@@ -196,3 +200,44 @@
     place = OwnPlace(A, SETTINGS)
     place.apply(1.0, PlaceNews(0, EvacuatedPlaces(7, (A,)), 0.0))
     assert place.is_closed(100.0)
+
+
+def start_for_office(fleet, address):
+    """Replace a server by a cold one of another service, which it limits."""
+    limits = (ServiceLimits(OFFICE, PER_S),)
+    cfg = table(3, DESK, OFFICE)
+    fleet.configure(msgspec.structs.replace(cfg, services=limits))
+    fleet.run(IN_FORCE_S)
+    ended = ServerLeft(fleet.announcements[address].server, 0)
+    fleet.world.dispatch(address, ended)
+    fleet.run(0.2)
+    fleet.start_server(address, OFFICE)
+    turn_cold(fleet, [address], 100.0)
+    started = fleet.announcements[address]
+    fleet.world.dispatch(address, msgspec.structs.replace(started, sequence=1))
+
+
+def test_a_server_of_another_service_waits_for_the_limit_of_that_one(fleet):
+    address = node("agent", 1)
+    start_for_office(fleet, address)
+    agent = fleet.agents[address]
+    assert not agent.report(fleet.world.clock.now).accepts_flows
+    fleet.run(0.5)
+    assert agent.report(fleet.world.clock.now).room == LIMIT
+
+
+def test_the_limit_of_another_service_is_not_taken_for_the_own(fleet):
+    address = node("agent", 1)
+    start_for_office(fleet, address)
+    fleet.run(0.5)
+    others = fleet.balancers[node("balancer", 0)].members.of(DESK)
+    late = Hello(
+        node("balancer", 0),
+        A,
+        3,
+        agents=(others[0].report,),
+        evacuated=EvacuatedPlaces(1),
+    )
+    fleet.world.dispatch(address, Received(node("balancer", 0), late))
+    now = fleet.world.clock.now
+    assert fleet.agents[address].report(now).room == LIMIT
