Forget that an agent had no room once it is removed

A balancer, which never renews the room of cold servers, kept an entry of each agent that had ever reported none. The test counted 199 entries of removed agents before.

--- a/packages/core/src/medlar_core/relay/members.py
+++ b/packages/core/src/medlar_core/relay/members.py
@@ -400,6 +400,7 @@
         member = self.agents.pop(report.id, None)
         self._requests.remove(report.id)
         self._named.pop(report.id, None)
+        self._without_room.pop(report.id, None)
         if member is not None:
             self.changes += 1
             self._removals.append(Removal(report, cause))
--- a/testing/core/relay/zones/test_cold_servers.py
+++ b/testing/core/relay/zones/test_cold_servers.py
@@ -8,6 +8,9 @@
 from medlar_core.relay.events import ServerLeft
 from medlar_core.relay.events import ServerPhase
 from medlar_core.relay.local_server import ServerIncarnation
+from medlar_core.relay.members import Members
+from medlar_core.relay.messages import AgentReport
+from medlar_core.relay.messages import AgentState
 from medlar_core.relay.messages import Hello
 from medlar_core.relay.messages import UNLIMITED_ROOM
 from medlar_core.relay.zones.cold_limit import ColdLimit
@@ -241,3 +244,16 @@
     fleet.world.dispatch(address, Received(node("balancer", 0), late))
     now = fleet.world.clock.now
     assert fleet.agents[address].report(now).room == LIMIT
+
+
+def test_agents_that_left_without_room_are_forgotten():
+    members = Members(node("balancer", 0))
+    for number in range(1, 200):
+        report = AgentReport(
+            node("agent", number), A, DESK, 1, 1, AgentState.READY, room=0
+        )
+        members.apply_report(1.0, report, direct=True)
+        gone = msgspec.structs.replace(report, count=2, state=AgentState.GONE)
+        members.apply_report(1.1, gone, direct=True)
+    assert not members.agents
+    assert not members._without_room
