Try ever less often to write a copy that the store refuses

A store that refused the copied configuration, as for its size, was sent it again each 2 s by every balancer that watches the store, without an end: 65 writes of a fleet in a minute. The time between two attempts now doubles up to a minute. The test counted 300 writes in ten minutes before, at most 16 now.

--- a/packages/core/src/medlar_core/relay/configuration/copy_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/copy_store.py
@@ -18,7 +18,9 @@
 """Each further balancer that watches the store writes this much later: by
 then it has received what the one before it wrote."""
 RETRY_S = 2.0
-"""Time between two attempts: what another has written is known by then."""
+"""Time to the second attempt: what another has written is known by then."""
+LONGEST_RETRY_S = 60.0
+"""The time doubles up to this: a store may refuse so large a value always."""
 COPY_CHARACTERS_MAX = 700_000
 """A larger copy is not written, as stores limit the size of a value."""
 
@@ -41,6 +43,7 @@
         self._was_read = False
         self._wanted: RoutesCopy | None = None
         self._write_at = _NEVER_DUE
+        self._retry_s = RETRY_S
         self._write: StoreCallId | None = None
         self._written: RoutesCopy | None = None
         self._unreadable = ""
@@ -78,6 +81,7 @@
         if self._wanted is None or copy.revision > self._wanted.revision:
             self._wanted = copy
             self._write_at = now
+            self._retry_s = RETRY_S
 
     def due(self, now: Seconds, rank: int) -> None:
         """Submit a write, if one is due and none is pending.
@@ -96,7 +100,8 @@
             return
         if self._write is not None and self._access.is_pending(self._write):
             return
-        self._write_at = now + RETRY_S
+        self._write_at = now + self._retry_s
+        self._retry_s = min(2 * self._retry_s, LONGEST_RETRY_S)
         value = encode_copy(wanted)
         if len(value) > COPY_CHARACTERS_MAX:
             self._wanted = None
--- a/testing/core/relay/configuration/test_copy_store.py
+++ b/testing/core/relay/configuration/test_copy_store.py
@@ -89,3 +89,19 @@
     copy_store.handle_answer(0.5, StoreAnswered(call.call, Written(60)))
     copy_store.want(1.0, copy(7))
     assert next_write(access, copy_store, 1.0).op.expected == 61
+
+
+def test_a_store_that_refuses_the_copy_is_tried_ever_less_often(
+    access, copy_store
+):
+    copy_store.update(Snapshot(()))
+    copy_store.want(0.0, copy(5))
+    tried_at = []
+    for step in range(6_000):
+        now = step / 10
+        copy_store.due(now, 0)
+        for call in access.due(now):
+            tried_at.append(now)
+            answer = StoreAnswered(call.call, Unavailable("status 413"))
+            copy_store.handle_answer(now, answer)
+    assert len(tried_at) <= 16
