--- a/packages/core/src/medlar_core/relay/zones/known_evacuation.py
+++ b/packages/core/src/medlar_core/relay/zones/known_evacuation.py
@@ -12,7 +12,6 @@
     revision: int
     evacuated: tuple[PlaceName, ...]
     taken_back: tuple[PlaceName, ...]
-    is_first: bool
 
     @property
     def text(self) -> str:
@@ -50,5 +49,4 @@
             found.revision,
             tuple(sorted(after - before)),
             tuple(sorted(before - after)),
-            is_first,
         )
