--- a/packages/core/src/medlar_core/relay/configuration/copy_store.py
+++ b/packages/core/src/medlar_core/relay/configuration/copy_store.py
@@ -18,7 +18,9 @@
 """Each further balancer that watches the store writes this much later: by
 then it has received what the one before it wrote."""
 RETRY_S = 2.0
-"""Time between two attempts: what another has written is known by then."""
+"""Time to the second attempt: what another has written is known by then."""
+LONGEST_RETRY_S = 60.0
+"""The time doubles up to this: a store may refuse so large a value always."""
 COPY_CHARACTERS_MAX = 700_000
 """A larger copy is not written, as stores limit the size of a value."""
 
@@ -41,6 +43,7 @@
         self._was_read = False
         self._wanted: RoutesCopy | None = None
         self._write_at = _NEVER_DUE
+        self._retry_s = RETRY_S
         self._write: StoreCallId | None = None
         self._written: RoutesCopy | None = None
         self._unreadable = ""
@@ -49,6 +52,12 @@
         """Use items from the store, of which one may be the copy."""
         if isinstance(result, Snapshot):
             self._was_read = True
+            is_gone = all(item.key != self._key for item in result.items)
+        else:
+            is_gone = self._key in result.deleted
+        if is_gone:
+            self._item_revision = 0
+            self.stored = None
         for item in result.items:
             if item.key != self._key or item.revision < self._item_revision:
                 continue
@@ -58,10 +67,6 @@
             except ValueError as exc:
                 self.stored = None
                 self._unreadable = str(exc)
-        is_gone = isinstance(result, Change) and self._key in result.deleted
-        if is_gone:
-            self._item_revision = 0
-            self.stored = None
 
     def pop_unreadable(self) -> str:
         """Return why a stored copy was ignored since the last call.
@@ -76,6 +81,7 @@
         if self._wanted is None or copy.revision > self._wanted.revision:
             self._wanted = copy
             self._write_at = now
+            self._retry_s = RETRY_S
 
     def due(self, now: Seconds, rank: int) -> None:
         """Submit a write, if one is due and none is pending.
@@ -92,7 +98,10 @@
             return
         if now < self._write_at + rank * WRITE_STAGGER_S:
             return
-        self._write_at = now + RETRY_S
+        if self._write is not None and self._access.is_pending(self._write):
+            return
+        self._write_at = now + self._retry_s
+        self._retry_s = min(2 * self._retry_s, LONGEST_RETRY_S)
         value = encode_copy(wanted)
         if len(value) > COPY_CHARACTERS_MAX:
             self._wanted = None
@@ -110,6 +119,8 @@
             return
         answer = self._access.take(now, Part.CONFIGURATION, event)
         self._write = None
-        if isinstance(answer, Written):
+        if not isinstance(answer, Written):
+            return
+        if answer.revision > self._item_revision:
             self._item_revision = answer.revision
             self.stored = self._written
