--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -34,6 +34,8 @@
 MIN_FORWARD_GAIN = 1.0
 """A new flow that another agent placed here is forwarded once if another
 server's load is lower by this."""
+MAX_FORWARDS = 2
+"""A flow that so many busy servers have passed on waits at the next one."""
 MAX_DECLINES = 8
 """Number of servers that may decline a new flow before it is refused."""
 
@@ -90,6 +92,8 @@
             return self.place_elsewhere(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self.starts.admit(now, new_flow, own_report)
+        if _can_wait(new_flow) and len(new_flow.declined) >= MAX_FORWARDS:
+            return self.starts.admit(now, new_flow, own_report)
         peers = self._members_for(new_flow)
         recent = [m for m in peers if has_recent_load(now, m)]
         best = self._select(now, new_flow, own_report, recent)
@@ -245,6 +249,8 @@
         """Return whether a flow may wait for the local server to have room."""
         if self._ctx.node in new_flow.declined or not _can_wait(new_flow):
             return False
+        if not self._ctx.homes.allow(own_report.place, new_flow.regions):
+            return False
         return can_hold(own_report)
 
     def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
