Start a new entry for a flow opened again after its end

The entry of the ended flow was used on: it stayed closed, so that the new flow was not counted as open, copies of its SYN could be placed at another server, and the entry was dropped after five idle seconds. The entry is now replaced when the SYN is delivered. The new test failed before.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -284,6 +284,9 @@
             return self._ctx.deliver(now, flow, segment)
         if own_report.accepts_flows and not is_mute:
             self._ctx.own_place.cold.record_opened(now)
+            if flow.closed:
+                new_flow = self._new_flow_from(segment, flow)
+                flow = self._ctx.add_flow(now, new_flow, self._ctx.node)
             return self._ctx.deliver(now, flow, segment)
         new_flow = self._new_flow_from(segment, flow)
         new_flow = new_flow.declined_by(self._ctx.node)
