Keep copies of SYNs in the regions of their route

A copy forwarded to the holder of its flow did not carry the regions. If the first SYN was lost and the holder gets no new flows, the copy was placed in any region. A flow could also be held for, and started at, a local server outside its regions.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -242,6 +242,7 @@
             flow.declined,
             hops,
             event.packet.terms,
+            event.packet.regions,
         )
         return [packet, *self._notify_sender(now, event, flow)]
 
--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -158,6 +158,7 @@
         declined: tuple[NodeId, ...] = (),
         hops: int = 1,
         terms: FlowTerms = DEFAULT_TERMS,
+        regions: tuple[str, ...] = (),
     ) -> ForwardToAgent:
         """Forward a packet to another agent."""
         packet = ForwardedPacket(
@@ -168,6 +169,7 @@
             hops=hops,
             scope=scope,
             terms=terms,
+            regions=regions,
         )
         return ForwardToAgent(dst, packet)
 
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -109,6 +109,9 @@
         """Return whether the local server may get a new flow."""
         if not own_report.accepts_flows:
             return False
+        return self._is_in_home(own_report, new_flow)
+
+    def _is_in_home(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
         return self._ctx.homes.allow(own_report.place, new_flow.regions)
 
     def _members_for(self, new_flow: NewFlow) -> list[Member]:
@@ -245,6 +248,8 @@
         """Return whether a flow may wait for the local server to have room."""
         if self._ctx.node in new_flow.declined or not _can_wait(new_flow):
             return False
+        if not self._is_in_home(own_report, new_flow):
+            return False
         return can_hold(own_report)
 
     def _is_empty(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
