Bound what is left out in the regions of each route

Which servers are left out was computed from the members in the regions of one flow, and used for the flows of all routes for 50 ms. Of a region with two suspects among three servers both were left out, so that the third one got nearly all flows. It is now kept by the regions of a route, and this agent's server counts only where it may get the flow. The new test failed before.

--- a/packages/core/src/medlar_core/relay/health/ejection.py
+++ b/packages/core/src/medlar_core/relay/health/ejection.py
@@ -32,6 +32,8 @@
 REFRESH_S = 0.05
 """The servers to leave out are computed anew after this, not for each
 flow."""
+MAX_REGIONS = 64
+"""Combinations of regions remembered, more than routes have."""
 
 
 class LeftOut(msgspec.Struct, frozen=True):
@@ -83,47 +85,73 @@
     @property
     def terms(self) -> FlowTerms: ...
 
+    @property
+    def regions(self) -> tuple[str, ...]: ...
+
+
+class _Computed(msgspec.Struct, frozen=True):
+    left_out: LeftOut
+    at: float
+
 
 class Ejection:
     """Applies :func:`left_out` to the members that one agent knows."""
 
     def __init__(self) -> None:
-        self._left_out = LeftOut()
-        self._computed_at = float("-inf")
+        self._computed: dict[tuple[str, ...], _Computed] = {}
+        """By the regions of a route: each has servers of its own."""
 
     def usable(
         self,
         now: Seconds,
-        own: AgentReport,
+        own: AgentReport | None,
         members: list[Member],
         new_flow: _NewFlow,
     ) -> list[Member]:
-        """Return the members that a new flow may go to; all if none may."""
-        self._refresh(now, own, members)
-        if not self._left_out.states:
+        """Return the members that a new flow may go to; all if none may.
+
+        ``members`` are those in the flow's regions, ``own`` is the report
+        of this agent if it is as well.
+        """
+        computed = self._computed.get(new_flow.regions)
+        if computed is None or now - computed.at >= REFRESH_S:
+            self._compute(now, own, members, new_flow.regions)
+        if not self._left_out(new_flow).states:
             return members
         usable = [m for m in members if self.admits(m.report.id, new_flow)]
         return usable or members
 
     def admits(self, node: NodeId, new_flow: _NewFlow) -> bool:
         """Return whether a new flow may go to a server."""
-        if not self._left_out.states:
+        found = self._left_out(new_flow)
+        if not found.states:
             return True
-        return self._left_out.admits(node, new_flow.flow_id, new_flow.terms)
+        return found.admits(node, new_flow.flow_id, new_flow.terms)
 
     def gauges(self) -> dict[str, float]:
         """Return current gauge values by metric name."""
-        return {"servers_left_out": len(self._left_out.states)}
+        nodes = {n for c in self._computed.values() for n in c.left_out.states}
+        return {"servers_left_out": len(nodes)}
+
+    def _left_out(self, new_flow: _NewFlow) -> LeftOut:
+        computed = self._computed.get(new_flow.regions)
+        return computed.left_out if computed else LeftOut()
 
-    def _refresh(
-        self, now: Seconds, own: AgentReport, members: list[Member]
+    def _compute(
+        self,
+        now: Seconds,
+        own: AgentReport | None,
+        members: list[Member],
+        regions: tuple[str, ...],
     ) -> None:
-        """Compute the servers to leave out, unless this was done recently."""
-        if now - self._computed_at < REFRESH_S:
-            return
-        self._computed_at = now
-        heard = [m.report for m in members if not m.is_silent(now)]
-        self._left_out = left_out([own, *heard])
+        """Compute the servers to leave out of flows of some regions."""
+        reports = [m.report for m in members if not m.is_silent(now)]
+        if own is not None:
+            reports.append(own)
+        self._computed.pop(regions, None)
+        if len(self._computed) >= MAX_REGIONS:
+            del self._computed[next(iter(self._computed))]
+        self._computed[regions] = _Computed(left_out(reports), now)
 
 
 def _may_get_flows(report: AgentReport) -> bool:
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -143,7 +143,8 @@
         if len(new_flow.declined) >= MAX_DECLINES:
             return self._refuse(now, new_flow, own_report)
         members = self._members_for(new_flow)
-        members = self._ejection.usable(now, own_report, members, new_flow)
+        own = own_report if self._is_in_home(own_report, new_flow) else None
+        members = self._ejection.usable(now, own, members, new_flow)
         if self._is_empty(own_report, new_flow):
             return self.starts.admit(now, new_flow, own_report)
         candidates = self._choice.sample(now, members, new_flow.declined)
--- a/testing/core/relay/health/test_ejection.py
+++ b/testing/core/relay/health/test_ejection.py
@@ -2,9 +2,17 @@
 
 import pytest
 
+from medlar_core.ids import NodeId
+from medlar_core.ids import Seconds
+from medlar_core.packets import Flag
+from medlar_core.relay.health.ejection import Ejection
 from medlar_core.relay.health.ejection import left_out
 from medlar_core.relay.health.state import HealthState
+from medlar_core.relay.member import Member
 from medlar_core.relay.messages import AgentState
+from medlar_core.relay.new_flow import NewFlow
+from medlar_core.relay.scope import UNKNOWN_SCOPE
+from medlar_core.relay.segment import Segment
 from medlar_core.relay.terms import FlowTerms
 
 from ..kit import flow
@@ -29,6 +37,15 @@
     return admitted / FLOWS
 
 
+def new_flow(number, *regions):
+    flow_id = flow(number)
+    syn = Segment(b"", int(Flag.SYN), *flow_id, 0, 100, 0)
+    via = NodeId("")
+    return NewFlow(
+        flow_id, syn, (), via, 0, False, UNKNOWN_SCOPE, UNSAFE, regions
+    )
+
+
 @pytest.mark.parametrize(
     "size,suspects,expected",
     [
@@ -77,3 +94,16 @@
 def test_a_server_on_probation_gets_more_flows_than_a_suspect():
     found = left_out(reports(6, 1, PROBATION))
     assert 0.35 < share(found, report(0).id, UNSAFE) < 0.45
+
+
+def test_the_share_left_out_is_that_of_the_places_a_flow_may_go_to():
+    """A flow of all regions, then some of one that has bad servers only."""
+    now = Seconds(10.0)
+    members = [Member(r, now) for r in reports(12, 2)]
+    own = members.pop().report
+    ejection = Ejection()
+    assert len(ejection.usable(now, own, members, new_flow(0))) < 11
+    region = [*members[:2], members[5]]
+    for number in range(20):
+        confined = new_flow(number, "north")
+        assert ejection.usable(now, None, region, confined) == region
