Reset no flow because its only server answers late

Without another server the flow was reset although the server had got its first SYN and may accept it. The copy is now delivered there.

--- a/packages/core/src/medlar_core/relay/agent_flows.py
+++ b/packages/core/src/medlar_core/relay/agent_flows.py
@@ -277,21 +277,23 @@
         """Deliver a retransmitted SYN to the local server.
 
         It is placed anew if the server has not accepted the flow and
-        accepts no new ones, or is mute. After the end of a flow, it opens
-        another one from the same address.
+        accepts no new ones, or is mute while others may get it. After the
+        end of a flow, it opens another one from the same address.
         """
+        new_flow = self._new_flow_from(segment, flow)
+        elsewhere = new_flow.declined_by(self._ctx.node)
         is_mute = self._ctx.server_watch.is_mute(now, flow)
         if flow.accepted and not flow.closed:
             return self._ctx.deliver(now, flow, segment)
+        if is_mute and not self.placement.has_other_server(now, elsewhere):
+            # The server may yet accept it, so that it must not be reset.
+            is_mute = False
         if own_report.accepts_flows and not is_mute:
             self._ctx.own_place.cold.record_opened(now)
             if flow.closed:
-                new_flow = self._new_flow_from(segment, flow)
                 flow = self._ctx.add_flow(now, new_flow, self._ctx.node)
             return self._ctx.deliver(now, flow, segment)
-        new_flow = self._new_flow_from(segment, flow)
-        new_flow = new_flow.declined_by(self._ctx.node)
-        return self.placement.place(now, new_flow, own_report)
+        return self.placement.place(now, elsewhere, own_report)
 
     def _handle_remote_syn(
         self,
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -263,6 +263,11 @@
             return False
         return not own_report.busy and not own_report.flows
 
+    def has_other_server(self, now: Seconds, new_flow: NewFlow) -> bool:
+        """Return whether a server that did not decline a flow may get it."""
+        members = self._members_for(new_flow)
+        return bool(self._choice.sample(now, members, new_flow.declined))
+
     def accepts_flows(self, now: Seconds, node: NodeId, since: float) -> bool:
         """Return whether another agent handles the copies of a flow's SYN.
 
