Judge no request overdue while others took as long

On a route of mixed work a server of four slots that answered everything was suspect three times in a minute in virtual time: a tenth of the requests took 1 s, the rest 0.03 s, target 250 ms. Requests that short ones overtake now have to wait for longer than the longest recent response as well. The new test failed before.

--- a/packages/core/src/medlar_core/relay/health/evidence.py
+++ b/packages/core/src/medlar_core/relay/health/evidence.py
@@ -26,6 +26,12 @@
 """Used for routes without a latency target."""
 OVERTAKEN_FACTOR = 4.0
 """Least time of an overtaken request, in usual response times."""
+LONGEST_FACTOR = 1.5
+"""Least time of an overtaken request, in the longest recent response time:
+well servers answer short work beside long work."""
+LONGEST_KEPT = 0.98
+"""Part of the longest response time that each further response leaves: some
+work may take long again after some dozens of short ones."""
 STALL_FACTOR = 10.0
 """Least time of a request while the server answers nothing, in usual service
 times: longer than that of a server that has only become slow."""
@@ -80,6 +86,7 @@
         self._overall = UsualResponse()
         self._usual: dict[Endpoint, UsualResponse] = {}
         self._overtakers: list[float] = []
+        self._longest_s = 0.0
 
     def restart(self, now: Seconds) -> None:
         """Start anew: flows of before are not judged.
@@ -159,6 +166,8 @@
             return waited_s >= STALL_FACTOR * self._overall.service_s
         if waited_s < OVERTAKEN_FACTOR * self._overall.response_s:
             return False
+        if waited_s < LONGEST_FACTOR * self._longest_s:
+            return False
         overtakers = len(self._overtakers) - bisect.bisect_right(
             self._overtakers, asked_at
         )
@@ -177,6 +186,7 @@
         response_s = now - flow.last_data_at
         service_s = now - max(flow.last_data_at, self._answered_at)
         self._answered_at = now
+        self._longest_s = max(response_s, LONGEST_KEPT * self._longest_s)
         bisect.insort(self._overtakers, flow.last_data_at)
         if len(self._overtakers) > MAX_OVERTAKERS:
             del self._overtakers[0]
--- a/testing/core/relay/health/test_evidence.py
+++ b/testing/core/relay/health/test_evidence.py
@@ -207,3 +207,18 @@
 
     server.run(5.0, 80, request)
     assert not server.changes
+
+
+def test_long_work_beside_short_work_leaves_a_server_healthy():
+    server = well_server()
+    server.watch._local_server.server.slots = 4
+    rng = random.Random(2)
+
+    def request():
+        opened = server.open()
+        work_s = 1.0 if rng.random() < 0.1 else SERVICE_S
+        server._todo.append((server.now + work_s, opened, RESPONSE_BYTES))
+        server._todo.sort(key=lambda entry: entry[0])
+
+    server.run(60.0, 10, request)
+    assert not server.changes
