Count a caller's pause amid a request as its own

A well server was suspect twice in a minute in virtual time when a tenth of the requests were uploads whose callers paused for 0.6 s. The longest recent pause within a request now counts like the longest response: no request is overdue within it. Repeated data is no pause. The new test fails without this; callers that vanish amid a request still count against the server.

--- a/packages/core/src/medlar_core/relay/flow_context.py
+++ b/packages/core/src/medlar_core/relay/flow_context.py
@@ -139,6 +139,7 @@
         self, now: Seconds, flow: Flow, segment: Segment
     ) -> list[RelayEffect]:
         """Deliver a packet of a flow that the local server holds."""
+        self.server_watch.record_caller_packet(now, flow, segment)
         self.table.record_delivered(now, flow, segment)
         return [self.deliver_untracked(segment)]
 
--- a/packages/core/src/medlar_core/relay/health/evidence.py
+++ b/packages/core/src/medlar_core/relay/health/evidence.py
@@ -27,8 +27,9 @@
 OVERTAKEN_FACTOR = 4.0
 """Least time of an overtaken request, in usual response times."""
 LONGEST_FACTOR = 1.5
-"""Least time of an overtaken request, in the longest recent response time:
-well servers answer short work beside long work."""
+"""Least time of an overtaken request, in the longest recent response time or
+pause within a request: well servers answer short work beside long work, and
+short uploads beside long ones."""
 LONGEST_KEPT = 0.98
 """Part of the longest response time that each further response leaves: some
 work may take long again after some dozens of short ones."""
@@ -120,6 +121,20 @@
             return None
         return Observation(Signal.ENDED) if _has_request(flow) else None
 
+    def record_caller_packet(
+        self, now: Seconds, flow: Flow, segment: Segment
+    ) -> None:
+        """Record that a caller goes on with a request, perhaps after a pause.
+
+        Called before the flow table records the packet. Data that the caller
+        repeats, as its server may not answer, tells of no pause.
+        """
+        end = (segment.seq + segment.size) & 0xFFFFFFFF
+        if not segment.size or not is_later(end, flow.sent_seq):
+            return
+        if flow.busy and _has_request(flow):
+            self._longest_s = max(self._longest_s, now - flow.last_data_at)
+
     def is_syn_unanswered(self, now: Seconds, flow: Flow) -> bool:
         """Return whether the server should have accepted a flow by now."""
         if flow.accepted or flow.opened_at < self._observed_since:
--- a/packages/core/src/medlar_core/relay/health/watch.py
+++ b/packages/core/src/medlar_core/relay/health/watch.py
@@ -44,6 +44,12 @@
             return
         self.health.observe(now, observation)
 
+    def record_caller_packet(
+        self, now: Seconds, flow: Flow, segment: Segment
+    ) -> None:
+        """Record a packet of a caller, before the flow table does."""
+        self._evidence.record_caller_packet(now, flow, segment)
+
     def record_declined(self, now: Seconds) -> None:
         """Record that the server has declined a new flow."""
         if not self._is_loaded(now):
--- a/testing/core/relay/health/test_evidence.py
+++ b/testing/core/relay/health/test_evidence.py
@@ -58,6 +58,11 @@
         self._in(opened, Flag.ACK, REQUEST_BYTES, 101, SERVER_SEQ + 1)
         return opened
 
+    def go_on(self, opened):
+        """Let the caller send the rest of its request."""
+        seq = 101 + REQUEST_BYTES
+        self._in(opened, Flag.ACK, REQUEST_BYTES, seq, SERVER_SEQ + 1)
+
     def serve(self, size=RESPONSE_BYTES):
         """Open a flow that is served after those before it."""
         opened = self.open()
@@ -99,6 +104,7 @@
     def _in(self, opened, flags, size, seq, ack):
         segment = Segment(b"", int(flags), *opened, size, seq, ack)
         entry = self.table.get(opened)
+        self.watch.record_caller_packet(self.now, entry, segment)
         self.table.record_delivered(self.now, entry, segment)
 
     def _out(self, opened, flags, size, seq):
@@ -222,3 +228,25 @@
 
     server.run(60.0, 10, request)
     assert not server.changes
+
+
+def test_uploads_with_pauses_beside_short_requests_leave_a_server_healthy():
+    server = well_server()
+    server.watch._local_server.server.slots = 4
+    rng = random.Random(2)
+    paused = []
+
+    def request():
+        if paused and paused[0][0] <= server.now:
+            _, opened = paused.pop(0)
+            server.go_on(opened)
+            due_at = server.now + SERVICE_S
+            server._todo.append((due_at, opened, RESPONSE_BYTES))
+            server._todo.sort(key=lambda entry: entry[0])
+        if rng.random() < 0.1:
+            paused.append((server.now + 0.6, server.open()))
+        else:
+            server.serve()
+
+    server.run(60.0, 15, request)
+    assert not server.changes
