--- a/packages/core/src/medlar_core/relay/health/ejection.py
+++ b/packages/core/src/medlar_core/relay/health/ejection.py
@@ -82,6 +82,9 @@
     @property
     def flow_id(self) -> FlowId: ...
 
+    @property
+    def declined(self) -> tuple[NodeId, ...]: ...
+
     @property
     def terms(self) -> FlowTerms: ...
 
@@ -111,7 +114,8 @@
         """Return the members that a new flow may go to; all if none may.
 
         ``members`` are those in the flow's regions, ``own`` is the report
-        of this agent if it is as well.
+        of this agent if it is as well. Those that have declined the flow
+        are none of them.
         """
         computed = self._computed.get(new_flow.regions)
         if computed is None or now - computed.at >= REFRESH_S:
@@ -119,7 +123,9 @@
         if not self._left_out(new_flow).states:
             return members
         usable = [m for m in members if self.admits(m.report.id, new_flow)]
-        return usable or members
+        if all(m.report.id in new_flow.declined for m in usable):
+            return members
+        return usable
 
     def admits(self, node: NodeId, new_flow: _NewFlow) -> bool:
         """Return whether a new flow may go to a server."""
--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -34,6 +34,8 @@
 MIN_FORWARD_GAIN = 1.0
 """A new flow that another agent placed here is forwarded once if another
 server's load is lower by this."""
+MAX_FORWARDS = 2
+"""A flow that so many busy servers have passed on waits at the next one."""
 MAX_DECLINES = 8
 """Number of servers that may decline a new flow before it is refused."""
 
@@ -90,6 +92,8 @@
             return self.place_elsewhere(now, new_flow, own_report)
         if own_report.busy < own_report.slots or node in new_flow.declined:
             return self.starts.admit(now, new_flow, own_report)
+        if _can_wait(new_flow) and len(new_flow.declined) >= MAX_FORWARDS:
+            return self.starts.admit(now, new_flow, own_report)
         peers = self._members_for(new_flow)
         recent = [m for m in peers if has_recent_load(now, m)]
         best = self._select(now, new_flow, own_report, recent)
@@ -313,10 +317,23 @@
         own_report: AgentReport,
         others: list[Member],
     ) -> Selection | None:
+        """Return the best server; an own one that is left out comes last."""
         is_eligible = self.may_open_here(new_flow, own_report)
-        if others and not self._ejection.admits(self._ctx.node, new_flow):
-            is_eligible = False
         eligible = own_report if is_eligible else None
+        if self._ejection.admits(self._ctx.node, new_flow):
+            return self._compare(now, new_flow, eligible, others)
+        best = self._compare(now, new_flow, None, others)
+        if best is not None or eligible is None:
+            return best
+        return self._compare(now, new_flow, eligible, [])
+
+    def _compare(
+        self,
+        now: Seconds,
+        new_flow: NewFlow,
+        own_report: AgentReport | None,
+        others: list[Member],
+    ) -> Selection | None:
         via = self._ctx.members.balancers.get(new_flow.via)
         limit = (
             MAX_WAITING_PER_SLOT_LOW_PRIORITY
@@ -325,7 +342,7 @@
         )
         return self._choice.select(
             now,
-            eligible,
+            own_report,
             others,
             new_flow.declined,
             via.place if via else None,
--- a/testing/core/relay/health/test_ejection.py
+++ b/testing/core/relay/health/test_ejection.py
@@ -1,5 +1,6 @@
 """Which servers get few new flows, by the reports of their agents."""
 
+import msgspec
 import pytest
 
 from medlar_core.ids import NodeId
@@ -15,6 +16,7 @@
 from medlar_core.relay.segment import Segment
 from medlar_core.relay.terms import FlowTerms
 
+from ..kit import Fleet
 from ..kit import flow
 from .grey_servers import report
 
@@ -107,3 +109,29 @@
     for number in range(20):
         confined = new_flow(number, "north")
         assert ejection.usable(now, own, region, confined) == region
+
+
+def test_a_suspect_is_used_by_a_flow_that_the_others_have_declined():
+    own, *peers = reports(6, 0)
+    peers[0] = report(1, SUSPECT)
+    members = [Member(r, 1.0) for r in peers]
+    declined = tuple(r.id for r in peers[1:])
+    ejection = Ejection()
+    offered = new_flow(1)
+    usable = ejection.usable(Seconds(1.0), own, members, offered)
+    assert usable == members[1:]
+    offered = msgspec.structs.replace(offered, declined=declined)
+    usable = ejection.usable(Seconds(1.0), own, members, offered)
+    assert members[0] in usable
+
+
+def test_an_agent_opens_a_flow_at_its_suspect_server_if_no_other_may():
+    fleet = Fleet(agents=4)
+    address, *peers = fleet.agents
+    fleet.agents[address]._ctx.server_watch.health.state = SUSPECT
+    fleet.run(0.3)
+    for peer in peers:
+        fleet.world.servers[peer].capacity = 0
+    opened = [fleet.open(number, by=number % 3) for number in range(20)]
+    assert fleet.reset_count(opened) == 0
+    assert all(fleet.packet_count(f, Flag.SYN) for f in opened)
