--- a/packages/core/src/medlar_core/relay/placement.py
+++ b/packages/core/src/medlar_core/relay/placement.py
@@ -113,6 +113,9 @@
         """Return whether the local server may get a new flow."""
         if not own_report.accepts_flows:
             return False
+        return self._is_in_home(own_report, new_flow)
+
+    def _is_in_home(self, own_report: AgentReport, new_flow: NewFlow) -> bool:
         return self._ctx.homes.allow(own_report.place, new_flow.regions)
 
     def _members_for(self, new_flow: NewFlow) -> list[Member]:
@@ -144,7 +147,8 @@
         if len(new_flow.declined) >= MAX_DECLINES:
             return self._refuse(now, new_flow, own_report)
         members = self._members_for(new_flow)
-        members = self._ejection.usable(now, own_report, members, new_flow)
+        own = own_report if self._is_in_home(own_report, new_flow) else None
+        members = self._ejection.usable(now, own, members, new_flow)
         if self._is_empty(own_report, new_flow):
             return self.starts.admit(now, new_flow, own_report)
         candidates = self._choice.sample(now, members, new_flow.declined)
@@ -249,7 +253,7 @@
         """Return whether a flow may wait for the local server to have room."""
         if self._ctx.node in new_flow.declined or not _can_wait(new_flow):
             return False
-        if not self._ctx.homes.allow(own_report.place, new_flow.regions):
+        if not self._is_in_home(own_report, new_flow):
             return False
         return can_hold(own_report)
 
@@ -263,6 +267,11 @@
             return False
         return not own_report.busy and not own_report.flows
 
+    def has_other_server(self, now: Seconds, new_flow: NewFlow) -> bool:
+        """Return whether a server that did not decline a flow may get it."""
+        members = self._members_for(new_flow)
+        return bool(self._choice.sample(now, members, new_flow.declined))
+
     def accepts_flows(self, now: Seconds, node: NodeId, since: float) -> bool:
         """Return whether another agent handles the copies of a flow's SYN.
 
--- a/testing/core/relay/health/test_ejection.py
+++ b/testing/core/relay/health/test_ejection.py
@@ -11,7 +11,9 @@
 from medlar_core.relay.health.state import HealthState
 from medlar_core.relay.member import Member
 from medlar_core.relay.messages import AgentState
-from medlar_core.relay.segment import FlowId
+from medlar_core.relay.new_flow import NewFlow
+from medlar_core.relay.scope import UNKNOWN_SCOPE
+from medlar_core.relay.segment import Segment
 from medlar_core.relay.terms import FlowTerms
 
 from ..kit import Fleet
@@ -37,6 +39,15 @@
     return admitted / FLOWS
 
 
+def new_flow(number, *regions):
+    flow_id = flow(number)
+    syn = Segment(b"", int(Flag.SYN), *flow_id, 0, 100, 0)
+    via = NodeId("")
+    return NewFlow(
+        flow_id, syn, (), via, 0, False, UNKNOWN_SCOPE, UNSAFE, regions
+    )
+
+
 @pytest.mark.parametrize(
     "size,suspects,expected",
     [
@@ -87,10 +98,17 @@
     assert 0.35 < share(found, report(0).id, UNSAFE) < 0.45
 
 
-class NewFlow(msgspec.Struct):
-    flow_id: FlowId
-    declined: tuple[NodeId, ...]
-    terms: FlowTerms = UNSAFE
+def test_the_share_left_out_is_that_of_the_places_a_flow_may_go_to():
+    """A flow of all regions, then some of one that has bad servers only."""
+    now = Seconds(10.0)
+    members = [Member(r, now) for r in reports(12, 2)]
+    own = members.pop().report
+    ejection = Ejection()
+    assert len(ejection.usable(now, own, members, new_flow(0))) < 11
+    region = members[:2]
+    for number in range(20):
+        confined = new_flow(number, "north")
+        assert ejection.usable(now, own, region, confined) == region
 
 
 def test_a_suspect_is_used_by_a_flow_that_the_others_have_declined():
@@ -99,11 +117,11 @@
     members = [Member(r, 1.0) for r in peers]
     declined = tuple(r.id for r in peers[1:])
     ejection = Ejection()
-    new_flow = NewFlow(flow(1), ())
-    usable = ejection.usable(Seconds(1.0), own, members, new_flow)
+    offered = new_flow(1)
+    usable = ejection.usable(Seconds(1.0), own, members, offered)
     assert usable == members[1:]
-    new_flow.declined = declined
-    usable = ejection.usable(Seconds(1.0), own, members, new_flow)
+    offered = msgspec.structs.replace(offered, declined=declined)
+    usable = ejection.usable(Seconds(1.0), own, members, offered)
     assert members[0] in usable
 
 
