Measure how long a server works on a request

Slots counted alike whatever the server's speed, as nothing measured it.

Change: the agent follows its server's slots from the direction of packets: a request begins with its caller's last data or when a slot becomes free, and ends with the first data of the response. The mean forgets within a second; single long requests count at most five times the mean. Reports tell the mean and the expected wait of a new flow, and so do two gauges.

--- a/packages/core/src/medlar_core/relay/agent.py
+++ b/packages/core/src/medlar_core/relay/agent.py
@@ -18,6 +18,7 @@
 from ..storeaccess.access import StoreAccess
 from ..timeline.events import Topic
 from .agent_flows import AgentFlows
+from .balance.service_time import ServiceTime
 from .effects import ProbeServer
 from .effects import RelayEffect
 from .event_factory import EventFactory
@@ -150,6 +151,10 @@
             "flows_waiting": self._ctx.table.busy_count,
             "flows_known": len(self._ctx.table),
             "flows_held": len(self._ctx.held),
+            "service_time_ms": self._ctx.table.service_time.mean_ms(now),
+            "expected_wait_ms": self._ctx.table.expected_wait_ms(
+                now, len(self._ctx.held)
+            ),
             "configuration_version": self._event_factory.version,
             "store_failing": float(self._access.failing),
             **self._ctx.own_place.gauges(),
@@ -255,6 +260,7 @@
             self._ctx.own_place.handle_other_service()
         if since is not None:
             effects += self._flows.handle_server_end(since)
+            self._ctx.table.service_time = ServiceTime()
         return effects + self._update_state(now)
 
     def _handle_departure(
--- a/packages/core/src/medlar_core/relay/flow_table.py
+++ b/packages/core/src/medlar_core/relay/flow_table.py
@@ -8,6 +8,8 @@
 from ..ids import NodeId
 from ..ids import Seconds
 from ..packets import Flag
+from .balance.expected_wait import expected_wait_ms
+from .balance.service_time import ServiceTime
 from .segment import FlowId
 from .segment import is_later
 from .segment import Segment
@@ -82,6 +84,7 @@
         self._flows: dict[FlowId, Flow] = {}
         self._busy: dict[int, Flow] = {}
         self.open_count = 0
+        self.service_time = ServiceTime()
 
     @property
     def busy_count(self) -> int:
@@ -111,6 +114,19 @@
             for flow in self._busy.values()
         )
 
+    def expected_wait_ms(self, now: Seconds, held: int) -> float:
+        """Return how long a new flow waits for the server, in ms.
+
+        ``held`` flows wait for it at the agent.
+        """
+        service_time = self.service_time
+        return expected_wait_ms(
+            self.busy_count + held,
+            service_time.slots,
+            service_time.mean_ms(now),
+            service_time.longest_ms(now),
+        )
+
     def __len__(self) -> int:
         return len(self._flows)
 
@@ -145,6 +161,7 @@
         if flow is None or flow.holder != self._node:
             return
         self._set_busy(flow, False)
+        self.service_time.remove(flow.last_packet_at, id(flow))
         if not flow.closed:
             self.open_count -= 1
 
@@ -169,11 +186,12 @@
             flow.sent_seq = end
             flow.last_data_at = now
             self._set_busy(flow, True)
+            self.service_time.record_request(now, id(flow))
         if segment.flags & _END_FLAGS:
             flow.caller_done = True
         if segment.flags & _RST:
             flow.server_done = True
-            self._close(flow)
+            self._close(now, flow)
 
     def record_server_packet(
         self, now: Seconds, flow: Flow, segment: Segment
@@ -183,12 +201,14 @@
         if segment.flags & _SYN:
             flow.accepted = True
             flow.server_seq = segment.seq
+        if segment.size:
+            self.service_time.record_response(now, id(flow))
         if segment.size or segment.flags & _END_FLAGS:
             flow.request_seq = flow.sent_seq
             self._set_busy(flow, False)
         if segment.flags & _END_FLAGS:
             flow.server_done = True
-            self._close(flow)
+            self._close(now, flow)
         if segment.flags & _RST:
             flow.caller_done = True
 
@@ -210,6 +230,7 @@
                 expired.append(flow_id)
             elif flow.busy and idle_for_s > _busy_timeout(flow):
                 self._set_busy(flow, False)
+                self.service_time.remove(now, id(flow))
         dropped = [
             flow
             for flow in map(self._flows.__getitem__, expired)
@@ -226,9 +247,10 @@
         else:
             self._busy.pop(id(flow), None)
 
-    def _close(self, flow: Flow) -> None:
+    def _close(self, now: Seconds, flow: Flow) -> None:
         if not flow.closed:
             flow.closed = True
+            self.service_time.remove(now, id(flow))
             self.open_count -= 1
 
 
--- a/packages/core/src/medlar_core/relay/own_state.py
+++ b/packages/core/src/medlar_core/relay/own_state.py
@@ -1,5 +1,7 @@
 """State of an agent as it reports it to others and keeps it in the store."""
 
+import math
+
 import msgspec
 
 from ..ids import NodeId
@@ -79,6 +81,10 @@
         """Return a new report of this agent; each has a higher count."""
         server = self._local_server.server
         place = self._ctx.own_place
+        table = self._ctx.table
+        held = len(self._ctx.held)
+        slots = server.slots if server else 1
+        table.service_time.slots = slots
         self._report_count += 1
         return AgentReport(
             id=self._identity.node,
@@ -87,14 +93,16 @@
             incarnation=self._incarnation,
             count=self._report_count,
             state=self._state(now),
-            slots=server.slots if server else 1,
-            busy=self._ctx.table.busy_count + len(self._ctx.held),
-            waiting=self._ctx.table.waiting_count(now) + len(self._ctx.held),
-            flows=self._ctx.table.open_count,
+            slots=slots,
+            busy=table.busy_count + held,
+            waiting=table.waiting_count(now) + held,
+            flows=table.open_count,
             cold=server is not None and place.cold.is_cold(now, server),
             knows_all_flows=self._local_server.knows_all_flows(now),
             server=server.name if server else "",
             server_born=server.born_ms if server else 0,
+            wait_ms=round(table.expected_wait_ms(now, held)),
+            service_ms=math.ceil(table.service_time.mean_ms(now)),
             room=place.cold.room(now, server),
             evacuated=place.is_closed(now),
             health=self._ctx.server_watch.health.state,
--- a/packages/node/src/medlar_node/relay/metrics.py
+++ b/packages/node/src/medlar_node/relay/metrics.py
@@ -200,6 +200,8 @@
     "flows_waiting": "Flows whose caller waits for an answer",
     "flows_known": "Flows known here, also those of other servers",
     "flows_held": "New flows that wait for the own server to have room",
+    "service_time_ms": "Mean time that the own server works on a request",
+    "expected_wait_ms": "Expected wait of a new flow at the own server",
     "flows_placing": "New flows that wait for the loads of servers",
     "server_health": "Own server: 0 healthy, 1 suspect, 2 on probation",
     "servers_left_out": "Servers of the service that get few new flows",
