Compare servers by how long they work on a request

Servers of unequal speed got equal shares of the new flows, as their loads were compared by number.

Change: the load of a server, with a share of the flow's own work, counts relative to its measured service time.

--- a/packages/core/src/medlar_core/relay/balance/choice.py
+++ b/packages/core/src/medlar_core/relay/balance/choice.py
@@ -34,6 +34,9 @@
 MAX_WAITING_PER_SLOT_LOW_PRIORITY = 2.0
 """The same limit for flows of low priority; the remaining room is reserved for
 flows of higher priority."""
+OWN_WORK = 0.25
+"""Part of a new flow's own work that counts: of idle servers the faster one
+is taken, but no flow waits for it."""
 COLD_FACTOR = 1.6
 """Load factor of a server that has just started."""
 
@@ -101,8 +104,14 @@
             candidates.insert(0, (own_report, 0))
         if not candidates:
             return None
+        typical_ms = _typical_service_ms([r for r, _ in candidates])
         full, _, rank = min(
-            (*_sort_key(report, recent_flows, caller_place, limit), rank)
+            (
+                *_sort_key(
+                    report, recent_flows, caller_place, limit, typical_ms
+                ),
+                rank,
+            )
             for rank, (report, recent_flows) in enumerate(candidates)
         )
         return Selection(candidates[rank][0].id, full)
@@ -113,10 +122,13 @@
     recent_flows: int,
     caller_place: PlaceName | None,
     limit: float,
+    typical_ms: float,
 ) -> tuple[bool, float]:
-    """Return the sort key of an agent: full ones last, then by load.
+    """Return the sort key of an agent: full ones last, then by cost.
 
-    ``recent_flows`` counts the flows forwarded to it since its report.
+    ``recent_flows`` counts the flows forwarded to it since its report. The
+    cost is the time until a new flow is served, relative to the mean service
+    time of the compared servers, ``typical_ms``.
     """
     full = report.waiting + recent_flows >= limit * report.slots
     penalty = (
@@ -124,7 +136,17 @@
         if caller_place is None or report.place == caller_place
         else REMOTE_PLACE_LOAD
     )
-    return full, load(report, recent_flows) + penalty
+    slowness = 1.0
+    if typical_ms and report.service_ms:
+        slowness = report.service_ms / typical_ms
+    work = load(report, recent_flows) + OWN_WORK
+    return full, work * slowness + penalty
+
+
+def _typical_service_ms(reports: list[AgentReport]) -> float:
+    """Return the mean service time of some servers, 0 if none is known."""
+    known = [r.service_ms for r in reports if r.service_ms]
+    return sum(known) / len(known) if known else 0.0
 
 
 def load(report: AgentReport, extra_flows: int = 0) -> float:
