--- a/testing/core/relay/test_flows.py
+++ b/testing/core/relay/test_flows.py
@@ -23,7 +23,7 @@
 from .kit import flow
 from .kit import FLOW_IDLE_S
 from .kit import node
-from .kit import UnresponsiveServer
+from .wrappers import UnresponsiveServer
 
 
 def test_a_flow_stays_at_its_server_through_every_balancer():
--- a/testing/core/relay/test_idle_timeout.py
+++ b/testing/core/relay/test_idle_timeout.py
@@ -12,7 +12,6 @@
 from medlar_core.relay.messages import FlowPacketAsked
 from medlar_core.relay.messages import FlowUnknown
 
-from .kit import CountingReducer
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
@@ -20,7 +19,8 @@
 from .kit import forwarded
 from .kit import LONG_IDLE_S
 from .kit import node
-from .kit import WithoutHellos
+from .wrappers import CountingReducer
+from .wrappers import WithoutHellos
 
 AGENTS_TOLD_S = 4.0
 """All agents have a hello message of each balancer after this."""
--- a/testing/core/relay/test_idle_traffic.py
+++ b/testing/core/relay/test_idle_traffic.py
@@ -4,10 +4,10 @@
 
 from medlar_core.relay.store_view import WATCHER_COUNT
 
-from .kit import CountingReducer
 from .kit import Fleet
 from .kit import node
 from .kit import OFFICE
+from .wrappers import CountingReducer
 
 MAX_DATAGRAMS_PER_S = 15.0
 """Largest rate at which a process sends control messages at any size."""
--- a/testing/core/relay/test_record_writes.py
+++ b/testing/core/relay/test_record_writes.py
@@ -4,7 +4,6 @@
 from medlar_core.relay.messages import ScopeAsked
 from medlar_core.store import Put
 
-from .kit import CountingReducer
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
@@ -12,6 +11,7 @@
 from .kit import OFFICE
 from .kit import RECORD
 from .kit import table
+from .wrappers import CountingReducer
 
 
 def count_record_writes(fleet):
--- a/testing/core/relay/test_restart_traffic.py
+++ b/testing/core/relay/test_restart_traffic.py
@@ -1,7 +1,7 @@
 """Control messages while all processes start at once, as after a power-off."""
 
-from .kit import CountingReducer
 from .kit import Fleet
+from .wrappers import CountingReducer
 
 START_S = 1.5
 """Time in which a fleet that starts anew is to know enough to serve."""
--- a/testing/core/relay/test_route_moves.py
+++ b/testing/core/relay/test_route_moves.py
@@ -23,7 +23,7 @@
 from .kit import one_route
 from .kit import RECORD
 from .kit import table
-from .kit import UnresponsiveServer
+from .wrappers import UnresponsiveServer
 
 
 def two_services():
--- a/testing/core/relay/test_scope_proof.py
+++ b/testing/core/relay/test_scope_proof.py
@@ -13,18 +13,18 @@
 from medlar_core.relay.scope import FlowScope
 from medlar_core.relay.scope import ServiceOwner
 
-from .kit import CountingReducer
 from .kit import DESK
 from .kit import Fleet
 from .kit import flow
 from .kit import FLOW_IDLE_S
 from .kit import forwarded
-from .kit import LossyReducer
 from .kit import node
 from .kit import OFFICE
 from .kit import one_route
 from .kit import RECORD
-from .kit import WithoutHellos
+from .wrappers import CountingReducer
+from .wrappers import LossyReducer
+from .wrappers import WithoutHellos
 
 LAGGING = 4
 """A balancer that does not watch the store."""
--- a/testing/core/relay/test_slow_record.py
+++ b/testing/core/relay/test_slow_record.py
@@ -16,7 +16,7 @@
 from .kit import OFFICE
 from .kit import one_route
 from .kit import RECORD
-from .kit import WithoutHellos
+from .wrappers import WithoutHellos
 
 LAGGING = 4
 """A balancer that does not watch the store."""
