--- a/packages/core/src/medlar_core/relay/store_view.py
+++ b/packages/core/src/medlar_core/relay/store_view.py
@@ -26,6 +26,7 @@
 from .configuration.scope_store import ScopeStore
 from .effects import RelayEffect
 from .event_factory import EventFactory
+from .member import NEVER
 from .members import Members
 from .messages import AgentReport
 from .messages import EntryMissing
@@ -54,7 +55,6 @@
 """Added to both for each further balancer that could become a watcher: the
 first one has sent its hello message by then."""
 
-_NEVER = float("-inf")
 _NEVER_STARTED = float("inf")
 
 RouteReader = Callable[[str], RouteTable]
@@ -156,7 +156,7 @@
     @property
     def has_read_entries(self) -> bool:
         """Whether the entries of all agents have been read at least once."""
-        return self._entries.synced_at > _NEVER
+        return self._entries.synced_at > NEVER
 
     @property
     def is_failing(self) -> bool:
@@ -172,7 +172,7 @@
         store. The later in that order, the later a balancer takes the place
         of one that is silent.
         """
-        if _NEVER in (self._entries.synced_at, self._configuration.synced_at):
+        if NEVER in (self._entries.synced_at, self._configuration.synced_at):
             return True
         return self._watchers_before(now) < WATCHER_COUNT
 
@@ -388,7 +388,7 @@
         listing = self._evacuations_listing
         if stored is None:
             return
-        if self._identity.evacuations and listing.synced_at == _NEVER:
+        if self._identity.evacuations and listing.synced_at == NEVER:
             return
         key = self._identity.configuration
         self._configuration.expect(key, stored.revision)
